--- /dev/null
+++ b/clementinewall/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the engines and services."""
--- /dev/null
+++ b/clementinewall/endpoints/sse.py
@@ -0,0 +1,89 @@
+"""Server-sent events with positions, and the rule by which they pass.
+
+An engine numbers its events with ``id:`` from 1 on; the last event is
+``data: [DONE]`` and is numbered too.  The numbers are absolute: an event
+whose number was passed on before is dropped, and one that would leave a gap
+stops the stream at the last good position.  Events pass as the bytes that
+came; only their number is looked at.
+"""
+
+import typing
+
+from clementinewall import errors
+
+EVENT_LIMIT = 1_000_000
+DONE = b"[DONE]"
+
+
+class Event(typing.NamedTuple):
+    """One event: its bytes with the blank line, position and data."""
+
+    raw: bytes
+    position: int | None
+    data: bytes
+
+    @property
+    def is_last(self):
+        """Whether this event ends the stream."""
+        return self.data == DONE
+
+
+class Splitter:
+    """Cuts a byte stream into events, whatever the pieces it comes in."""
+
+    def __init__(self):
+        """Start with nothing buffered."""
+        self._rest = b""
+
+    def feed(self, piece):
+        """Return the events that are whole after ``piece``.
+
+        :raises EndpointFailed: an event is over ``EVENT_LIMIT`` bytes.
+        """
+        data = self._rest + piece
+        if b"\r" in data:
+            # A pair that is cut between its halves stays in the rest.
+            data = data.replace(b"\r\n", b"\n")
+        *blocks, self._rest = data.split(b"\n\n")
+        if len(self._rest) > EVENT_LIMIT:
+            raise errors.EndpointFailed("an event is too long")
+        return [_parse(block) for block in blocks if block]
+
+
+def _parse(block):
+    position = None
+    data = b""
+    for line in block.split(b"\n"):
+        if line.startswith(b"data:"):
+            data = line[5:].strip()
+        elif line.startswith(b"id:"):
+            number = line[3:].strip()
+            if number.isdigit() and len(number) < 18:
+                position = int(number)
+    return Event(block + b"\n\n", position, data)
+
+
+class Sequence:
+    """Lets each position through once, in order."""
+
+    def __init__(self, delivered=0):
+        """Start after the position ``delivered``."""
+        self.delivered = delivered
+        self.finished = False
+
+    def accept(self, event):
+        """Return whether to pass the event on; ``False`` drops it.
+
+        :raises StreamCut: the event would leave a gap.
+        """
+        if event.position is None or event.position <= self.delivered:
+            return False
+        if self.finished:
+            return False
+        if event.position != self.delivered + 1:
+            raise errors.StreamCut(
+                f"position {event.position} follows {self.delivered}"
+            )
+        self.delivered = event.position
+        self.finished = event.is_last
+        return True
--- /dev/null
+++ b/clementinewall/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program that answers callers."""
--- /dev/null
+++ b/clementinewall/entry/app.py
@@ -0,0 +1,371 @@
+"""The HTTP interface towards callers.
+
+Model work has the interface that model clients already use; calls to plain
+services pass under ``/services/NAME/``.  Any error is a problem document
+with the verdict, or, once a stream has begun, an ``error`` event with one.
+"""
+
+import base64
+import json
+
+import anyio
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from clementinewall import _web
+from clementinewall import clock
+from clementinewall.entry import calls
+from clementinewall.entry import model
+from clementinewall.entry import work
+from clementinewall import errors
+from clementinewall import logs
+from clementinewall import metrics
+
+_log = logs.PartLog("caller")
+
+ADDRESSES_LIMIT = 6
+ADDRESSES_A_DATA_CENTRE = 2
+# How much of a streamed answer may wait for a caller that reads slowly.
+# Hypercorn's send returns only when the socket took the bytes, so what
+# waits here is one event, and the engine is held back beyond that.
+EVENT_STREAM = b"text/event-stream"
+
+
+class CallerApp:
+    """Answers callers; one per entry."""
+
+    def __init__(self, node, loads, relay, service_calls):
+        """Use the node and what serves each kind of work."""
+        self._node = node
+        self._loads = loads
+        self._relay = relay
+        self._calls = service_calls
+        self.open = 0
+
+    def application(self):
+        """Return the ASGI application."""
+        app = _web.application(
+            [
+                routing.Route("/v1/addresses", self._on_addresses),
+                routing.Route("/v1/models", self._on_models),
+                routing.Route(
+                    "/v1/tickets", self._on_ticket, methods=["POST"]
+                ),
+                routing.Route("/v1/chat/completions", _Asgi(self._on_model)),
+                routing.Route("/v1/completions", _Asgi(self._on_model)),
+                routing.Route(
+                    "/services/{service}/{rest:path}",
+                    self._on_call,
+                    methods=["GET", "POST", "PUT", "PATCH", "DELETE"],
+                ),
+                routing.Route("/live", _on_live),
+            ]
+        )
+        return self._counted(app)
+
+    def _counted(self, app):
+        """Count open requests and end kept connections while leaving."""
+
+        async def handle(scope, receive, send):
+            if scope["type"] != "http":
+                await app(scope, receive, send)
+                return
+            self.open += 1
+            try:
+                await app(scope, receive, self._leaving_send(send))
+            finally:
+                self.open -= 1
+
+        return handle
+
+    def _leaving_send(self, send):
+        async def mark(message):
+            leaving = self._node.stopping.is_set()
+            if leaving and message["type"] == "http.response.start":
+                # A caller that keeps its connection would send its next
+                # request into a closed socket and not know whether it ran.
+                headers = list(message.get("headers", []))
+                headers.append((b"connection", b"close"))
+                message = {**message, "headers": headers}
+            await send(message)
+
+        return mark
+
+    def _check_ready(self):
+        if not self._node.is_ready():
+            raise errors.NotReady(
+                "no configuration is known yet", retry_after_ms=1_000
+            )
+
+    async def _on_addresses(self, _request):
+        settings = self._node.settings
+        rows = self._node.members.live("entry")
+        rows = [r for r in rows if r.state == "live" and r.callers]
+        near = settings.instance.data_centre
+        rows.sort(key=lambda row: (row.data_centre != near, row.id))
+        picked = _spread(rows)
+        return responses.JSONResponse(
+            {
+                "addresses": [
+                    {"address": r.callers, "data_centre": r.data_centre}
+                    for r in picked
+                ],
+                "keep_ms": settings.limits.keep_addresses_ms,
+            }
+        )
+
+    async def _on_models(self, _request):
+        self._check_ready()
+        rows = [
+            {"id": name, "object": "model", "owned_by": "fleet"}
+            for name in self._loads.models()
+        ]
+        return responses.JSONResponse({"object": "list", "data": rows})
+
+    async def _on_ticket(self, request):
+        self._check_ready()
+        asked = work.read_asked(request, self._node.view, "service")
+        ticket = await self._calls.make_ticket(asked.caller)
+        return responses.JSONResponse({"idempotency_key": ticket})
+
+    async def _on_call(self, request):
+        self._check_ready()
+        asked = work.read_asked(request, self._node.view, "service")
+        service = request.path_params["service"]
+        if not self._loads.is_known("service", service):
+            raise errors.UnknownService(f"no endpoint serves {service!r}")
+        raw = await _web.read_body(request, self._node.settings.limits)
+        key = work.read_key(request)
+        call = calls.Call(
+            request_id=asked.request_id,
+            caller=asked.caller,
+            class_name=asked.class_name,
+            service=service,
+            method=request.method,
+            path=_service_path(request),
+            key=f"{asked.caller}/{key or asked.request_id}",
+            body=base64.b64encode(raw).decode(),
+            media_type=request.headers.get(
+                "content-type", "application/octet-stream"
+            ),
+            deadline_ms=asked.work_class.deadline_ms,
+            trace=asked.trace,
+        )
+        return await self._answer_call(asked, call, key)
+
+    async def _answer_call(self, asked, call, key):
+        started = self._node.clock.now()
+        try:
+            if asked.work_class.idempotent:
+                answer = await self._calls.run_idempotent(call)
+            elif key is None:
+                raise errors.MissingKey(
+                    f"a call of class {asked.class_name} needs a key in "
+                    f"{work.KEY_HEADER}"
+                )
+            else:
+                answer = await self._calls.run_booking(call)
+        except errors.ClementinewallError as exc:
+            self._say_error(asked, exc)
+            return _web.problem(exc, asked.request_id)
+        took = self._node.clock.now() - started
+        metrics.observe_ms("call", took, work_class=asked.class_name)
+        return responses.Response(
+            answer.body,
+            status_code=answer.status,
+            media_type=answer.media_type or None,
+            headers={
+                "X-Request-Id": asked.request_id,
+                "X-Kept-Answer": "1" if answer.kept else "0",
+            },
+        )
+
+    async def _on_model(self, scope, receive, send):
+        request = requests.Request(scope, receive)
+        self._check_ready()
+        limits = self._node.settings.limits
+        if self.open > limits.streams:
+            raise errors.Overloaded(
+                "too many requests are open here", retry_after_ms=500
+            )
+        asked = work.read_asked(request, self._node.view, "model")
+        raw = await _web.read_body(request, limits)
+        body = _web.decode_object(raw)
+        wanted = work.read_model_work(request, asked, body, raw)
+        kind = _StreamSink if wanted.streamed else _WholeSink
+        sink = kind(wanted, send, limits)
+        try:
+            await self._run_until_gone(wanted, sink, receive)
+        except errors.ClementinewallError as exc:
+            self._say_error(asked, exc)
+            await sink.fail(exc, scope, receive)
+
+    async def _run_until_gone(self, wanted, sink, receive):
+        """Carry the answer, but stop when the caller has gone."""
+        failure = None
+        async with anyio.create_task_group() as group:
+            group.start_soon(_watch_gone, receive, sink, group.cancel_scope)
+            try:
+                await self._relay.run(wanted, sink)
+                await sink.finish()
+            except errors.ClementinewallError as exc:
+                # Raised inside the group it would come out wrapped in an
+                # exception group, which no handler of problems expects.
+                failure = exc
+            group.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    def _say_error(self, asked, exc):
+        metrics.count("errors", work_class=asked.class_name, code=exc.code)
+        _log.info(
+            "ended with an error",
+            request=asked.request_id,
+            caller=asked.caller,
+            code=exc.code,
+            verdict=exc.verdict.value,
+            why=exc.message,
+        )
+
+
+class _Asgi:
+    """Makes a method an ASGI endpoint that takes POST only."""
+
+    def __init__(self, handle):
+        self._handle = handle
+
+    async def __call__(self, scope, receive, send):
+        if scope["method"] != "POST":
+            error = errors.BadRequest("use POST")
+            error.status = 405
+            raise error
+        await self._handle(scope, receive, send)
+
+
+class _StreamSink:
+    """Sends events to the caller as they come."""
+
+    def __init__(self, wanted, send, limits):
+        self._wanted = wanted
+        self._send = send
+        self._seconds = clock.seconds(limits.slow_reader_ms)
+        self.started = False
+
+    async def send(self, raw, endpoint_id):
+        if not self.started:
+            await self._start(endpoint_id)
+        await self._push(raw, True)
+
+    async def finish(self):
+        await self._push(b"", False)
+
+    async def fail(self, error, scope, receive):
+        if not self.started:
+            response = _web.problem(error, self._wanted.asked.request_id)
+            await response(scope, receive, self._send)
+            return
+        body = _web.problem_body(error, self._wanted.asked.request_id)
+        event = f"event: error\ndata: {json.dumps(body)}\n\n"
+        await self._push(event.encode(), False)
+
+    async def _start(self, endpoint_id):
+        self.started = True
+        request_id = self._wanted.asked.request_id
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": [
+                    (b"content-type", EVENT_STREAM),
+                    (b"cache-control", b"no-store"),
+                    (b"x-request-id", request_id.encode("latin-1")),
+                    (b"x-stream-endpoint", endpoint_id.encode("latin-1")),
+                ],
+            }
+        )
+
+    async def _push(self, body, more):
+        message = {
+            "type": "http.response.body",
+            "body": body,
+            "more_body": more,
+        }
+        try:
+            with anyio.fail_after(self._seconds):
+                await self._send(message)
+        except TimeoutError as exc:
+            raise errors.StreamCut("the caller reads too slowly") from exc
+
+
+class _WholeSink:
+    """Gathers the events into one answer."""
+
+    def __init__(self, wanted, send, _limits):
+        self._wanted = wanted
+        self._send = send
+        self._splitter = model.sse.Splitter()
+        self._texts = []
+        self.started = False
+
+    async def send(self, raw, _endpoint_id):
+        for event in self._splitter.feed(raw):
+            self._texts.append(model.text_of(event))
+
+    async def finish(self):
+        response = responses.JSONResponse(
+            self._answer(),
+            headers={"X-Request-Id": self._wanted.asked.request_id},
+        )
+        await response({"type": "http"}, None, self._send)
+
+    async def fail(self, error, scope, receive):
+        response = _web.problem(error, self._wanted.asked.request_id)
+        await response(scope, receive, self._send)
+
+    def _answer(self):
+        text = "".join(self._texts)
+        choice = {"index": 0, "finish_reason": "stop"}
+        kind = "text_completion"
+        if self._wanted.path.endswith("/chat/completions"):
+            kind = "chat.completion"
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return {
+            "id": self._wanted.asked.request_id,
+            "object": kind,
+            "model": self._wanted.model,
+            "choices": [choice],
+        }
+
+
+async def _watch_gone(receive, _sink, scope):
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+def _service_path(request):
+    path = "/call/" + request.path_params["rest"]
+    if request.url.query:
+        return f"{path}?{request.url.query}"
+    return path
+
+
+def _spread(rows):
+    """Pick addresses over data centres, so that one death costs little."""
+    picked = []
+    by_data_centre = {}
+    for row in rows:
+        kept = by_data_centre.setdefault(row.data_centre, [])
+        if len(kept) < ADDRESSES_A_DATA_CENTRE:
+            kept.append(row)
+            picked.append(row)
+    return picked[:ADDRESSES_LIMIT]
+
+
+async def _on_live(_request):
+    return responses.PlainTextResponse("live\n")
--- /dev/null
+++ b/clementinewall/entry/calls.py
@@ -0,0 +1,338 @@
+"""Calls to plain services, idempotent ones and bookings.
+
+An idempotent call is simply tried until it is answered or given up.  A
+booking goes to its key's home entry, which announces it in the log before
+it dispatches, see ``clementinewall.records.bookings``.  Another entry may
+act as home at any time: the log lets only one of them dispatch.
+"""
+
+import base64
+import hashlib
+import secrets
+import typing
+
+import anyio
+from clementinewall import _schema
+from clementinewall import _web
+from clementinewall.endpoints import attempt
+from clementinewall.entry import partition
+from clementinewall import errors
+from clementinewall import logs
+from clementinewall.membership import members
+from clementinewall import metrics
+from clementinewall.records import bookings
+from clementinewall import verdicts
+
+_log = logs.PartLog("call")
+
+ATTEMPTS = 3
+HOMES_TRIED = 3
+# An intent older than this is not dispatched any more by its own process:
+# after so long a pause the log may have forgotten the intent, and with it
+# the reason why nobody else runs the call.
+INTENT_FRESH_MS = 10_000
+# A home that is silent this long may be paused.  Going on elsewhere is safe
+# even if it is only slow, because the log lets one of the two dispatch.
+FORWARD_PATIENCE_MS = 1_500
+GONE_CHECK_MS = 500
+HOME_PATH = "/control/bookings"
+TICKET_BYTES = 12
+
+
+class Call(typing.NamedTuple):
+    """A call to a service, as it travels to its home entry."""
+
+    request_id: str
+    caller: str
+    class_name: str
+    service: str
+    method: str
+    path: str
+    key: str
+    body: str
+    media_type: str
+    deadline_ms: int
+    trace: str | None = None
+
+
+class Answer(typing.NamedTuple):
+    """The service's answer; ``kept`` if it was given to an earlier copy."""
+
+    status: int
+    body: str
+    media_type: str
+    kept: bool = False
+
+
+class Calls:
+    """Serves calls; one per entry."""
+
+    def __init__(self, node, loads, guard):
+        """Use the node's configuration, the loads and the crash guard."""
+        self._node = node
+        self._loads = loads
+        self._guard = guard
+        self._http = attempt.single_call_client()
+        self._partition_by_number = {}
+        self._group = None
+
+    async def run(self):
+        """Hold the tasks of the partitions in use."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await anyio.sleep_forever()
+
+    async def flush(self):
+        """Wait a while for the outcomes that are not committed yet."""
+        for part in self._partition_by_number.values():
+            await part.flush()
+
+    async def make_ticket(self, caller):
+        """Return a key that stays at most once however late it is used.
+
+        :raises LogUnavailable: the bookings cannot be read.
+        """
+        random_part = secrets.token_hex(TICKET_BYTES)
+        number = bookings.partition_of(f"{caller}/{random_part}")
+        part = self._partition(number)
+        await part.wait_ready(partition.READ_BACK_MS)
+        return bookings.make_ticket(number, part.table.next, random_part)
+
+    async def run_idempotent(self, call):
+        """Answer a call that may run more than once."""
+        return await self._dispatch(call, idempotent=True)
+
+    async def run_booking(self, call):
+        """Answer a call that may run at most once, by way of its home."""
+        end = self._node.clock.now() + call.deadline_ms
+        for home in self._homes(call.key):
+            left = end - self._node.clock.now()
+            if home.id == self._node.id or left <= 0:
+                break
+            try:
+                return await self._forward(home, call, left)
+            except errors.EndpointFailed as exc:
+                _log.warning(
+                    "a home entry did not answer",
+                    request=call.request_id,
+                    home=home.id,
+                    error=exc.message,
+                )
+        # Whatever those homes did, their intents are in the log or will
+        # come too late: acting as home here cannot run the call twice.
+        left = max(1, end - self._node.clock.now())
+        return await self.run_as_home(call._replace(deadline_ms=left))
+
+    async def run_as_home(self, call):
+        """Announce, dispatch and conclude a booking at this entry."""
+        part = self._partition(bookings.partition_of(call.key))
+        await part.wait_ready(min(call.deadline_ms, partition.READ_BACK_MS))
+        digest = _digest(call)
+        kept = part.kept(call.key)
+        if kept is None or kept.state == "not_run":
+            self._check_room(part, call)
+            self._guard.check(digest, verdicts.Verdict.NOT_RUN)
+            intent = bookings.Intent(secrets.token_hex(8), call.key, digest)
+            announced = self._node.clock.now()
+            kept = await part.announce(intent)
+            if kept.intent.id == intent.id and kept.state == "open":
+                return await self._run_once(part, call, intent, announced)
+        if kept.intent.digest != digest:
+            raise errors.KeyReused("the key came with another request")
+        return await self._await_outcome(part, call)
+
+    def _check_room(self, part, call):
+        if part.table.is_expired(call.key):
+            raise errors.KeyExpired(
+                "the ticket is older than the log's memory"
+            )
+        if part.table.is_full:
+            raise errors.BookingsFull(
+                "too many keys are remembered", retry_after_ms=10_000
+            )
+
+    async def _run_once(self, part, call, intent, announced):
+        """Dispatch the call whose own intent is the valid one."""
+
+        def conclude(state, **members_of_outcome):
+            part.conclude(
+                bookings.Outcome(
+                    intent.id, intent.key, state, **members_of_outcome
+                )
+            )
+
+        waited = self._node.clock.now() - announced
+        if waited > INTENT_FRESH_MS:
+            conclude("not_run")
+            raise errors.LogUnavailable(
+                f"held up for {waited} ms", retry_after_ms=1_000
+            )
+        try:
+            answer = await self._dispatch(call, idempotent=False)
+        except errors.ClementinewallError as exc:
+            is_free = exc.verdict is verdicts.Verdict.NOT_RUN
+            conclude("not_run" if is_free else "in_doubt")
+            raise
+        body = answer.body
+        if len(body) > bookings.KEPT_BODY_LIMIT:
+            body = ""
+        conclude(
+            "ran",
+            status=answer.status,
+            body=body,
+            media_type=answer.media_type,
+        )
+        return answer
+
+    async def _await_outcome(self, part, call):
+        """Wait for what another copy of the call comes to."""
+        end = self._node.clock.now() + call.deadline_ms
+        while True:
+            kept = part.kept(call.key)
+            if kept is None or kept.state == "not_run":
+                raise errors.NoEndpoint(
+                    "an earlier copy was not run", retry_after_ms=200
+                )
+            if kept.state == "ran":
+                return _kept_answer(kept.outcome)
+            left = end - self._node.clock.now()
+            is_gone = kept.state == "open" and not self._is_live(kept.by)
+            if kept.state == "in_doubt" or is_gone or left <= 0:
+                raise errors.BookingInDoubt(
+                    "a call with this key began and left no outcome",
+                    retry_after_ms=None if is_gone else 1_000,
+                )
+            await part.wait_change(min(left, GONE_CHECK_MS))
+
+    async def _dispatch(self, call, idempotent):
+        """Try endpoints until one answers or no more try is allowed."""
+        digest = _digest(call)
+        end = self._node.clock.now() + call.deadline_ms
+        failed = set()
+        last = None
+        for _ in range(ATTEMPTS):
+            verdict = last.verdict if last else verdicts.Verdict.NOT_RUN
+            self._guard.check(digest, verdict)
+            name = self._choose(call, digest, failed, verdict)
+            left = end - self._node.clock.now()
+            if name is None or left <= 0:
+                break
+            try:
+                return await self._attempt(call, name, left)
+            except errors.EndpointFailed as exc:
+                last = exc
+                failed.add(name)
+                await self._after_failure(call, digest, name, exc)
+                if not verdicts.may_retry(exc.verdict, idempotent):
+                    raise
+        if last is not None:
+            raise last
+        raise errors.NoEndpoint(
+            f"no endpoint of {call.service!r} is in reach",
+            retry_after_ms=1_000,
+        )
+
+    def _choose(self, call, digest, failed, verdict):
+        ids = self._loads.serving("service", call.service)
+        only = self._guard.only_choice(digest, ids, failed, verdict)
+        return only or self._loads.least_busy(call.service, failed)
+
+    async def _attempt(self, call, name, timeout_ms):
+        endpoint = self._loads.endpoint(name)
+        headers = {
+            "content-type": call.media_type,
+            "x-request-id": call.request_id,
+            "idempotency-key": call.key,
+        }
+        if call.trace:
+            headers["traceparent"] = call.trace
+        request = self._http.build_request(
+            call.method,
+            f"http://{endpoint.address}{call.path}",
+            content=base64.b64decode(call.body),
+            headers=headers,
+        )
+        _log.info(
+            "chose an endpoint",
+            request=call.request_id,
+            service=call.service,
+            endpoint=name,
+        )
+        self._loads.sent(name, 0)
+        try:
+            answer = await attempt.call(self._http, name, request, timeout_ms)
+        finally:
+            self._loads.ended(name)
+        self._loads.worked(name)
+        metrics.count("called", work_class=call.class_name)
+        media_type = answer.headers.get("content-type", "")
+        return Answer(answer.status_code, answer.text, media_type)
+
+    async def _after_failure(self, call, digest, name, exc):
+        _log.warning(
+            "an endpoint broke off",
+            request=call.request_id,
+            endpoint=name,
+            verdict=exc.verdict.value,
+            error=exc.message,
+        )
+        self._loads.failed(name)
+        if exc.verdict is not verdicts.Verdict.NOT_RUN:
+            await self._guard.after_failure(
+                digest, call.request_id, name, strong=True
+            )
+
+    async def _forward(self, home, call, timeout_ms):
+        """Have the home entry run the call.
+
+        :raises EndpointFailed: it gave no answer of its own.
+        """
+        token = self._node.settings.security.control_token
+        request = self._http.build_request(
+            "POST",
+            f"http://{home.control}{HOME_PATH}",
+            json=_schema.plain(call._replace(deadline_ms=timeout_ms)),
+            headers={"Authorization": f"Bearer {token}"},
+        )
+        patience = min(timeout_ms, FORWARD_PATIENCE_MS)
+        answer = await attempt.call(self._http, home.id, request, patience)
+        if answer.status_code != 200:
+            error = _web.error_of_problem(answer.content)
+            if error is None or isinstance(error, errors.NotReady):
+                raise errors.EndpointFailed(f"{home.id}: no clear answer")
+            raise error
+        value, mistakes = _schema.build(Answer, answer.json())
+        if mistakes:
+            raise errors.EndpointFailed(f"{home.id}: {mistakes[0]}")
+        return value
+
+    def _homes(self, key):
+        """Return the entries to act as home of the key, best first.
+
+        They are drawn from the rows that every node knows, so that all
+        agree in calm times and a partition has one reader, not hundreds.
+        """
+        rows = {r.id: r for r in self._node.members.representatives("entry")}
+        number = bookings.partition_of(key)
+        order = members.rendezvous(f"bookings-{number}", list(rows))
+        return [rows[name] for name in order[:HOMES_TRIED]]
+
+    def _is_live(self, boot):
+        return any(row.boot == boot for row in self._node.members.live())
+
+    def _partition(self, number):
+        known = self._partition_by_number.get(number)
+        if known is None:
+            known = partition.Partition(number, self._node)
+            self._partition_by_number[number] = known
+            self._group.start_soon(known.run)
+        return known
+
+
+def _digest(call):
+    text = f"{call.caller}|{call.method}|{call.path}|{call.body}"
+    return hashlib.blake2b(text.encode(), digest_size=12).hexdigest()
+
+
+def _kept_answer(outcome):
+    return Answer(outcome.status, outcome.body, outcome.media_type, True)
--- /dev/null
+++ b/clementinewall/entry/crash_guard.py
@@ -0,0 +1,94 @@
+"""Keeping a request that crashes endpoints from reaching a third.
+
+Shared by model work and service calls: both probe an endpoint that broke
+off, mark the work if it went down, and tell the other entries first.
+"""
+
+import anyio
+
+from clementinewall import clock
+from clementinewall.endpoints import attempt
+from clementinewall import errors
+from clementinewall import logs
+from clementinewall.membership import members
+from clementinewall import verdicts
+
+_log = logs.PartLog("crash")
+
+PROBE_MS = 500
+SPREAD_MS = 1_000
+SETTLE_MS = 200
+
+
+class CrashGuard:
+    """Checks and marks work by its digest."""
+
+    def __init__(self, node, loads):
+        """Use the node's table of marks and the loads' reports."""
+        self._node = node
+        self._loads = loads
+        self._http = attempt.single_call_client()
+
+    def check(self, digest, verdict):
+        """Refuse work that crashed two endpoints.
+
+        :raises HarmfulRequest: with ``verdict``.
+        """
+        if self._node.crashes.is_harmful(digest):
+            raise errors.HarmfulRequest(
+                "this request crashed two endpoints", verdict
+            )
+
+    def only_choice(self, digest, ids, failed, verdict):
+        """Return the one endpoint that may still try suspect work.
+
+        ``None`` means that the work is not suspect.  All entries find the
+        same endpoint from the published configuration, so that copies sent
+        through every entry crash one more endpoint together, not one each.
+
+        :raises NoEndpoint: there is none, or it failed already.
+        """
+        suspect = self._node.crashes.endpoints(digest)
+        if not suspect:
+            return None
+        left = [name for name in ids if name not in suspect]
+        order = members.rendezvous(digest, left)
+        if not order or order[0] in failed:
+            raise errors.NoEndpoint(
+                "no endpoint is left to try this request", verdict
+            )
+        return order[0]
+
+    async def after_failure(self, digest, request_id, name, strong):
+        """Mark the work if its endpoint is gone, and tell the peers."""
+        if await self._is_up(name):
+            return
+        if self._node.crashes.add(digest, name, strong=strong):
+            _log.warning(
+                "an endpoint went down under this request",
+                request=request_id,
+                endpoint=name,
+                digest=digest,
+            )
+        # Without telling first, the caller's copy at another entry would
+        # find an endpoint before the mark does.
+        with anyio.move_on_after(clock.seconds(SPREAD_MS)):
+            await self._node.gossip.spread()
+        await anyio.sleep(clock.seconds(SETTLE_MS))
+
+    async def _is_up(self, name):
+        endpoint = self._loads.endpoint(name)
+        if endpoint is None:
+            return True
+        before = self._loads.report(name)
+        request = self._http.build_request(
+            "GET", f"http://{endpoint.address}/state"
+        )
+        try:
+            answer = await attempt.call(self._http, name, request, PROBE_MS)
+            boot = answer.json().get("boot", "")
+        except errors.EndpointFailed as exc:
+            return exc.verdict is not verdicts.Verdict.NOT_RUN
+        except (ValueError, AttributeError):
+            return True
+        return before is None or before.boot == boot
--- /dev/null
+++ b/clementinewall/entry/model.py
@@ -0,0 +1,413 @@
+"""Carrying a model's answer from engines to a caller.
+
+The relay chooses an engine, opens the stream, and passes each position on
+once.  When an engine breaks off, or has to be left because its withdrawal is
+published, the answer goes on from the last position at another engine.
+"""
+
+import collections
+import json
+import typing
+
+import anyio
+import httpx
+
+from clementinewall import clock
+from clementinewall.endpoints import attempt
+from clementinewall.endpoints import sse
+from clementinewall import errors
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.policy import admission
+from clementinewall.policy import budget
+from clementinewall.policy import routing
+from clementinewall import verdicts
+
+_log = logs.PartLog("route")
+
+ATTEMPTS = 4
+CHARS_PER_TOKEN = 4
+# A split pays off for long prompts only; below, the extra hop costs more
+# than the prompt work it moves away.
+SPLIT_TOKENS = 512
+MOVE_MS_PER_TOKEN = 0.005
+SILENCE_FACTOR = 8
+SILENCE_FLOOR_MS = 2_000
+
+
+class Sink(typing.Protocol):
+    """Where the relay puts the events of one answer."""
+
+    async def send(self, raw, endpoint_id):
+        """Take the bytes of one event."""
+
+
+class _Moved(Exception):
+    """The engine is leaving; the stream goes on elsewhere."""
+
+
+class _Run:
+    """The state of one request while it is carried."""
+
+    def __init__(self, work, now):
+        self.work = work
+        self.sequence = sse.Sequence(work.delivered)
+        self.deadline = now + work.asked.work_class.deadline_ms
+        self.started = now
+        self.failed = set()
+        self.kept = []
+        self.kept_bytes = 0
+        self.attempts = 0
+        self.seen_here = 0
+        self.verdict = verdicts.Verdict.NOT_RUN
+
+
+class ModelRelay:
+    """Serves model work; one per entry."""
+
+    def __init__(self, node, loads, shares, guard):
+        """Use the node's configuration, the loads and callers' shares."""
+        self._node = node
+        self._guard = guard
+        self._loads = loads
+        self._shares = shares
+        self._http = attempt.stream_client()
+        self._budgets = collections.defaultdict(budget.RetryBudget)
+
+    async def run(self, work, sink):
+        """Carry the whole answer to ``sink``.
+
+        :raises ClementinewallError: with the verdict, when given up.
+        """
+        run = _Run(work, self._node.clock.now())
+        if not self._loads.is_known("engine", work.model):
+            raise errors.UnknownModel(f"no engine serves {work.model!r}")
+        self._budgets[work.asked.class_name].earn()
+        left = work.asked.work_class.deadline_ms
+        try:
+            with anyio.fail_after(clock.seconds(left)):
+                await self._attempts(run, sink)
+        except TimeoutError as exc:
+            raise errors.DeadlineExceeded(
+                f"no whole answer in {left} ms", run.verdict
+            ) from exc
+
+    async def _attempts(self, run, sink):
+        while not run.sequence.finished:
+            plan = self._plan(run)
+            try:
+                await self._attempt(run, plan, sink)
+            except _Moved:
+                _log.info(
+                    "moving a stream from an engine that leaves",
+                    request=run.work.asked.request_id,
+                    endpoint=plan.decode.id,
+                    position=run.sequence.delivered,
+                )
+                run.failed.add(plan.decode.id)
+            except errors.ClementinewallError as exc:
+                await self._after_failure(run, plan, exc)
+
+    def _plan(self, run):
+        """Return where the answer shall come from next."""
+        work = run.work
+        self._guard.check(work.digest, run.verdict)
+        only = self._guard.only_choice(
+            work.digest,
+            self._loads.serving("engine", work.model),
+            run.failed,
+            run.verdict,
+        )
+        if only is not None:
+            choice = routing.Choice(only, 0.0, 0.0, 0.0, "suspect work")
+            plan = routing.Split("", choice)
+            self._say_choice(run, plan)
+            return plan
+        candidates = self._loads.candidates(
+            work.model, work.prompt, run.failed
+        )
+        wanted = _wanted(work)
+        # Equal work finds equal engines at all entries, as far as their
+        # reports agree: the caches are reused, and a request that crashes
+        # its engine, sent through many entries at once, crashes few.
+        draw = int(work.digest[:6], 16) / 0x1000000
+        choice = routing.choose(candidates, wanted, draw)
+        if choice is None:
+            raise errors.NoEndpoint(
+                f"no engine for {work.model!r} is in reach",
+                run.verdict,
+                retry_after_ms=1_000,
+            )
+        plan = routing.Split("", choice)
+        if wanted.prompt_tokens >= SPLIT_TOKENS:
+            move = wanted.prompt_tokens * MOVE_MS_PER_TOKEN
+            split = routing.choose_split(candidates, wanted, draw, move)
+            if split is not None and split.decode.score < choice.score:
+                plan = split
+        if run.attempts == 0 and run.work.delivered == 0:
+            self._admit(run, plan.decode)
+        self._say_choice(run, plan)
+        return plan
+
+    def _admit(self, run, choice):
+        asked = run.work.asked
+        share, callers = self._shares.of(asked.caller)
+        demand = admission.Demand(asked.work_class.priority, share, callers)
+        verdict = admission.judge(choice, demand, asked.work_class.first_ms)
+        if verdict.admit:
+            self._shares.add(asked.caller, _tokens(run.work))
+            return
+        _log.info(
+            "refused",
+            request=asked.request_id,
+            work_class=asked.class_name,
+            caller=asked.caller,
+            why=verdict.reason,
+            retry_ms=verdict.retry_after_ms,
+        )
+        metrics.count("refused", work_class=asked.class_name)
+        raise errors.Overloaded(
+            verdict.reason, retry_after_ms=verdict.retry_after_ms
+        )
+
+    async def _attempt(self, run, plan, sink):
+        work = run.work
+        run.seen_here = 0
+        headers = self._headers(run)
+        if plan.prefill_id:
+            await self._prefill(run, plan.prefill_id, headers)
+        name = plan.decode.id
+        endpoint = self._loads.endpoint(name)
+        if endpoint is None:
+            raise errors.EndpointFailed(
+                f"{name} is gone", verdicts.Verdict.NOT_RUN
+            )
+        url = f"http://{endpoint.address}{work.path}"
+        request = self._http.build_request(
+            "POST", url, content=_body_for(run), headers=headers
+        )
+        tokens = 0 if plan.prefill_id else _prompt_tokens(work)
+        self._loads.sent(name, tokens)
+        try:
+            await self._stream(run, name, request, sink)
+        except httpx.HTTPError as exc:
+            raise attempt.failure(name, exc) from exc
+        except TimeoutError as exc:
+            raise errors.EndpointFailed(f"{name}: silent too long") from exc
+        finally:
+            self._loads.ended(name)
+
+    async def _stream(self, run, name, request, sink):
+        with anyio.fail_after(clock.seconds(_silence_ms(run))):
+            answer = await self._http.send(request, stream=True)
+        try:
+            if attempt.is_refusal(answer):
+                raise errors.EndpointFailed(
+                    f"{name}: refused", verdicts.Verdict.NOT_RUN
+                )
+            if answer.status_code != 200:
+                await self._fail_status(name, answer)
+            await self._relay(run, name, answer, sink)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await answer.aclose()
+
+    async def _relay(self, run, name, answer, sink):
+        splitter = sse.Splitter()
+        pieces = answer.aiter_raw()
+        started = self._node.clock.now()
+        while True:
+            # An engine that is stuck keeps its connection open and says
+            # nothing; without this limit its streams end at the deadline.
+            with anyio.fail_after(clock.seconds(_silence_ms(run))):
+                piece = await anext(pieces, None)
+            if piece is None:
+                break
+            for event in splitter.feed(piece):
+                if run.sequence.accept(event):
+                    await self._pass_on(run, name, event, sink)
+            if run.sequence.finished:
+                self._say_done(run, name, started)
+                return
+            self._check_leaving(run, name)
+        raise errors.StreamCut(
+            f"{name}: ended after position {run.sequence.delivered}"
+        )
+
+    async def _pass_on(self, run, name, event, sink):
+        if run.seen_here == 0:
+            first = self._node.clock.now() - run.started
+            metrics.observe_ms(
+                "first_token", first, work_class=run.work.asked.class_name
+            )
+            self._loads.remember_prefix(name, run.work.prompt)
+        run.seen_here += 1
+        run.verdict = verdicts.Verdict.RAN
+        limit = self._node.settings.limits.resume_bytes
+        if run.kept_bytes + len(event.raw) <= limit:
+            run.kept.append(event)
+            run.kept_bytes += len(event.raw)
+        await sink.send(event.raw, name)
+
+    def _say_done(self, run, name, started):
+        took = self._node.clock.now() - started
+        gap = None
+        if run.seen_here > 2:
+            gap = took / (run.seen_here - 1)
+            metrics.observe_ms(
+                "token_gap", gap, work_class=run.work.asked.class_name
+            )
+        self._loads.worked(name, gap)
+        metrics.count("answered", work_class=run.work.asked.class_name)
+        _log.info(
+            "answered whole",
+            request=run.work.asked.request_id,
+            endpoint=name,
+            position=run.sequence.delivered,
+        )
+
+    def _check_leaving(self, run, name):
+        endpoint = self._loads.endpoint(name)
+        if endpoint is not None and endpoint.state != "withdrawn":
+            return
+        others = self._loads.usable("engine", run.work.model, {name})
+        if others:
+            raise _Moved
+
+    async def _fail_status(self, name, answer):
+        await answer.aread()
+        if 400 <= answer.status_code < 500:
+            raise errors.BadRequest(
+                f"{name} answered {answer.status_code}: {answer.text[:200]}",
+                verdicts.Verdict.RAN,
+            )
+        raise errors.EndpointFailed(f"{name}: {answer.status_code}")
+
+    async def _prefill(self, run, prefill_id, headers):
+        """Have the prompt worked off at another engine, if that works."""
+        endpoint = self._loads.endpoint(prefill_id)
+        self._loads.sent(prefill_id, _prompt_tokens(run.work))
+        try:
+            request = self._http.build_request(
+                "POST",
+                f"http://{endpoint.address}/kv/prefill",
+                content=run.work.raw,
+                headers=headers,
+            )
+            answer = await attempt.call(
+                self._http, prefill_id, request, _silence_ms(run)
+            )
+            handle = answer.json()["handle"]
+        finally:
+            self._loads.ended(prefill_id)
+        headers["kv-source"] = f"{endpoint.address}#{handle}"
+
+    def _headers(self, run):
+        asked = run.work.asked
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": asked.request_id,
+            "priority": str(asked.work_class.priority),
+        }
+        if asked.trace:
+            headers["traceparent"] = asked.trace
+        if run.sequence.delivered:
+            headers["resume-after"] = str(run.sequence.delivered)
+        return headers
+
+    async def _after_failure(self, run, plan, exc):
+        """Prepare the next attempt, or raise the final answer."""
+        name = plan.decode.id
+        if isinstance(exc, errors.NotRunError):
+            raise exc
+        run.attempts += 1
+        run.failed.update({name, plan.prefill_id} - {""})
+        run.verdict = verdicts.worst(run.verdict, exc.verdict)
+        ran = exc.verdict is not verdicts.Verdict.NOT_RUN
+        if ran:
+            self._loads.failed(name)
+            await self._guard.after_failure(
+                run.work.digest,
+                run.work.asked.request_id,
+                name,
+                strong=run.seen_here == 0,
+            )
+        _log.warning(
+            "an engine broke off",
+            request=run.work.asked.request_id,
+            endpoint=name,
+            position=run.sequence.delivered,
+            error=exc.message,
+        )
+        if run.attempts >= ATTEMPTS:
+            raise self._given_up(run, exc)
+        started = run.sequence.delivered > run.work.delivered
+        spends = ran and not started
+        budget_of_class = self._budgets[run.work.asked.class_name]
+        if spends and not budget_of_class.spend():
+            raise self._given_up(run, exc)
+
+    def _given_up(self, run, exc):
+        if run.sequence.delivered:
+            return errors.StreamCut(exc.message, run.verdict, 1_000)
+        return errors.EndpointFailed(exc.message, run.verdict, 1_000)
+
+    def _say_choice(self, run, plan):
+        _log.info(
+            "chose an engine",
+            request=run.work.asked.request_id,
+            work_class=run.work.asked.class_name,
+            endpoint=plan.decode.id,
+            prefill=plan.prefill_id or "-",
+            score=f"{plan.decode.score:.2f}",
+            first_ms=f"{plan.decode.first_ms:.0f}",
+            gap_ms=f"{plan.decode.between_ms:.1f}",
+            attempt=run.attempts + 1,
+            why=plan.decode.reason,
+        )
+
+
+def _wanted(work):
+    work_class = work.asked.work_class
+    return routing.Work(
+        _prompt_tokens(work), work_class.first_ms, work_class.gap_ms
+    )
+
+
+def _prompt_tokens(work):
+    return max(1, len(work.prompt) // CHARS_PER_TOKEN)
+
+
+def _tokens(work):
+    return _prompt_tokens(work) + int(work.body.get("max_tokens", 16))
+
+
+def _silence_ms(run):
+    """Return how long an engine may say nothing before it counts as stuck."""
+    work_class = run.work.asked.work_class
+    if run.seen_here == 0:
+        return SILENCE_FACTOR * work_class.first_ms + SILENCE_FLOOR_MS
+    return SILENCE_FACTOR * work_class.gap_ms + SILENCE_FLOOR_MS
+
+
+def _body_for(run):
+    """Return the body for the engine, unchanged where that is possible."""
+    work = run.work
+    if work.streamed and not run.kept:
+        return work.raw
+    body = {**work.body, "stream": True}
+    if run.kept:
+        body["resume_text"] = "".join(text_of(event) for event in run.kept)
+    return json.dumps(body).encode()
+
+
+def text_of(event):
+    """Return the text that an event adds to the answer."""
+    if event.is_last:
+        return ""
+    try:
+        choice = json.loads(event.data)["choices"][0]
+    except (ValueError, KeyError, IndexError, TypeError):
+        return ""
+    delta = choice.get("delta") or {}
+    return choice.get("text") or delta.get("content") or ""
--- /dev/null
+++ b/clementinewall/entry/partition.py
@@ -0,0 +1,200 @@
+"""One partition of the bookings: its stream, table and commits.
+
+A task follows the stream, another commits what waits, all of it in one
+record: while an append is under way the next ones gather, so the number of
+appends does not grow with the number of calls.
+"""
+
+import collections
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.log import client
+from clementinewall import logs
+from clementinewall.records import bookings
+
+_log = logs.PartLog("booking")
+
+WAIT_MS = 1_000
+PAUSE_MS = 200
+READ_BACK_MS = 3_000
+BATCH_LIMIT = 200
+OUTCOMES_LIMIT = 10_000
+# The least time between two appends of one partition.  It bounds the load
+# on the log: 8 partitions commit 160 times a second at the most.
+SPACING_MS = 50
+
+
+class Partition:
+    """Follows and extends one bookings stream."""
+
+    def __init__(self, number, node):
+        """Prepare the partition ``number``; ``run`` starts it."""
+        self._stream = bookings.stream_of(number)
+        self._node = node
+        self._intents = collections.deque()
+        self._outcomes = collections.deque(maxlen=OUTCOMES_LIMIT)
+        self._work = anyio.Event()
+        self._changed = anyio.Event()
+        self.table = bookings.Table(node.settings.limits.remembered_keys)
+        self.caught_up = False
+        self.failed = None
+        self._committing = False
+
+    async def run(self):
+        """Follow and commit for ever."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._follow)
+            group.start_soon(self._commit)
+
+    def kept(self, key):
+        """Return what is remembered of the key, or ``None``."""
+        return self.table.kept_by_key.get(key)
+
+    async def wait_ready(self, timeout_ms):
+        """Wait until the whole stream is read.
+
+        :raises LogUnavailable: it cannot be read in time.
+        """
+        end = self._node.clock.now() + timeout_ms
+        while not self.caught_up:
+            left = end - self._node.clock.now()
+            if left <= 0:
+                raise errors.LogUnavailable(
+                    "the bookings cannot be read", retry_after_ms=1_000
+                )
+            await self.wait_change(left)
+
+    async def wait_change(self, timeout_ms):
+        """Wait for the next record, or until the time has passed."""
+        changed = self._changed
+        with anyio.move_on_after(clock.seconds(timeout_ms)):
+            await changed.wait()
+
+    async def announce(self, intent):
+        """Commit the intent; return what the log then holds of its key.
+
+        :raises LogUnavailable: the intent is given up and never acted on.
+        """
+        waiter = _Waiter(intent)
+        self._intents.append(waiter)
+        self._work.set()
+        end = self._node.clock.now() + READ_BACK_MS
+        while True:
+            kept = self.kept(intent.key)
+            if kept is not None and kept.state != "not_run":
+                return kept
+            left = end - self._node.clock.now()
+            if left <= 0 or waiter.refused:
+                raise self._give_up(waiter)
+            await self.wait_change(left)
+
+    def conclude(self, outcome):
+        """Commit the outcome of an intent of ours when the log allows."""
+        self._outcomes.append(outcome)
+        self._work.set()
+
+    async def flush(self):
+        """Wait until the outcomes are committed, but not for long."""
+        with anyio.move_on_after(clock.seconds(READ_BACK_MS)):
+            while self._outcomes or self._committing:
+                await anyio.sleep(clock.seconds(SPACING_MS))
+
+    def _give_up(self, waiter):
+        """Abandon an intent that may or may not be in the log.
+
+        From here on this process never dispatches it, and nobody else may,
+        so "not run" is true.  If it did reach the log, the outcome that is
+        committed once the log is back frees the key for a resend.
+        """
+        intent = waiter.intent
+        waiter.abandoned = True
+        if waiter.sent:
+            self.conclude(bookings.Outcome(intent.id, intent.key, "not_run"))
+        return errors.LogUnavailable(
+            "the log did not take the booking", retry_after_ms=1_000
+        )
+
+    async def _follow(self):
+        while True:
+            wait_ms = WAIT_MS if self.caught_up else 0
+            try:
+                batch = await self._node.log.read(
+                    self._stream, self.table.next, wait_ms
+                )
+            except errors.ClementinewallError as exc:
+                self.failed = exc
+                await anyio.sleep(clock.seconds(PAUSE_MS))
+                continue
+            self.failed = None
+            self.table.begin(batch.first)
+            for offset, record in batch.records:
+                self.table.apply(offset, record)
+            if len(batch.records) < client.READ_LIMIT:
+                self.caught_up = True
+            self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
+
+    async def _commit(self):
+        while True:
+            await self._work.wait()
+            self._work = anyio.Event()
+            while self._intents or self._outcomes:
+                await self._commit_some()
+                await anyio.sleep(clock.seconds(SPACING_MS))
+
+    async def _commit_some(self):
+        waiters = _take(self._intents)
+        waiters = [waiter for waiter in waiters if not waiter.abandoned]
+        outcomes = _take(self._outcomes)
+        if not waiters and not outcomes:
+            return
+        commit = bookings.Commit(
+            self._node.boot,
+            tuple(waiter.intent for waiter in waiters),
+            tuple(outcomes),
+        )
+        for waiter in waiters:
+            waiter.sent = True
+        self._committing = True
+        try:
+            await self._node.log.append(self._stream, commit)
+        except errors.LogUnavailable:
+            for waiter in waiters:
+                waiter.sent = False
+                waiter.refused = True
+            self._wake()
+            self._retry(outcomes)
+            await anyio.sleep(clock.seconds(PAUSE_MS))
+        except errors.AppendUnknown:
+            # Outcomes may be appended twice without harm: only the first
+            # one that ends an open intent counts.
+            self._retry(outcomes)
+            await anyio.sleep(clock.seconds(PAUSE_MS))
+        finally:
+            self._committing = False
+        if outcomes and self.failed is not None:
+            _log.warning("outcomes wait for the log", count=len(outcomes))
+
+    def _retry(self, outcomes):
+        self._outcomes.extendleft(reversed(outcomes))
+
+
+class _Waiter:
+    """An intent on its way into the log."""
+
+    def __init__(self, intent):
+        self.intent = intent
+        self.sent = False
+        self.refused = False
+        self.abandoned = False
+
+
+def _take(queue):
+    count = min(BATCH_LIMIT, len(queue))
+    return [queue.popleft() for _ in range(count)]
--- /dev/null
+++ b/clementinewall/entry/shares.py
@@ -0,0 +1,50 @@
+"""The callers' parts of the recent work at this entry.
+
+Counts decay, so that a caller who floods is forgiven soon after.  The table
+is bounded; on overflow the smallest count goes, whose share was nearly none.
+"""
+
+import math
+
+HALF_LIFE_MS = 10_000
+CALLERS_LIMIT = 2_000
+FORGET_BELOW = 1.0
+
+
+class Shares:
+    """Decaying counts of tokens by caller."""
+
+    def __init__(self, now):
+        """Start empty; ``now`` gives milliseconds."""
+        self._now = now
+        self._at = now()
+        self._tokens_by_caller = {}
+
+    def add(self, caller, tokens):
+        """Count admitted work."""
+        self._decay()
+        known = self._tokens_by_caller
+        known[caller] = known.get(caller, 0.0) + tokens
+        if len(known) > CALLERS_LIMIT:
+            del known[min(known, key=known.get)]
+
+    def of(self, caller):
+        """Return the caller's share and the number of callers."""
+        self._decay()
+        total = sum(self._tokens_by_caller.values())
+        count = len(self._tokens_by_caller)
+        if not total:
+            return 0.0, count
+        return self._tokens_by_caller.get(caller, 0.0) / total, count
+
+    def _decay(self):
+        passed = self._now() - self._at
+        if passed < HALF_LIFE_MS / 20:
+            return
+        self._at += passed
+        factor = math.pow(0.5, passed / HALF_LIFE_MS)
+        self._tokens_by_caller = {
+            caller: tokens * factor
+            for caller, tokens in self._tokens_by_caller.items()
+            if tokens * factor >= FORGET_BELOW
+        }
--- /dev/null
+++ b/clementinewall/entry/work.py
@@ -0,0 +1,160 @@
+"""Reading a caller's request into typed work.
+
+Nothing here waits or sends; a request that cannot be read is refused with
+what is wrong with it, before anything has run.
+"""
+
+import hashlib
+import secrets
+import typing
+
+from clementinewall import errors
+from clementinewall.records import configuration
+
+CLASS_HEADER = "x-class"
+CALLER_HEADER = "x-caller"
+REQUEST_ID_HEADER = "x-request-id"
+POSITION_HEADER = "last-event-id"
+STREAM_HEADER = "x-stream-endpoint"
+KEY_HEADER = "idempotency-key"
+TRACE_HEADER = "traceparent"
+DEFAULT_MAX_TOKENS = 16
+MAX_TOKENS = 100_000
+ID_LIMIT = 200
+
+
+class Asked(typing.NamedTuple):
+    """Who asks for what class of work, under which id."""
+
+    request_id: str
+    caller: str
+    class_name: str
+    work_class: configuration.WorkClass
+    trace: str | None
+
+
+class ModelWork(typing.NamedTuple):
+    """A request for a model's answer."""
+
+    asked: Asked
+    path: str
+    model: str
+    prompt: str
+    body: dict[str, typing.Any]
+    raw: bytes
+    streamed: bool
+    delivered: int
+    last_endpoint: str | None
+    digest: str
+
+
+def read_asked(request, view, kind):
+    """Return the class and caller of the request.
+
+    :raises UnknownClass: the class is not published.
+    """
+    headers = request.headers
+    request_id = headers.get(REQUEST_ID_HEADER) or secrets.token_hex(8)
+    name, work_class = _class_of(headers.get(CLASS_HEADER), view, kind)
+    return Asked(
+        request_id[:ID_LIMIT],
+        _caller_of(request),
+        name,
+        work_class,
+        headers.get(TRACE_HEADER),
+    )
+
+
+def read_model_work(request, asked, body, raw):
+    """Return the model work that the body asks for.
+
+    :raises BadRequest: a member is missing or has the wrong type.
+    """
+    model = body.get("model")
+    if not isinstance(model, str) or not model:
+        raise errors.BadRequest("model: found nothing, allowed is a name")
+    limit = body.get("max_tokens", DEFAULT_MAX_TOKENS)
+    if not isinstance(limit, int) or not 1 <= limit <= MAX_TOKENS:
+        raise errors.BadRequest(
+            f"max_tokens: found {limit!r}, allowed is 1 to {MAX_TOKENS}"
+        )
+    if not isinstance(body.get("stream", False), bool):
+        raise errors.BadRequest("stream: allowed is true or false")
+    path = request.url.path
+    digest = hashlib.blake2b(asked.caller.encode() + raw, digest_size=12)
+    return ModelWork(
+        asked,
+        path,
+        model,
+        _prompt_of(path, body),
+        body,
+        raw,
+        body.get("stream", False),
+        _position(request.headers.get(POSITION_HEADER)),
+        request.headers.get(STREAM_HEADER),
+        digest.hexdigest(),
+    )
+
+
+def read_key(request):
+    """Return the caller's idempotency key, or ``None``.
+
+    :raises BadRequest: it is too long.
+    """
+    key = request.headers.get(KEY_HEADER)
+    if key is not None and len(key) > ID_LIMIT:
+        raise errors.BadRequest(f"{KEY_HEADER} is over {ID_LIMIT} characters")
+    return key or None
+
+
+def _class_of(name, view, kind):
+    named = {n: c for n, c in view.classes_by_name.items() if c.kind == kind}
+    if name is not None:
+        if name not in named:
+            raise errors.UnknownClass(
+                f"{name!r} is not one of: {', '.join(sorted(named))}"
+            )
+        return name, named[name]
+    for default, work_class in sorted(named.items()):
+        if work_class.default:
+            return default, work_class
+    raise errors.UnknownClass(
+        f"send {CLASS_HEADER}, one of: {', '.join(sorted(named))}"
+    )
+
+
+def _caller_of(request):
+    """Return a name for the caller that is safe to log."""
+    given = request.headers.get(CALLER_HEADER)
+    if given:
+        return given[:ID_LIMIT]
+    secret = request.headers.get("authorization")
+    if secret:
+        # The bearer token is the caller's secret, so only a digest of it
+        # is kept and logged.
+        return hashlib.blake2b(secret.encode(), digest_size=6).hexdigest()
+    return request.client.host if request.client else "unknown"
+
+
+def _prompt_of(path, body):
+    if path.endswith("/chat/completions"):
+        messages = body.get("messages")
+        if not isinstance(messages, list) or not messages:
+            raise errors.BadRequest("messages: allowed is a list of messages")
+        if not all(isinstance(message, dict) for message in messages):
+            raise errors.BadRequest("messages: each must be an object")
+        return "\n".join(str(m.get("content", "")) for m in messages)
+    prompt = body.get("prompt")
+    if not isinstance(prompt, str):
+        raise errors.BadRequest("prompt: allowed is a string")
+    return prompt
+
+
+def _position(text):
+    if text is None:
+        return 0
+    if not text.isdigit() or len(text) > 17:
+        raise errors.BadRequest(
+            f"{POSITION_HEADER}: found {text!r}, allowed is a whole number"
+        )
+    return int(text)
--- /dev/null
+++ b/clementinewall/errors.py
@@ -0,0 +1,238 @@
+"""Every error that leaves a module, in one flat list.
+
+Each class carries a stable ``code`` for scripts and for the ``code`` member
+of ``application/problem+json`` answers, the HTTP ``status`` it is answered
+with, and the verdict that holds unless the raiser knows better.  The
+docstring of each says what the user did and what to do about it.
+"""
+
+from clementinewall import verdicts
+
+
+class ClementinewallError(Exception):
+    """Base of all errors here; catch it to catch them all."""
+
+    code = "internal"
+    status = 500
+    verdict = verdicts.Verdict.MAY_HAVE_RUN
+
+    def __init__(self, message, verdict=None, retry_after_ms=None):
+        """Keep the verdict and when to come back beside the message."""
+        super().__init__(message)
+        self.message = message
+        if verdict is not None:
+            self.verdict = verdict
+        self.retry_after_ms = retry_after_ms
+
+
+class NotRunError(ClementinewallError):
+    """Base of the errors raised before any endpoint was contacted."""
+
+    verdict = verdicts.Verdict.NOT_RUN
+
+
+class SettingsError(NotRunError):
+    """The settings file has mistakes; the message lists each of them.
+
+    Mend the keys named there and run the program with ``--check``.
+    """
+
+    code = "bad_settings"
+    status = 400
+
+
+class BadRequest(NotRunError):
+    """The request cannot be read; the message says which part and why."""
+
+    code = "bad_request"
+    status = 400
+
+
+class BodyTooLarge(NotRunError):
+    """The body is over the limit of the settings; send a smaller one."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class UnknownModel(NotRunError):
+    """No endpoint of the fleet serves this model; see ``/v1/models``."""
+
+    code = "unknown_model"
+    status = 404
+
+
+class UnknownService(NotRunError):
+    """No endpoint of the fleet serves this service."""
+
+    code = "unknown_service"
+    status = 404
+
+
+class UnknownClass(NotRunError):
+    """The class header names no published class; the message lists them."""
+
+    code = "unknown_class"
+    status = 400
+
+
+class Unauthorized(NotRunError):
+    """The control token is missing or wrong; take it from the settings."""
+
+    code = "unauthorized"
+    status = 401
+
+
+class NotReady(NotRunError):
+    """This instance has no configuration yet; connect to another one."""
+
+    code = "not_ready"
+    status = 503
+
+
+class Overloaded(NotRunError):
+    """The class target cannot be met now; come back when told."""
+
+    code = "overloaded"
+    status = 429
+
+
+class NoEndpoint(NotRunError):
+    """Every endpoint that could serve this is leaving or out of reach."""
+
+    code = "no_endpoint"
+    status = 503
+
+
+class HarmfulRequest(ClementinewallError):
+    """This very request crashed two endpoints and is not tried again.
+
+    Change the request; sending it again to any instance gets this answer.
+    """
+
+    code = "crashed_endpoints"
+    status = 422
+
+
+class DeadlineExceeded(ClementinewallError):
+    """The class deadline passed before the answer was whole."""
+
+    code = "deadline"
+    status = 504
+
+
+class EndpointFailed(ClementinewallError):
+    """The endpoint broke off; the verdict says whether the call may run."""
+
+    code = "endpoint_failed"
+    status = 502
+
+
+class StreamCut(ClementinewallError):
+    """A stream ended before its last position and could not be resumed.
+
+    Reconnect with the position of the last event received.
+    """
+
+    code = "stream_cut"
+    status = 502
+
+
+class MissingKey(NotRunError):
+    """A non-idempotent call came without ``Idempotency-Key``; send one."""
+
+    code = "missing_key"
+    status = 400
+
+
+class KeyReused(NotRunError):
+    """The key was used before for another request; use a fresh key."""
+
+    code = "key_reused"
+    status = 422
+
+
+class KeyExpired(ClementinewallError):
+    """The ticket is older than the log's memory; its call may have run."""
+
+    code = "key_expired"
+    status = 410
+
+
+class BookingInDoubt(ClementinewallError):
+    """A call with this key began earlier and left no outcome behind.
+
+    It may have run and is not run again; ask the service what it holds.
+    """
+
+    code = "booking_in_doubt"
+    status = 409
+
+
+class BookingsFull(NotRunError):
+    """The table of remembered keys is full; come back when told."""
+
+    code = "bookings_full"
+    status = 503
+
+
+class LogUnavailable(NotRunError):
+    """The platform's log does not answer; come back when told."""
+
+    code = "log_unavailable"
+    status = 503
+
+
+class AppendUnknown(ClementinewallError):
+    """An append got no answer, so it may have taken effect.
+
+    Read the stream back and look for the record's id before trying again.
+    """
+
+    code = "append_unknown"
+    status = 503
+
+
+class Conflict(NotRunError):
+    """Another operator's change came first; the message names both.
+
+    Look at what is in force with ``clementinewall show`` and try again.
+    """
+
+    code = "conflict"
+    status = 409
+
+
+class BadRecord(NotRunError):
+    """A record or message from the network does not have its shape."""
+
+    code = "bad_record"
+    status = 400
+
+
+class OrderRefused(NotRunError):
+    """The order's authority has lapsed, so it was not carried out."""
+
+    code = "order_refused"
+    status = 409
+
+
+class LeaseLost(NotRunError):
+    """The lease ran out before the order could be sent; nothing was sent."""
+
+    code = "lease_lost"
+    status = 409
+
+
+def by_code(code):
+    """Return the class of the error with ``code``.
+
+    :raises KeyError: there is none.
+    """
+    return {kind.code: kind for kind in _subclasses(ClementinewallError)}[code]
+
+
+def _subclasses(kind):
+    for child in kind.__subclasses__():
+        yield child
+        yield from _subclasses(child)
--- /dev/null
+++ b/clementinewall/log/__init__.py
@@ -0,0 +1,1 @@
+"""Reading from and appending to the platform's log."""
--- /dev/null
+++ b/clementinewall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances there are, and in which state."""
--- /dev/null
+++ b/clementinewall/membership/members.py
@@ -0,0 +1,218 @@
+"""What an instance knows of the others, as pure state.
+
+Inside a data centre everybody knows everybody; of the other data centres
+only a few instances each, so that what a node sends and keeps does not grow
+with the whole system.  A member's row counts as newer by incarnation and
+beat, which only the member itself raises.  Whether a member is alive is
+judged by each reader on its own clock, from when it last saw the row move.
+"""
+
+import hashlib
+import random
+import typing
+
+from clementinewall import _schema
+
+# A dead row is kept this many times ``dead_after_ms`` so that a late copy
+# of it is recognised as old news instead of a new instance.
+FORGET_FACTOR = 15
+FOREIGN_TAILER_SHARE = 3
+# How many of a rendezvous order may act before the rest need to.
+CANDIDATES = 3
+
+State = typing.Annotated[str, _schema.OneOf(("live", "leaving"))]
+
+
+class Member(typing.NamedTuple):
+    """One process of the system, as it describes itself."""
+
+    id: str
+    program: str
+    data_centre: str
+    region: str
+    boot: str
+    control: str
+    callers: str | None = None
+    incarnation: int = 1
+    beat: int = 0
+    state: State = "live"
+    version: int = -1
+    next: int = 0
+
+
+class Crash(typing.NamedTuple):
+    """An endpoint that went down while it ran the work ``digest``.
+
+    ``age_ms`` grows on the way, so that a mark ends everywhere even though
+    instances keep telling it to each other.
+    """
+
+    digest: str
+    endpoint: str
+    age_ms: int
+    strong: bool = True
+
+
+class Gossip(typing.NamedTuple):
+    """The message that two instances exchange."""
+
+    members: tuple[Member, ...]
+    crashes: tuple[Crash, ...] = ()
+
+
+class Members:
+    """The table of members, with this process's own row in it."""
+
+    def __init__(self, own, settings, now):
+        """Begin with the own row only; ``now`` gives milliseconds."""
+        self.own = own
+        self._settings = settings
+        self._now = now
+        self._member_by_id = {}
+        self._moved_by_id = {}
+
+    def beat(self, version, offset):
+        """Raise the own beat and tell what is in force here."""
+        self.own = self.own._replace(
+            beat=self.own.beat + 1, version=version, next=offset
+        )
+
+    def leave(self):
+        """Mark the own row as leaving."""
+        self.own = self.own._replace(state="leaving", beat=self.own.beat + 1)
+
+    def merge(self, rows):
+        """Take in rows from a peer."""
+        for row in rows:
+            if row.id == self.own.id:
+                self._merge_own(row)
+            else:
+                self._merge_other(row)
+
+    def expire(self):
+        """Forget the rows that have not moved for long."""
+        limit = self._settings.dead_after_ms * FORGET_FACTOR
+        now = self._now()
+        for name, moved in list(self._moved_by_id.items()):
+            if now - moved > limit:
+                del self._moved_by_id[name]
+                del self._member_by_id[name]
+
+    def all(self):
+        """Return every row kept, the dead ones too, ours first."""
+        return [self.own, *self._member_by_id.values()]
+
+    def live(self, program=None, data_centre=None):
+        """Return the rows that moved lately, ours among them."""
+        return [
+            row
+            for row in self.all()
+            if self.is_live(row.id)
+            and (program is None or row.program == program)
+            and (data_centre is None or row.data_centre == data_centre)
+        ]
+
+    def is_live(self, member_id):
+        """Tell whether the member's row moved lately."""
+        if member_id == self.own.id:
+            return True
+        moved = self._moved_by_id.get(member_id)
+        if moved is None:
+            return False
+        return self._now() - moved <= self._settings.dead_after_ms
+
+    def message_rows(self):
+        """Return the rows for a peer: all of ours, a few of each other."""
+        own = self.own.data_centre
+        home = self.live(data_centre=own)
+        away = [r for r in self.representatives() if r.data_centre != own]
+        return (*home, *away)
+
+    def representatives(self, program=None):
+        """Return the live rows that every node of the system knows."""
+        by_group = {}
+        for row in self.live(program):
+            if row.state == "live":
+                key = (row.data_centre, row.program)
+                by_group.setdefault(key, []).append(row)
+        rows = []
+        for key in sorted(by_group):
+            ranked = sorted(by_group[key], key=lambda row: _rank(row.id))
+            rows.extend(ranked[: self._settings.digest_size])
+        return rows
+
+    def gossip_peers(self):
+        """Return the control addresses to exchange rows with now."""
+        home = []
+        away = []
+        for row in self.live():
+            if row.id == self.own.id:
+                continue
+            near = row.data_centre == self.own.data_centre
+            (home if near else away).append(row.control)
+        picked = random.sample(home, 1) if home else []
+        if away and (not home or random.randrange(FOREIGN_TAILER_SHARE) == 0):
+            picked.append(random.choice(away))
+        return picked
+
+    def urgent_peers(self, limit):
+        """Return some addresses for news that should not wait."""
+        rows = [row for row in self.live() if row.id != self.own.id]
+        home = self.own.data_centre
+        random.shuffle(rows)
+        rows.sort(key=lambda row: row.data_centre != home)
+        return [row.control for row in rows[:limit]]
+
+    def tailers(self):
+        """Return the members of this data centre that read the log."""
+        home = [
+            row
+            for row in self.live(data_centre=self.own.data_centre)
+            if row.state == "live"
+        ]
+        home.sort(key=lambda row: _rank(row.id))
+        return home[: self._settings.tailers]
+
+    def is_tailer(self):
+        """Tell whether this process reads the log itself."""
+        return any(row.id == self.own.id for row in self.tailers())
+
+    def relays(self):
+        """Return the control addresses to read the stream from."""
+        rows = [row for row in self.tailers() if row.id != self.own.id]
+        if not rows:
+            rows = [row for row in self.live() if row.id != self.own.id]
+        return [row.control for row in rows]
+
+    def _merge_own(self, row):
+        # A row of ours from another boot is what an earlier process with
+        # our id left behind.  Unless we go above it, peers keep believing
+        # the old row and judge this process dead.
+        if row.boot == self.own.boot:
+            return
+        if row.incarnation >= self.own.incarnation:
+            self.own = self.own._replace(incarnation=row.incarnation + 1)
+
+    def _merge_other(self, row):
+        known = self._member_by_id.get(row.id)
+        if known is not None and _age(row) <= _age(known):
+            return
+        self._member_by_id[row.id] = row
+        self._moved_by_id[row.id] = self._now()
+
+
+def _age(row):
+    return (row.incarnation, row.beat)
+
+
+def _rank(text):
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
+def rendezvous(key, ids):
+    """Return ``ids`` in the order of preference for ``key``.
+
+    Every process that knows the same ids finds the same order, and a
+    missing id only moves the keys that preferred it.
+    """
+    return sorted(ids, key=lambda name: _rank(f"{key}|{name}"))
--- /dev/null
+++ b/clementinewall/node.py
@@ -0,0 +1,221 @@
+"""What an entry and a steward have in common.
+
+A node follows the control stream, gossips with the other nodes, serves the
+control listener, and turns the signals of the operating system into a
+graceful stop.
+"""
+
+import secrets
+import signal
+import sys
+
+import anyio
+from starlette import responses
+from starlette import routing
+
+from clementinewall import _schema
+from clementinewall import _web
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.log import client
+from clementinewall.log import tail
+from clementinewall import logs
+from clementinewall.membership import crashes
+from clementinewall.membership import gossip
+from clementinewall.membership import members
+from clementinewall import metrics
+from clementinewall import settings as settings_module
+
+_log = logs.PartLog("node")
+
+BOOT_BYTES = 6
+
+
+class Node:
+    """The parts that every program of the system runs."""
+
+    def __init__(self, settings, program):
+        """Take the whole settings and the program's short name."""
+        self.settings = settings
+        self.clock = clock.Clock()
+        self.boot = secrets.token_hex(BOOT_BYTES)
+        self.crashes = crashes.Crashes(self.clock.now)
+        own = members.Member(
+            id=f"{settings.instance.id}/{program}",
+            program=program,
+            data_centre=settings.instance.data_centre,
+            region=settings.instance.region,
+            boot=self.boot,
+            control=settings.listen.control,
+            callers=settings.listen.callers,
+        )
+        self.members = members.Members(
+            own, settings.membership, self.clock.now
+        )
+        self.log = client.LogClient(settings)
+        self.tail = tail.Tail(self.log, self.members, self.clock.now)
+        self.gossip = gossip.Gossiper(settings, self.members, self.crashes)
+        self.stopping = anyio.Event()
+        self.closed = anyio.Event()
+
+    @property
+    def id(self):
+        """The process's id: its instance's with the program's name."""
+        return self.members.own.id
+
+    @property
+    def view(self):
+        """The configuration in force."""
+        return self.tail.state.view
+
+    def is_ready(self):
+        """Tell whether there is a configuration to work by."""
+        return self.tail.state.version >= 0 and self.tail.caught_up
+
+    def in_force(self):
+        """Return the version in force and how far the stream is read."""
+        state = self.tail.state
+        return state.version, state.next
+
+    async def run(self, group):
+        """Start the node's tasks in ``group``."""
+        group.start_soon(self.tail.run)
+        group.start_soon(self.gossip.run, self.in_force)
+
+    async def leave(self):
+        """Tell the peers that this process is leaving."""
+        self.members.leave()
+        await self.gossip.spread()
+
+    async def watch_signals(self):
+        """Set ``stopping`` at the first signal, end at the second."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for number in signals:
+                if self.stopping.is_set():
+                    _log.warning("stopped at once", signal=number)
+                    sys.stderr.flush()
+                    raise SystemExit(3)
+                _log.info("asked to stop", signal=number)
+                self.stopping.set()
+
+    def control_routes(self):
+        """Return the routes of the control listener."""
+        return [
+            routing.Route(gossip.PATH, self._on_gossip, methods=["POST"]),
+            routing.Route(
+                "/streams/control/records", self._on_relay, methods=["GET"]
+            ),
+            routing.Route("/control/status", self._on_status),
+            routing.Route("/control/explain", self._on_explain),
+            routing.Route("/live", _on_live),
+            routing.Route("/ready", self._on_ready),
+            routing.Route("/metrics", _on_metrics),
+        ]
+
+    def check(self, request):
+        """Let only holders of the control token pass."""
+        _web.check_token(request, self.settings.security.control_token)
+
+    async def _on_gossip(self, request):
+        self.check(request)
+        body = await _web.read_json(request, self.settings.limits)
+        self.gossip.receive(body)
+        return responses.JSONResponse(self.gossip.message())
+
+    async def _on_relay(self, request):
+        self.check(request)
+        start = _web.read_number(request, "from", 0)
+        wait_ms = _web.read_number(request, "wait_ms", 0)
+        if start >= self.tail.state.next and wait_ms:
+            await self.tail.wait_change(min(wait_ms, tail.WAIT_MS))
+        return responses.JSONResponse(_schema.plain(self.tail.relay(start)))
+
+    async def _on_status(self, request):
+        self.check(request)
+        return responses.JSONResponse(self.status())
+
+    def status(self):
+        """Return what an operator wants to know of this process."""
+        state = self.tail.state
+        now_live = {row.id for row in self.members.live()}
+        return {
+            "id": self.id,
+            "boot": self.boot,
+            "version": state.version,
+            "next": state.next,
+            "ready": self.is_ready(),
+            "state": self.members.own.state,
+            "log_reachable": self.tail.log_reachable,
+            "members": [
+                {**_schema.plain(row), "alive": row.id in now_live}
+                for row in self.members.all()
+            ],
+            "scopes": {
+                scope: _schema.plain(held)
+                for scope, held in state.held_by_scope.items()
+            },
+        }
+
+    async def _on_explain(self, request):
+        self.check(request)
+        about = request.query_params.get("about", "")
+        if not about:
+            raise errors.BadRequest("say what to explain with ?about=")
+        return responses.JSONResponse({"lines": logs.recent(about)})
+
+    async def _on_ready(self, _request):
+        if self.stopping.is_set():
+            raise errors.NotReady("leaving", retry_after_ms=1_000)
+        if not self.is_ready():
+            raise errors.NotReady(
+                "no configuration is known yet", retry_after_ms=1_000
+            )
+        return responses.PlainTextResponse("ready\n")
+
+
+async def _on_live(_request):
+    return responses.PlainTextResponse("live\n")
+
+
+async def _on_metrics(_request):
+    return responses.PlainTextResponse(metrics.render())
+
+
+def run_with_settings(options, check, main):
+    """Load the settings, check them, and run ``main`` with them.
+
+    A mistake in the settings exits with 2, ``--check`` with 0.
+    """
+    path = options["--settings"]
+    try:
+        checked = settings_module.load(path)
+        check(checked)
+    except errors.SettingsError as exc:
+        sys.stderr.write(f"{exc.message}\n")
+        raise SystemExit(2) from None
+    if options["--check"]:
+        print(f"{path}: good")
+        return
+    logs.configure(checked.logging, checked.instance.id)
+    _run(main, checked)
+
+
+def _run(main, checked):
+    try:
+        anyio.run(main, checked)
+    except* errors.SettingsError as group:
+        for exc in _leaves(group):
+            sys.stderr.write(f"{exc.message}\n")
+        raise SystemExit(2) from None
+    except* SystemExit as group:
+        raise SystemExit(next(_leaves(group)).code) from None
+
+
+def _leaves(group):
+    for exc in group.exceptions:
+        if isinstance(exc, BaseExceptionGroup):
+            yield from _leaves(exc)
+        else:
+            yield exc
--- /dev/null
+++ b/clementinewall/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/clementinewall/operator/main.py
@@ -0,0 +1,203 @@
+"""Publish configurations, watch them come into force, ask what happens.
+
+Usage:
+  clementinewall [options] check FILE
+  clementinewall [options] publish FILE [--anew]
+  clementinewall [options] diff FILE
+  clementinewall [options] show [KEY]
+  clementinewall [options] wait VERSION [--timeout-ms=N]
+  clementinewall [options] status
+  clementinewall [options] drain ENDPOINT
+  clementinewall [options] withdraw ENDPOINT
+  clementinewall [options] serve ENDPOINT
+  clementinewall [options] replace ENDPOINT ADDRESS
+  clementinewall [options] explain ABOUT
+  clementinewall --help
+
+Options:
+  --settings=FILE   The operator's settings [default: operator.toml].
+  --json            Print JSON for scripts.
+  --timeout-ms=N    How long to wait [default: 6000].
+  --anew            Begin again after the log lost every record.
+
+Examples:
+  clementinewall publish fleet.toml
+  clementinewall wait 412 && echo "in force everywhere"
+  clementinewall drain engine-3
+  clementinewall explain engine-3
+
+Exit codes:
+  0 done, 1 failed, 2 bad input, 3 lost a race, 4 not in force in time,
+  5 unknown: the change may have been made, look with 'show'.
+"""
+
+import functools
+import json
+import sys
+import tomllib
+
+import anyio
+import docopt
+
+from clementinewall import errors
+from clementinewall.operator import session
+from clementinewall.operator import tables
+from clementinewall.records import configuration
+from clementinewall import settings
+
+EXIT_FAILED = 1
+EXIT_BAD_INPUT = 2
+EXIT_CONFLICT = 3
+EXIT_NOT_IN_FORCE = 4
+EXIT_UNKNOWN = 5
+
+_EXIT_BY_TYPE = {
+    errors.SettingsError: EXIT_BAD_INPUT,
+    errors.BadRequest: EXIT_BAD_INPUT,
+    errors.Conflict: EXIT_CONFLICT,
+    errors.AppendUnknown: EXIT_UNKNOWN,
+}
+
+
+async def _check(options, _session):
+    by_key = configuration.flatten(_read(options["FILE"]))
+    return {"good": True, "keys": sorted(by_key)}, 0
+
+
+async def _publish(options, live):
+    document = _read(options["FILE"])
+    configuration.flatten(document)
+    if options["--anew"]:
+        offset = await live.publish_anew(document)
+        return {"version": offset, "changed": "all"}, 0
+    outcome, differences = await live.publish(document)
+    if outcome is None:
+        return {"version": None, "changed": []}, 0
+    changed = [difference.key for difference in differences]
+    return {"version": outcome.offset, "changed": changed}, 0
+
+
+async def _diff(options, live):
+    state = await live.read_state()
+    differences = session.compare(state, _read(options["FILE"]))
+    return [difference._asdict() for difference in differences], 0
+
+
+async def _show(options, live):
+    state = await live.read_state()
+    if not state.known:
+        raise errors.LogUnavailable("no state is known; see 'publish --anew'")
+    key = options["KEY"]
+    if key is None:
+        return {"version": state.version, "keys": state.data_by_key}, 0
+    if key not in state.data_by_key:
+        raise errors.BadRequest(f"no key {key!r} is in force")
+    offset = state.offset_by_key[key]
+    return {"version": offset, "keys": {key: state.data_by_key[key]}}, 0
+
+
+async def _wait(options, live):
+    version = _number(options["VERSION"], "VERSION")
+    timeout = _number(options["--timeout-ms"], "--timeout-ms")
+    behind = await live.wait_in_force(version, timeout)
+    code = EXIT_NOT_IN_FORCE if behind else 0
+    return {"version": version, "behind": behind}, code
+
+
+async def _status(_options, live):
+    status_by_id = await live.statuses()
+    state = await live.read_state()
+    rows = {
+        name: {**value, "state": row.state, "address": row.address}
+        for name, row in state.view.endpoints_by_id.items()
+        for value in [{"kind": row.kind, "data_centre": row.data_centre}]
+    }
+    held = {
+        scope: {"holder": held.holder, "fence": held.offset}
+        for scope, held in sorted(state.held_by_scope.items())
+        if not held.released
+    }
+    instances = {
+        name: {
+            "version": status["version"],
+            "ready": status["ready"],
+            "state": status["state"],
+            "log": status["log_reachable"],
+        }
+        for name, status in sorted(status_by_id.items())
+    }
+    answer = {"instances": instances, "endpoints": rows, "scopes": held}
+    return answer, 0 if instances else EXIT_FAILED
+
+
+async def _edit(options, live, **members):
+    outcome = await live.edit_endpoint(options["ENDPOINT"], **members)
+    return {"version": outcome.offset, "changed": [options["ENDPOINT"]]}, 0
+
+
+async def _replace(options, live):
+    address = options["ADDRESS"]
+    if not settings.is_address(address):
+        raise errors.BadRequest(f"ADDRESS: found {address!r}, give IP:port")
+    return await _edit(options, live, address=address, state="serving")
+
+
+async def _explain(options, live):
+    return await live.explain(options["ABOUT"]), 0
+
+
+_COMMANDS = {
+    "check": _check,
+    "publish": _publish,
+    "diff": _diff,
+    "show": _show,
+    "wait": _wait,
+    "status": _status,
+    "drain": functools.partial(_edit, state="draining"),
+    "withdraw": functools.partial(_edit, state="withdrawn"),
+    "serve": functools.partial(_edit, state="serving"),
+    "replace": _replace,
+    "explain": _explain,
+}
+
+
+def main():
+    """Run one command."""
+    options = docopt.docopt(__doc__)
+    raise SystemExit(anyio.run(_run, options))
+
+
+async def _run(options):
+    name = next(name for name in _COMMANDS if options[name])
+    try:
+        live = None
+        if name != "check":
+            checked = settings.load(
+                options["--settings"], settings.OperatorSettings
+            )
+            live = session.Session(checked)
+        answer, code = await _COMMANDS[name](options, live)
+    except errors.ClementinewallError as exc:
+        sys.stderr.write(f"{exc.code}: {exc.message}\n")
+        return _EXIT_BY_TYPE.get(type(exc), EXIT_FAILED)
+    if options["--json"]:
+        print(json.dumps(answer))
+    else:
+        print(tables.render(answer))
+    return code
+
+
+def _read(path):
+    try:
+        with open(path, "rb") as file:
+            return tomllib.load(file)
+    except OSError as exc:
+        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
+
+
+def _number(text, name):
+    if not text.isdigit():
+        raise errors.BadRequest(f"{name}: found {text!r}, give a number")
+    return int(text)
--- /dev/null
+++ b/clementinewall/operator/tables.py
@@ -0,0 +1,44 @@
+"""Rendering answers as tables for people."""
+
+CELL_LIMIT = 60
+
+
+def render(answer):
+    """Return the answer as text in aligned columns."""
+    if isinstance(answer, list):
+        return _table(answer) if answer else "nothing"
+    blocks = []
+    for name, value in answer.items():
+        if isinstance(value, dict):
+            rows = [
+                {name: key, **_columns(item)} for key, item in value.items()
+            ]
+            blocks.append(_table(rows) if rows else f"{name}: none")
+        elif isinstance(value, list):
+            blocks.append(f"{name}: {', '.join(map(str, value)) or 'none'}")
+        else:
+            blocks.append(f"{name}: {value}")
+    return "\n\n".join(blocks)
+
+
+def _columns(item):
+    return item if isinstance(item, dict) else {"value": item}
+
+
+def _table(rows):
+    names = list(dict.fromkeys(name for row in rows for name in row))
+    lines = [names]
+    for row in rows:
+        lines.append([_cell(row.get(name, "")) for name in names])
+    widths = [max(len(line[i]) for line in lines) for i in range(len(names))]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths))
+        for line in lines
+    )
+
+
+def _cell(value):
+    text = str(value)
+    if len(text) > CELL_LIMIT:
+        return text[: CELL_LIMIT - 3] + "..."
+    return text
--- /dev/null
+++ b/clementinewall/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as pure functions of observations and settings."""
--- /dev/null
+++ b/clementinewall/records/bookings.py
@@ -0,0 +1,162 @@
+"""The ``bookings-N`` streams: intents and outcomes of calls by key.
+
+A call that may run at most once is dispatched only by the process whose
+intent is the first valid one for its key in the stream, and only after that
+process has read it back.  The order of the log decides between racing
+entries; no lease, clock or owner has to be trusted.  An intent without
+outcome may have run, and no other process ever dispatches it.
+"""
+
+import collections
+import hashlib
+import typing
+
+from clementinewall import _schema
+
+PARTITIONS = 8
+KEY_LIMIT = 200
+KEPT_BODY_LIMIT = 16_384
+
+State = typing.Annotated[
+    str, _schema.OneOf(("open", "ran", "not_run", "in_doubt"))
+]
+
+
+class Intent(typing.NamedTuple):
+    """Announces that a process is about to run the call ``key``."""
+
+    id: str
+    key: str
+    digest: str
+
+
+class Outcome(typing.NamedTuple):
+    """Ends an intent; the body is kept as text for a resend."""
+
+    id: str
+    key: str
+    state: State
+    status: int = 0
+    body: str = ""
+    media_type: str = "application/json"
+
+
+class Commit(typing.NamedTuple):
+    """One record: what a process commits together."""
+
+    by: str
+    intents: tuple[Intent, ...] = ()
+    outcomes: tuple[Outcome, ...] = ()
+    kind: str = "bookings"
+
+
+class Kept(typing.NamedTuple):
+    """What is remembered of a key."""
+
+    intent: Intent
+    offset: int
+    by: str
+    state: str = "open"
+    outcome: Outcome | None = None
+
+
+def stream_of(partition):
+    """Return the name of the partition's stream."""
+    return f"bookings-{partition}"
+
+
+def scoped_key(caller, key):
+    """Return the key as remembered: callers don't share their keys."""
+    return f"{caller}/{key}"
+
+
+def partition_of(key):
+    """Return the partition of a key; a ticket names its own."""
+    ticket = read_ticket(key)
+    if ticket is not None:
+        return ticket[0]
+    digest = hashlib.blake2b(key.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") % PARTITIONS
+
+
+def make_ticket(partition, offset, random_part):
+    """Return a key that knows when, in offsets, it was given out."""
+    return f"t1.{partition}.{offset}.{random_part}"
+
+
+def read_ticket(key):
+    """Return ``(partition, offset)`` of a ticket, else ``None``."""
+    parts = key.rpartition("/")[2].split(".")
+    if len(parts) != 4 or parts[0] != "t1":
+        return None
+    if not (parts[1].isdigit() and parts[2].isdigit()):
+        return None
+    if len(parts[1]) > 4 or len(parts[2]) > 17:
+        return None
+    if int(parts[1]) >= PARTITIONS:
+        return None
+    return int(parts[1]), int(parts[2])
+
+
+class Table:
+    """The fold of one partition's stream."""
+
+    def __init__(self, limit):
+        """Remember ``limit`` keys; a full table takes no new ones."""
+        self.next = 0
+        self.first = 0
+        self.limit = limit
+        self.kept_by_key = collections.OrderedDict()
+
+    @property
+    def is_full(self):
+        """Whether new keys must be refused."""
+        return len(self.kept_by_key) >= self.limit
+
+    def begin(self, first):
+        """Forget the keys whose intents the log no longer holds.
+
+        Everybody forgets at the same offset, so no process remembers a key
+        that another would take for new.
+        """
+        self.first = max(self.first, first)
+        self.next = max(self.next, first)
+        while self.kept_by_key:
+            key, kept = next(iter(self.kept_by_key.items()))
+            if kept.offset >= self.first:
+                return
+            del self.kept_by_key[key]
+
+    def apply(self, offset, data):
+        """Fold the record at ``offset`` in."""
+        if offset < self.next:
+            return
+        self.next = offset + 1
+        commit, mistakes = _schema.build(Commit, data)
+        if mistakes:
+            return
+        for intent in commit.intents:
+            self._apply_intent(offset, intent, commit.by)
+        for outcome in commit.outcomes:
+            self._apply_outcome(outcome)
+
+    def is_expired(self, key):
+        """Tell whether the key is a ticket older than the log's memory."""
+        ticket = read_ticket(key)
+        return ticket is not None and ticket[1] < self.first
+
+    def _apply_intent(self, offset, intent, by):
+        kept = self.kept_by_key.get(intent.key)
+        if kept is not None and kept.state != "not_run":
+            return
+        self.kept_by_key[intent.key] = Kept(intent, offset, by)
+        self.kept_by_key.move_to_end(intent.key)
+
+    def _apply_outcome(self, outcome):
+        kept = self.kept_by_key.get(outcome.key)
+        if kept is None or kept.intent.id != outcome.id:
+            return
+        if kept.state == "open":
+            self.kept_by_key[outcome.key] = kept._replace(
+                state=outcome.state, outcome=outcome
+            )
--- /dev/null
+++ b/clementinewall/records/configuration.py
@@ -0,0 +1,163 @@
+"""The published configuration: classes of work, endpoints and policy.
+
+A configuration is a map from key to value.  Keys have a fixed first part
+that decides the shape of the value: ``class/NAME``, ``endpoint/ID``,
+``policy`` and, written by the planner, ``assignment/ID``.  Changes name
+single keys, so that two operators who work on different endpoints don't
+meet, and a change of one endpoint out of 2,100 is a record of a few hundred
+bytes.
+"""
+
+import typing
+
+from clementinewall import _schema
+from clementinewall import errors
+from clementinewall import settings
+
+Share = typing.Annotated[float, _schema.Range(0.0, 1_000_000.0)]
+
+
+class WorkClass(typing.NamedTuple):
+    """A class of work and its targets, all in milliseconds.
+
+    ``first_ms`` and ``gap_ms`` are the targets of model work for the first
+    token and between tokens; a service call must be whole in ``first_ms``.
+    ``deadline_ms`` ends an attempt to answer at all.  A higher ``priority``
+    is served first when not everything can be.
+    """
+
+    kind: typing.Annotated[str, _schema.OneOf(("model", "service"))]
+    first_ms: settings.Millis
+    deadline_ms: settings.Millis
+    gap_ms: settings.Millis = 100
+    priority: typing.Annotated[int, _schema.Range(0, 9)] = 5
+    idempotent: bool = True
+    default: bool = False
+
+
+class Endpoint(typing.NamedTuple):
+    """An engine or a service, and what is wanted of it."""
+
+    address: str
+    data_centre: str
+    kind: typing.Annotated[str, _schema.OneOf(("engine", "service"))]
+    serves: tuple[str, ...]
+    fencing: typing.Annotated[str, _schema.OneOf(("checked", "ignored"))] = (
+        "checked"
+    )
+    state: typing.Annotated[
+        str, _schema.OneOf(("serving", "draining", "withdrawn"))
+    ] = "serving"
+    role: typing.Annotated[
+        str, _schema.OneOf(("auto", "mixed", "prefill", "decode"))
+    ] = "mixed"
+    version: str = ""
+
+
+class Policy(typing.NamedTuple):
+    """How the deployment weighs goodput against role changes.
+
+    ``change_price`` is how many answers within target must be gained for
+    each second of an engine that a role change takes away.
+    """
+
+    change_price: Share = 1.0
+    change_ms: settings.Millis = 8_000
+    horizon_ms: settings.Millis = 120_000
+    min_prefill: typing.Annotated[int, _schema.Range(0, 1_000)] = 1
+    min_decode: typing.Annotated[int, _schema.Range(0, 1_000)] = 1
+    # Scopes a data centre's endpoints are divided over.  Changing it moves
+    # endpoints between holders, so it is done while no change is under way.
+    shards: typing.Annotated[int, _schema.Range(1, 256)] = 1
+
+
+class Assignment(typing.NamedTuple):
+    """The role that the planner gave to an endpoint of role ``auto``."""
+
+    role: typing.Annotated[str, _schema.OneOf(("mixed", "prefill", "decode"))]
+    why: str = ""
+
+
+_SHAPE_BY_PREFIX = {
+    "class": WorkClass,
+    "endpoint": Endpoint,
+    "policy": Policy,
+    "assignment": Assignment,
+}
+# Keys that operators publish; the planner's own keys are not among them.
+PUBLISHED = ("class", "endpoint", "policy")
+
+
+def read_value(key, data):
+    """Return the typed value of ``key``, or the mistakes in ``data``."""
+    prefix, _, name = key.partition("/")
+    shape = _SHAPE_BY_PREFIX.get(prefix)
+    if shape is None or bool(name) == (prefix == "policy"):
+        allowed = "class/NAME, endpoint/ID or policy"
+        return None, (_schema.Mistake(key, repr(key), allowed),)
+    value, mistakes = _schema.build(shape, data, key)
+    if not mistakes and shape is Endpoint:
+        if not settings.is_address(value.address):
+            mistake = _schema.Mistake(
+                f"{key}.address", repr(value.address), "IP:port by number"
+            )
+            return None, (mistake,)
+    return value, mistakes
+
+
+def flatten(document):
+    """Turn an operator's TOML document into a map from key to data.
+
+    :raises SettingsError: listing every mistake in the document.
+    """
+    by_key = {}
+    mistakes = []
+    for prefix, data in document.items():
+        if prefix == "policy":
+            by_key["policy"] = data
+        elif prefix in PUBLISHED and isinstance(data, dict):
+            for name, value in data.items():
+                by_key[f"{prefix}/{name}"] = value
+        else:
+            mistakes.append(
+                _schema.Mistake(prefix, repr(prefix), ", ".join(PUBLISHED))
+            )
+    for key, data in by_key.items():
+        mistakes.extend(read_value(key, data)[1])
+    if mistakes:
+        raise errors.SettingsError("\n".join(map(str, mistakes)))
+    return by_key
+
+
+class View(typing.NamedTuple):
+    """The configuration in force, typed, as the programs use it."""
+
+    version: int
+    classes_by_name: dict[str, WorkClass]
+    endpoints_by_id: dict[str, Endpoint]
+    policy: Policy
+    assignments_by_id: dict[str, Assignment]
+
+
+def view(version, data_by_key):
+    """Build the typed view of a folded configuration."""
+    classes_by_name = {}
+    endpoints_by_id = {}
+    assignments_by_id = {}
+    policy = Policy()
+    for key, data in sorted(data_by_key.items()):
+        value, mistakes = read_value(key, data)
+        if mistakes:
+            continue
+        prefix, _, name = key.partition("/")
+        if prefix == "class":
+            classes_by_name[name] = value
+        elif prefix == "endpoint":
+            endpoints_by_id[name] = value
+        elif prefix == "assignment":
+            assignments_by_id[name] = value
+        else:
+            policy = value
+    return View(
+        version, classes_by_name, endpoints_by_id, policy, assignments_by_id
+    )
--- /dev/null
+++ b/clementinewall/settings.py
@@ -0,0 +1,196 @@
+"""Settings of the programs, read from TOML and checked as a whole.
+
+A process learns everything about its surroundings here: its id, addresses
+and data centre, where the platform is, and its limits.  What operators may
+change while the system runs (classes, endpoints, policy) is not here but in
+the published configuration, see ``clementinewall.records.configuration``.
+"""
+
+import tomllib
+import typing
+
+from clementinewall import _schema
+from clementinewall import errors
+
+Millis = typing.Annotated[int, _schema.Range(1, 86_400_000)]
+Count = typing.Annotated[int, _schema.Range(1, 10_000_000)]
+Level = typing.Annotated[
+    str, _schema.OneOf(("DEBUG", "INFO", "WARNING", "ERROR"))
+]
+
+
+class Instance(typing.NamedTuple):
+    """Who this process is and where it stands."""
+
+    id: str
+    data_centre: str
+    region: str = "one"
+
+
+class Listen(typing.NamedTuple):
+    """The two listeners, as ``IP:port``; a steward has no callers."""
+
+    control: str
+    callers: str | None = None
+
+
+class Platform(typing.NamedTuple):
+    """Where the platform's services are, as ``IP:port``."""
+
+    log: tuple[str, ...]
+    instances: str | None = None
+    weights: str | None = None
+    request_timeout_ms: Millis = 2_000
+    # How long the log is known to keep a record.  Snapshots are written
+    # three times in that span, and booking tickets live as long.
+    retention_ms: Millis = 3_600_000
+
+
+class Security(typing.NamedTuple):
+    """The token that control and operator calls must carry."""
+
+    control_token: str
+
+
+class Membership(typing.NamedTuple):
+    """How instances learn of each other."""
+
+    gossip_ms: Millis = 500
+    dead_after_ms: Millis = 4_000
+    tailers: typing.Annotated[int, _schema.Range(1, 16)] = 2
+    digest_size: typing.Annotated[int, _schema.Range(1, 16)] = 3
+
+
+class Leases(typing.NamedTuple):
+    """Lease on a scope; the margin covers the drift of two clocks."""
+
+    lease_ms: Millis = 6_000
+    renew_ms: Millis = 1_500
+    margin_ms: Millis = 1_000
+    order_timeout_ms: Millis = 1_000
+
+
+class Limits(typing.NamedTuple):
+    """Bounds on what callers may hold of this process."""
+
+    body_bytes: Count = 4_000_000
+    connections: Count = 2_000
+    streams: Count = 1_000
+    resume_bytes: Count = 1_000_000
+    slow_reader_ms: Millis = 20_000
+    slow_sender_ms: Millis = 10_000
+    remembered_keys: Count = 200_000
+    keep_addresses_ms: Millis = 5_000
+    drain_ms: Millis = 120_000
+
+
+class Logging(typing.NamedTuple):
+    """The form of the log on standard error."""
+
+    level: Level = "INFO"
+    json: bool = False
+
+
+class Faults(typing.NamedTuple):
+    """Delays brought about on purpose by the proofs; leave at zero.
+
+    ``block_before_order_ms`` stops the whole process between the check of
+    its authority and the write of an order, as a pause of the machine would.
+    """
+
+    block_before_order_ms: typing.Annotated[int, _schema.Range(0, 600_000)] = 0
+    without_second_check: bool = False
+
+
+class Settings(typing.NamedTuple):
+    """All settings of an entry or a steward."""
+
+    instance: Instance
+    listen: Listen
+    platform: Platform
+    security: Security
+    membership: Membership = Membership()
+    leases: Leases = Leases()
+    limits: Limits = Limits()
+    logging: Logging = Logging()
+    faults: Faults = Faults()
+
+
+class OperatorSettings(typing.NamedTuple):
+    """Settings of the operators' command line.
+
+    ``instances`` are control addresses of any entries and stewards; from
+    one that answers the others are learned.
+    """
+
+    platform: Platform
+    security: Security
+    instances: tuple[str, ...] = ()
+    author: str = "operator"
+
+
+def load(path, shape=Settings):
+    """Read and check the file at ``path``.
+
+    :raises SettingsError: naming the file, and each mistake in it.
+    """
+    try:
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
+    except OSError as exc:
+        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
+    value, mistakes = _schema.build(shape, data)
+    mistakes = list(mistakes) + _cross_checks(value)
+    if mistakes:
+        lines = "\n".join(f"{path}: {mistake}" for mistake in mistakes)
+        raise errors.SettingsError(lines)
+    return value
+
+
+def _cross_checks(value):
+    """Return the mistakes that only show between two settings."""
+    if not isinstance(value, Settings):
+        return []
+    mistakes = []
+    for path, address in _addresses(value):
+        if not is_address(address):
+            mistakes.append(
+                _schema.Mistake(path, repr(address), "IP:port by number")
+            )
+    leases = value.leases
+    if leases.renew_ms * 3 > leases.lease_ms:
+        mistakes.append(
+            _schema.Mistake(
+                "leases.renew_ms",
+                str(leases.renew_ms),
+                f"a third of lease_ms at most ({leases.lease_ms // 3})",
+            )
+        )
+    if not value.security.control_token:
+        mistakes.append(
+            _schema.Mistake("security.control_token", "''", "not empty")
+        )
+    return mistakes
+
+
+def _addresses(value):
+    yield "listen.control", value.listen.control
+    if value.listen.callers is not None:
+        yield "listen.callers", value.listen.callers
+    for index, address in enumerate(value.platform.log):
+        yield f"platform.log[{index}]", address
+    if value.platform.instances is not None:
+        yield "platform.instances", value.platform.instances
+
+
+def is_address(text):
+    """Tell whether ``text`` is an IP number and a port."""
+    host, _, port = text.rpartition(":")
+    parts = host.strip("[]").replace(":", ".").split(".")
+    numeric = all(
+        part == "" or all(c in "0123456789abcdefABCDEF" for c in part)
+        for part in parts
+    )
+    return bool(host) and numeric and port.isdigit() and int(port) < 65536
--- /dev/null
+++ b/clementinewall/steward/__init__.py
@@ -0,0 +1,1 @@
+"""The program that brings the fleet to what operators published."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes on loopback."""
