--- a/clementinewall/entry/calls.py
+++ b/clementinewall/entry/calls.py
@@ -235,7 +235,7 @@
     def _choose(self, call, digest, failed, verdict):
         ids = self._loads.serving("service", call.service)
         only = self._guard.only_choice(digest, ids, failed, verdict)
-        return only or self._loads.least_busy(call.service, failed)
+        return only or self._loads.least_busy(call.service, digest, failed)
 
     async def _attempt(self, call, name, timeout_ms):
         endpoint = self._loads.endpoint(name)
--- a/clementinewall/entry/crash_guard.py
+++ b/clementinewall/entry/crash_guard.py
@@ -7,7 +7,7 @@
 import anyio
 
 from clementinewall import clock
-from clementinewall.endpoints import attempt
+from clementinewall.endpoints import reports
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall.membership import members
@@ -16,6 +16,8 @@
 _log = logs.PartLog("crash")
 
 PROBE_MS = 500
+PROBE_PAUSE_MS = 100
+PROBES = 4
 SPREAD_MS = 1_000
 SETTLE_MS = 200
 
@@ -27,7 +29,7 @@
         """Use the node's table of marks and the loads' reports."""
         self._node = node
         self._loads = loads
-        self._http = attempt.single_call_client()
+        self._http = reports.client(clock.seconds(PROBE_MS))
 
     def check(self, digest, verdict):
         """Refuse work that crashed two endpoints.
@@ -77,18 +79,26 @@
         await anyio.sleep(clock.seconds(SETTLE_MS))
 
     async def _is_up(self, name):
+        """Tell whether the endpoint still runs, as the same process.
+
+        A process that is just dying may still accept the probe and then
+        break it off, which proves nothing: it is probed again.
+        """
+        for _ in range(PROBES):
+            answer = await self._probe(name)
+            if answer is not None:
+                return answer
+            await anyio.sleep(clock.seconds(PROBE_PAUSE_MS))
+        return True
+
+    async def _probe(self, name):
+        """Return whether the endpoint runs, ``None`` if that is unclear."""
         endpoint = self._loads.endpoint(name)
         if endpoint is None:
             return True
         before = self._loads.report(name)
-        request = self._http.build_request(
-            "GET", f"http://{endpoint.address}/state"
-        )
         try:
-            answer = await attempt.call(self._http, name, request, PROBE_MS)
-            boot = answer.json().get("boot", "")
+            report = await reports.fetch(self._http, name, endpoint.address)
         except errors.EndpointFailed as exc:
-            return exc.verdict is not verdicts.Verdict.NOT_RUN
-        except (ValueError, AttributeError):
-            return True
-        return before is None or before.boot == boot
+            return False if exc.verdict is verdicts.Verdict.NOT_RUN else None
+        return before is None or before.boot == report.boot
--- a/clementinewall/entry/loads.py
+++ b/clementinewall/entry/loads.py
@@ -34,6 +34,9 @@
 PREFIXES_LIMIT = 8_192
 PREFIXES_A_PROMPT = 32
 CHARS_PER_TOKEN = 4
+AFFINITY_CHARS = 1_024
+PREFERRED = 2
+PREFERRED_OPEN = 4
 
 
 class _Seen:
@@ -119,16 +122,33 @@
         near.sort(key=self._distance)
         return [self._candidate(name, hints) for name in near[:SUBSET]]
 
-    def least_busy(self, service, without=()):
-        """Return the service endpoint with the least open calls."""
+    def preferred(self, kind, name, text):
+        """Return the endpoints that equal texts find at every entry.
+
+        They are taken from the published configuration, on which all
+        entries agree, and by the first part of the text only, so that
+        prompts with a common beginning share the caches.
+        """
+        key = f"{name}|{text[:AFFINITY_CHARS]}"
+        order = members.rendezvous(key, self.serving(kind, name))
+        return tuple(order[:PREFERRED])
+
+    def least_busy(self, service, digest, without=()):
+        """Return the service endpoint with the least open calls.
+
+        Those that equal calls prefer go first unless they are much busier.
+        """
         ids = self.usable("service", service, without)
         if not ids:
             return None
         order = members.rendezvous(self._node.id, ids)
-        return min(
-            order,
-            key=lambda i: (self._seen_by_id[i].open, self._distance(i)),
-        )
+        liked = self.preferred("service", service, digest)
+
+        def rank(name):
+            extra = 0 if name in liked else PREFERRED_OPEN
+            return self._seen_by_id[name].open + extra, self._distance(name)
+
+        return min(order, key=rank)
 
     def endpoint(self, endpoint_id):
         """Return the endpoint's published row, or ``None``."""
--- a/clementinewall/entry/model.py
+++ b/clementinewall/entry/model.py
@@ -136,11 +136,13 @@
             run.failed.clear()
             candidates = self._loads.candidates(work.model, work.prompt)
         wanted = _wanted(work)
-        # Equal work finds equal engines at all entries, as far as their
-        # reports agree: the caches are reused, and a request that crashes
-        # its engine, sent through many entries at once, crashes few.
         draw = int(work.digest[:6], 16) / 0x1000000
-        choice = routing.choose(candidates, wanted, draw)
+        choice = routing.choose(
+            candidates,
+            wanted,
+            draw,
+            self._loads.preferred("engine", work.model, work.prompt),
+        )
         if choice is None:
             raise errors.NoEndpoint(
                 f"no engine for {work.model!r} is in reach",
--- a/clementinewall/policy/routing.py
+++ b/clementinewall/policy/routing.py
@@ -13,6 +13,8 @@
 # strict minimum all entries would send to the same engine until its next
 # report shows the crowd.
 NEARLY_EQUAL = 1.15
+# Beyond this part of the target, prefixes are no reason to stay.
+AFFINITY_LIMIT = 0.5
 # A report this old says little: the prediction grows by this share for each
 # second, so a fresh engine is preferred and a silent one is not abandoned.
 STALE_SHARE = 0.05
@@ -84,13 +86,24 @@
     return (worst + 0.1 * min(first, between)) * (1 + STALE_SHARE * stale)
 
 
-def choose(candidates, work, draw):
+def choose(candidates, work, draw, preferred=()):
     """Return the choice, or ``None`` without candidates.
 
     ``draw`` is a number from 0 to 1 that decides among nearly equal ones.
+    The ``preferred`` ids go first as long as they leave half the target
+    unused: they are those that equal prompts find at every entry, so their
+    caches hold the prefix, and a request that crashes its engine, sent
+    through all entries at once, still reaches few.
     """
     if not candidates:
         return None
+    liked = [c for c in candidates if c.id in preferred]
+    if liked and min(score(c, work) for c in liked) <= AFFINITY_LIMIT:
+        return _best(liked, work, draw, "preferred")
+    return _best(candidates, work, draw, "best")
+
+
+def _best(candidates, work, draw, word):
     scored = sorted((score(c, work), c.id, c) for c in candidates)
     limit = scored[0][0] * NEARLY_EQUAL
     equal = [item for item in scored if item[0] <= limit]
@@ -100,7 +113,7 @@
         value,
         predict_first(chosen, work.prompt_tokens),
         predict_gap(chosen),
-        f"best of {len(candidates)}, {len(equal)} nearly equal",
+        f"{word} of {len(candidates)}, {len(equal)} nearly equal",
     )
 
 
--- a/standins/bringup.py
+++ b/standins/bringup.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -21,15 +22,30 @@
 TOKEN = "test-token"
 START_SECONDS = 30.0
 POLL_SECONDS = 0.05
+PORTS = (15_000, 32_000)
+
+_given = set()
 MODEL = "route-writer"
 SERVICE = "orders"
 
 
 def free_port():
-    """Return a port of the loopback address that was free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port of the loopback address that was free just now.
+
+    It lies below the range from which the system takes the near ends of
+    connections: a port of that range may be taken by one of those before
+    the process that shall listen there has started.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            return port
 
 
 def address():
--- a/standins/service.py
+++ b/standins/service.py
@@ -8,6 +8,7 @@
 
 import collections
 import os
+import secrets
 
 import anyio
 from starlette import routing
@@ -26,8 +27,7 @@
         self.delay = delay_ms / 1000
         self.mode = "ok"
         self.running = 0
-        self.orders = []
-        self.fence = -1
+        self.boot = secrets.token_hex(4)
         self.executions_by_key = collections.Counter()
 
     async def on_call(self, request):
@@ -66,7 +66,11 @@
     async def on_state(self, _request):
         """Report the load and state."""
         return base.reply(
-            {"kind": "service", "running": self.running, "fence": self.fence}
+            {
+                "kind": "service",
+                "running": self.running,
+                "boot": self.boot,
+            }
         )
 
 
--- a/tests/integration/base.py
+++ b/tests/integration/base.py
@@ -3,6 +3,8 @@
 import threading
 import unittest
 
+import httpx
+
 from standins import bringup
 
 
@@ -55,6 +57,18 @@
         """Return where entry ``number`` takes callers."""
         return self.dep.callers(f"entry-{number}")
 
+    def fresh_url(self, number):
+        """Return an address as a caller finds it, by asking the system."""
+        for name in self.entries:
+            try:
+                url = self.dep.callers(name) + "/v1/addresses"
+                rows = httpx.get(url, timeout=3).json()["addresses"]
+            except httpx.HTTPError:
+                continue
+            if rows:
+                return f"http://{rows[number % len(rows)]['address']}"
+        raise AssertionError("no entry says where to connect")
+
     def holder(self, scope):
         """Return the name of the steward that holds ``scope``."""
 
--- /dev/null
+++ b/tests/integration/test_crashing.py
@@ -0,0 +1,96 @@
+"""A request that crashes each endpoint that runs it."""
+
+import httpx
+
+from standins import bringup
+from tests.integration import base
+from tests.integration import callers
+
+
+class CrashingTest(base.DeploymentCase):
+    """Work that takes its endpoint down, resent through every entry."""
+
+    def up(self, kind, count):
+        """Return how many endpoints of a kind are still running."""
+        names = [f"{kind}-{n}" for n in range(1, count + 1)]
+        return sum(
+            self.dep.process_by_name[name].poll() is None for name in names
+        )
+
+    def bring_up_many(self):
+        """Start five engines and four services behind three entries."""
+
+        def prepare(dep):
+            for number in range(1, 6):
+                dep.engine(f"engine-{number}", "abc"[number % 3])
+            for number in range(1, 5):
+                dep.service(f"orders-{number}", "abc"[number % 3])
+
+        self.bring_up(3, 1, prepare)
+
+    def send(self, number, prompt):
+        """Send model work and return the answer."""
+        return httpx.post(
+            self.url(number) + "/v1/completions",
+            json={"model": bringup.MODEL, "prompt": prompt},
+            headers={"X-Caller": "bakery"},
+            timeout=30,
+        )
+
+    def test_resent_through_every_entry_one_after_another(self):
+        """The caller tries each address in turn, twice.
+
+        Without marks each try would take down another engine.
+        """
+        self.bring_up_many()
+        codes = [
+            self.send(number, "poison").json()["code"]
+            for number in (1, 2, 3, 1, 2, 3)
+        ]
+        self.assertGreaterEqual(self.up("engine", 5), 3)
+        self.assertEqual("crashed_endpoints", codes[-1])
+        other = self.send(2, "the same caller's other work")
+        self.assertEqual(200, other.status_code, other.text)
+
+    def test_resent_through_every_entry_at_once(self):
+        """The caller sends the request to all addresses together."""
+        self.bring_up_many()
+        work = base.Background(
+            self.send, [(n, "poison together") for n in (1, 2, 3)]
+        )
+        work.join()
+        self.send(1, "poison together")
+        self.assertGreaterEqual(self.up("engine", 5), 3)
+
+    def test_streams_beside_it_go_on(self):
+        """Long streams share the engines that go down.
+
+        They must end whole, and must not be taken for the cause.
+        """
+        self.bring_up_many()
+        work = base.Background(
+            lambda n: callers.texts(
+                callers.stream(self.url(n % 3 + 1), f"beside {n}", 60)
+            ),
+            [(n,) for n in range(10)],
+        )
+        for number in (1, 2, 3):
+            self.send(number, "poison beside")
+        results = work.join()
+        self.assertEqual([], work.errors)
+        for (number,), events in results:
+            self.assertEqual(callers.expected(f"beside {number}", 60), events)
+        self.assertGreaterEqual(self.up("engine", 5), 3)
+
+    def test_a_lookup_that_crashes_services(self):
+        """The same for an idempotent call to a plain service."""
+        self.bring_up_many()
+        for number in (1, 2, 3, 1, 2, 3):
+            answer = httpx.post(
+                self.url(number) + "/services/orders/find",
+                content="poison",
+                headers={"X-Class": "lookup", "X-Caller": "bakery"},
+                timeout=30,
+            )
+        self.assertEqual("crashed_endpoints", answer.json()["code"])
+        self.assertGreaterEqual(self.up("orders", 4), 2)
