--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure: demo, proofs, slopes, relay and policy."""
--- a/clementinewall/steward/keeper.py
+++ b/clementinewall/steward/keeper.py
@@ -15,6 +15,7 @@
 
 ID_BYTES = 8
 TICK_MS = 200
+FAILURE_PAUSE_MS = 500
 READ_BACK_MS = 3_000
 
 
@@ -27,7 +28,7 @@
         self._leases = node.settings.leases
         self.table = leases.LeaseTable(self._leases, node.boot, node.clock.now)
         self._patience_by_scope = {}
-        self._unwanted = set()
+        self._failure = None
         self._renew_at = 0
 
     def want(self, patience_by_scope):
@@ -46,11 +47,19 @@
                 await self._renew()
                 await self._give_back()
                 await self._claim()
+                self._failure = None
             except errors.ClementinewallError as exc:
-                _log.warning("the log did not answer", error=exc.message)
+                await self._after_failure(exc)
             await self._node.tail.wait_change(TICK_MS)
             self.table.observe(self._node.tail.state)
 
+    async def _after_failure(self, exc):
+        """Say a failure once, and spare a log that is in trouble."""
+        if exc.message != self._failure:
+            _log.warning("the log did not answer", error=exc.message)
+        self._failure = exc.message
+        await anyio.sleep(clock.seconds(FAILURE_PAUSE_MS))
+
     async def release_all(self):
         """Give up every scope, so that others need not wait."""
         self._patience_by_scope = {}
--- a/standins/base.py
+++ b/standins/base.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+import sys
 
 import anyio
 import hypercorn.asyncio
@@ -43,3 +44,17 @@
 def reply(data, status=200, headers=None):
     """Answer with JSON."""
     return responses.JSONResponse(data, status, headers)
+
+
+def record(event, **fields):
+    """Write what happened to this stand-in to its log, for the checkers.
+
+    A line in the log outlives the process, unlike its memory.
+    """
+    sys.stdout.write(event_line(event, **fields))
+    sys.stdout.flush()
+
+
+def event_line(event, **fields):
+    """Return an event as a line for the checkers."""
+    return f"EVENT {json.dumps({'event': event, **fields})}\n"
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -171,6 +171,7 @@
             while position < total:
                 if epoch != self.epoch:
                     self.cut += 1
+                    base.record("cut", engine=self.name, request=request_id)
                     raise ConnectionResetError("the engine changed its role")
                 position += 1
                 for event in self._faulty(prompt, position, chat):
@@ -212,6 +213,7 @@
         order = await base.body_of(request)
         refused = self.checks_fence and order["fence"] < self.fence
         self.orders.append({**order, "refused": refused})
+        base.record("order", engine=self.name, refused=refused, **order)
         if refused:
             return base.reply({"error": "fenced", "fence": self.fence}, 409)
         self.fence = max(self.fence, order["fence"])
--- a/standins/service.py
+++ b/standins/service.py
@@ -40,6 +40,7 @@
         key = request.headers.get("idempotency-key", "none")
         self.running += 1
         self.executions_by_key[key] += 1
+        base.record("execution", by=self.name, key=key)
         serial = self.executions_by_key.total()
         await anyio.sleep(self.delay)
         if self.mode in ("stall", "lose_answers"):
