--- a/bench/replay.py
+++ b/bench/replay.py
@@ -108,9 +108,9 @@
         self.shares = [
             shares.Shares(lambda: int(self.clock.now)) for _ in range(ENTRIES)
         ]
-        self.forecast = roles.Forecast()
+        self.model_plan = roles.ModelPlan(0.0)
+        self._window = collections.Counter()
         self.last_reports = {}
-        self.changed_at = 0.0
         self._events = []
         self._serial = itertools.count()
         self._ended = []
@@ -173,6 +173,7 @@
         plan = self._choose(entry, request)
         if plan is None:
             self._counts["refused"] += 1
+            self._window["offered"] += 1
             return
         now = self.clock.now
         target = self.engines[plan.prefill_id or plan.decode.id]
@@ -224,7 +225,10 @@
             gap = (self.clock.now - first) / request.output
             self.trackers[entry][name].ended()
             self.trackers[entry][name].worked(gap)
-            self._ended.append((request, first + gap - request.at, gap))
+            first_ms = first + gap - request.at
+            self._ended.append((request, first_ms, gap))
+            self._window["offered"] += 1
+            self._window["good"] += _is_good(request, first_ms, gap)
         self._reschedule(engine)
 
     def _choose(self, entry, request):
@@ -300,7 +304,8 @@
         if not self.last_reports:
             return
         demand = planner.demand_of(reports, self.last_reports, PLAN_MS)
-        self.forecast.add(demand, PLAN_MS)
+        seen, self._window = self._window, collections.Counter()
+        self.model_plan.add(demand, seen["offered"], seen["good"], PLAN_MS)
         views = [
             roles.EngineView(
                 name,
@@ -310,15 +315,10 @@
             )
             for name, report in reports.items()
         ]
-        proposal = roles.propose(
-            views,
-            self.forecast.short,
-            self.forecast.long,
-            self.policy,
-            self.clock.now - self.changed_at,
-        )
+        proposal = self.model_plan.consider(views, self.policy, self.clock.now)
         if proposal is not None:
             self._begin_change(proposal.engine, proposal.role)
+            self.model_plan.changed(self.clock.now)
 
     def _react(self, reports):
         """Change a role whenever one kind of work piles up, the baseline."""
@@ -354,15 +354,14 @@
             elif now >= engine.away_until:
                 engine.is_quiesced = False
                 self._lost_ms += now - since
-                self.changed_at = now
+                self.model_plan.changed(now)
                 del self.pending[name]
 
     def _result(self):
         good = collections.Counter()
         others = 0
         for request, first, gap in self._ended:
-            row = CLASSES[request.work_class]
-            if first <= row.first_ms and gap <= row.gap_ms:
+            if _is_good(request, first, gap):
                 good[request.work_class] += 1
                 others += request.caller != "flooder"
         offered_others = sum(r.caller != "flooder" for r in self.plan.requests)
@@ -383,6 +382,11 @@
         )
 
 
+def _is_good(request, first_ms, gap_ms):
+    row = CLASSES[request.work_class]
+    return first_ms <= row.first_ms and gap_ms <= row.gap_ms
+
+
 def _plain(name):
     return routing.Split("", routing.Choice(name, 0.0, 0.0, 0.0, "plain"))
 
--- a/clementinewall/entry/main.py
+++ b/clementinewall/entry/main.py
@@ -28,6 +28,7 @@
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import node
+from clementinewall.steward import planner
 
 _log = logs.PartLog("entry")
 
@@ -44,8 +45,12 @@
         guard = crash_guard.CrashGuard(self.node, self.loads)
         known_shares = shares.Shares(self.node.clock.now)
         self.calls = calls.Calls(self.node, self.loads, guard)
-        relay = model.ModelRelay(self.node, self.loads, known_shares, guard)
-        self.callers = app.CallerApp(self.node, self.loads, relay, self.calls)
+        self.relay = model.ModelRelay(
+            self.node, self.loads, known_shares, guard
+        )
+        self.callers = app.CallerApp(
+            self.node, self.loads, self.relay, self.calls
+        )
         self._homed = 0
 
     async def run(self):
@@ -57,6 +62,7 @@
                 routing.Route(
                     calls.HOME_PATH, self._on_booking, methods=["POST"]
                 ),
+                routing.Route(planner.OUTCOMES_PATH, self._on_outcomes),
             ]
         )
         closed = self.node.closed
@@ -93,6 +99,11 @@
         await self.calls.flush()
         _log.info("drained")
 
+    async def _on_outcomes(self, request):
+        self.node.check(request)
+        by_model = self.relay.outcomes.by_model
+        return responses.JSONResponse(_schema.plain(by_model))
+
     async def _on_booking(self, request):
         self.node.check(request)
         body = await _web.read_json(request, self.node.settings.limits)
--- a/clementinewall/entry/model.py
+++ b/clementinewall/entry/model.py
@@ -16,6 +16,7 @@
 from clementinewall.endpoints import attempt
 from clementinewall.endpoints import reports
 from clementinewall.endpoints import sse
+from clementinewall.entry import outcomes
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
@@ -63,6 +64,8 @@
         self.kept_bytes = 0
         self.attempts = 0
         self.seen_here = 0
+        self.first_ms = None
+        self.gap_ms = None
         self.verdict = verdicts.Verdict.NOT_RUN
 
 
@@ -73,6 +76,7 @@
         """Use the node's configuration, the loads and callers' shares."""
         self._node = node
         self._guard = guard
+        self.outcomes = outcomes.Outcomes()
         self._loads = loads
         self._shares = shares
         self._http = attempt.stream_client()
@@ -88,6 +92,12 @@
             raise errors.UnknownModel(f"no engine serves {work.model!r}")
         self._budgets[work.asked.class_name].earn()
         left = work.asked.work_class.deadline_ms
+        try:
+            await self._carry(run, sink, left)
+        finally:
+            self.outcomes.add(work.model, _is_good(run))
+
+    async def _carry(self, run, sink, left):
         try:
             with anyio.fail_after(clock.seconds(left)):
                 await self._attempts(run, sink)
@@ -250,6 +260,8 @@
     async def _pass_on(self, run, name, event, sink):
         if run.seen_here == 0:
             first = self._node.clock.now() - run.started
+            if run.first_ms is None:
+                run.first_ms = first
             metrics.observe_ms(
                 "first_token", first, work_class=run.work.asked.class_name
             )
@@ -267,6 +279,7 @@
         gap = None
         if run.seen_here > 2:
             gap = took / (run.seen_here - 1)
+            run.gap_ms = gap
             metrics.observe_ms(
                 "token_gap", gap, work_class=run.work.asked.class_name
             )
@@ -381,6 +394,17 @@
         )
 
 
+def _is_good(run):
+    """Tell whether the request was answered within its class's targets."""
+    work_class = run.work.asked.work_class
+    return (
+        run.sequence.finished
+        and run.first_ms is not None
+        and run.first_ms <= work_class.first_ms
+        and (run.gap_ms is None or run.gap_ms <= work_class.gap_ms)
+    )
+
+
 def _wanted(work):
     work_class = work.asked.work_class
     return routing.Work(
--- a/clementinewall/policy/roles.py
+++ b/clementinewall/policy/roles.py
@@ -23,6 +23,17 @@
 LEAST_GAIN = 0.03
 # After a change, its effect must show in the long view before the next.
 SETTLE_CHANGES = 4
+# Streams that end before an engine is empty take about this long.
+DRAIN_S = 6.0
+WHOLE_SEARCH = 12
+NEAR_SEARCH = 2
+LONGEST_PATIENCE = 16.0
+SHORT_MS = 10_000
+LONG_MS = 60_000
+SHORTFALL_MS = 20_000
+MIX_MOVED = 0.15
+LONGEST_HORIZON_MS = 1_800_000
+LEAST_SERVED = 0.2
 BISECTIONS = 24
 
 
@@ -71,20 +82,23 @@
     return low
 
 
-def propose(engines, short, long, policy, since_change_ms):
+def propose(engines, short, long, policy, shortfall, horizon_ms):
     """Return the change that is worth most, or ``None``.
 
-    ``short`` and ``long`` are the demand over a short and a long while.
+    ``short`` and ``long`` are the demand over a short and a long while,
+    ``shortfall`` the part of the requests that lately missed their target:
+    no change can gain more than that, whatever the estimate says.  The gain
+    counts over ``horizon_ms``.
     """
     if any(engine.is_away for engine in engines):
         # One change at a time: the demand on the others shows the effect
         # of a change only after it.
         return None
-    if since_change_ms < policy.change_ms * SETTLE_CHANGES:
-        return None
     best = None
-    for engine, role in _moves(engines, policy):
-        proposal = _weigh(engines, engine, role, short, long, policy)
+    for then in _targets(engines, policy):
+        proposal = _weigh(
+            engines, then, short, long, policy, shortfall, horizon_ms
+        )
         if proposal is not None and _is_better(proposal, best):
             best = proposal
     return best
@@ -123,20 +137,26 @@
     return count - POOL_LOSS * count**0.5
 
 
-def _moves(engines, policy):
-    """Yield the changes that keep the floors, an idle engine first."""
-    seen = set()
-    for engine in sorted(engines, key=lambda e: (e.running, e.id)):
-        for role in ROLES:
-            move = (engine.role, role)
-            if role == engine.role or move in seen or not engine.may_change:
-                continue
-            counts = count_roles(engines)
-            counts[engine.role] -= 1
-            counts[role] += 1
-            if _keeps_floors(counts, policy):
-                seen.add(move)
-                yield engine, role
+def _targets(engines, policy):
+    """Yield the splits to weigh, as maps from role to number of engines.
+
+    A good split may be several changes away with none of the first ones
+    worth it alone.  In a large pool only splits a few changes away are
+    weighed; more follow when those are done.
+    """
+    now = count_roles(engines)
+    total = len(engines)
+    reach = total if total <= WHOLE_SEARCH else NEAR_SEARCH
+    for prefill in _near(now["prefill"], reach, total):
+        for decode in _near(now["decode"], reach, total):
+            mixed = total - prefill - decode
+            then = {"mixed": mixed, "prefill": prefill, "decode": decode}
+            if mixed >= 0 and then != now and _keeps_floors(then, policy):
+                yield then
+
+
+def _near(count, reach, total):
+    return range(max(0, count - reach), min(total, count + reach) + 1)
 
 
 def _keeps_floors(counts, policy):
@@ -145,45 +165,136 @@
     return prefill >= policy.min_prefill and decode >= policy.min_decode
 
 
-def _weigh(engines, engine, role, short, long, policy):
+def _weigh(engines, then, short, long, policy, shortfall, horizon_ms):
+    """Return the first change towards ``then`` if all of them pay."""
     now = count_roles(engines)
-    without = {**now, engine.role: now[engine.role] - 1}
-    then = {**without, role: without[role] + 1}
-    if served(then, short) < served(now, short):
+    move = _first_move(engines, now, then)
+    if move is None or served(then, short) < served(now, short):
         return None
-    better = served(then, long) - served(now, long)
+    engine, role = move
+    steps = sum(max(0, then[name] - now[name]) for name in ROLES)
+    # What the present split serves is known from its misses; only the
+    # other split's part is an estimate.
+    better = served(then, long) - max(served(now, long), 1 - shortfall)
     change_s = policy.change_ms / 1_000
-    stays_s = max(0.0, policy.horizon_ms / 1_000 - change_s)
+    away_s = steps * (change_s + DRAIN_S)
+    stays_s = max(0.0, horizon_ms / 1_000 - away_s)
     gain = better * long.answers * stays_s
-    away = served(now, short) - served(without, short)
-    cost = away * short.answers * change_s + policy.change_price * change_s
+    without = {**now, engine.role: now[engine.role] - 1}
+    lost = served(now, short) - served(without, short)
+    price = policy.change_price * change_s * steps
+    cost = lost * short.answers * away_s + price
     if better < LEAST_GAIN or gain <= cost * CLEAR_GAIN:
         return None
-    reason = f"serves {served(then, long):.2f} not {served(now, long):.2f}"
+    reason = (
+        f"{then['prefill']}p{then['mixed']}m{then['decode']}d serves "
+        f"{served(then, long):.2f}, now missed {shortfall:.2f}"
+    )
     return Proposal(engine.id, role, gain, cost, reason)
 
 
+def _first_move(engines, now, then):
+    """Return the engine to change first and its role, an idle one first."""
+    surplus = {r: now[r] - then[r] for r in ROLES}
+    new = min(ROLES, key=lambda r: surplus[r])
+    able = [e for e in engines if surplus[e.role] > 0 and e.may_change]
+    if not able:
+        return None
+    able.sort(key=lambda e: (-surplus[e.role], e.running, e.id))
+    return able[0], new
+
+
 def _is_better(proposal, best):
     if best is None:
         return True
     return proposal.gain - proposal.cost > best.gain - best.cost
 
 
-class Forecast:
-    """Smooths measured demand into the short and the long view."""
+class ModelPlan:
+    """The planning of one model's roles, from round to round.
 
-    SHORT_MS = 10_000
-    LONG_MS = 60_000
+    Beside the smoothed demand it keeps how well the last change did.  A
+    change that left the shortfall where it was doubles the wait before the
+    next one: where the mix swings faster than changes pay, the system soon
+    leaves the roles alone.
+    """
 
-    def __init__(self):
-        """Begin without any demand seen."""
+    def __init__(self, now):
+        """Begin at ``now`` without any demand seen."""
         self.short = None
         self.long = None
+        self.shortfall = 0.0
+        self._changed_at = now
+        self._before = None
+        self._patience = 1.0
+        self._mix = None
+        self._mix_since = now
+
+    def add(self, demand, offered, good, elapsed_ms):
+        """Take in what the last ``elapsed_ms`` brought."""
+        self.short = _blend(self.short, demand, elapsed_ms / SHORT_MS)
+        self.long = _blend(self.long, demand, elapsed_ms / LONG_MS)
+        if offered:
+            missed = max(0.0, 1 - good / offered)
+            part = min(1.0, elapsed_ms / SHORTFALL_MS)
+            self.shortfall += part * (missed - self.shortfall)
+
+    def consider(self, engines, policy, now):
+        """Return the change to make now, or ``None``."""
+        wait = policy.change_ms * SETTLE_CHANGES * self._patience
+        if self.long is None or now - self._changed_at < wait:
+            return None
+        self._judge_last_change()
+        # What was refused left no work behind to be measured.  Without this
+        # an overloaded fleet looks as if another split could serve it all.
+        share = max(LEAST_SERVED, 1 - self.shortfall)
+        return propose(
+            engines,
+            _scaled(self.short, 1 / share),
+            _scaled(self.long, 1 / share),
+            policy,
+            self.shortfall,
+            self._horizon(policy, now),
+        )
+
+    def changed(self, now):
+        """Note that a change was begun."""
+        self._changed_at = now
+        self._before = self.shortfall
+
+    def _horizon(self, policy, now):
+        """Return how long a change may be expected to be of use.
+
+        A mix that has stood for long is expected to stand as long again.
+        """
+        mix = _mix(self.short)
+        if self._mix is None or abs(mix - self._mix) > MIX_MOVED:
+            self._mix = mix
+            self._mix_since = now
+        stood = min(LONGEST_HORIZON_MS, now - self._mix_since)
+        return max(policy.horizon_ms, stood)
+
+    def _judge_last_change(self):
+        if self._before is None:
+            return
+        if self._before - self.shortfall < LEAST_GAIN / 2:
+            self._patience = min(LONGEST_PATIENCE, self._patience * 2)
+        else:
+            self._patience = max(1.0, self._patience / 2)
+        self._before = None
+
+
+def _scaled(demand, factor):
+    return Demand(
+        demand.prefill * factor,
+        demand.decode * factor,
+        demand.answers * factor,
+    )
+
 
-    def add(self, demand, elapsed_ms):
-        """Take in the demand measured over the last ``elapsed_ms``."""
-        self.short = _blend(self.short, demand, elapsed_ms / self.SHORT_MS)
-        self.long = _blend(self.long, demand, elapsed_ms / self.LONG_MS)
+def _mix(demand):
+    total = demand.prefill + demand.decode
+    return demand.prefill / total if total else 0.0
 
 
 def _blend(old, new, part):
--- a/clementinewall/steward/planner.py
+++ b/clementinewall/steward/planner.py
@@ -6,10 +6,13 @@
 """
 
 import secrets
+import typing
 
 import anyio
+import httpx
 
 from clementinewall import _http
+from clementinewall import _schema
 from clementinewall import clock
 from clementinewall.endpoints import reports
 from clementinewall import errors
@@ -20,11 +23,19 @@
 
 _log = logs.PartLog("plan")
 
+OUTCOMES_PATH = "/control/outcomes"
 ROUND_MS = 2_000
 REPORT_TIMEOUT_MS = 1_000
 READ_BACK_MS = 3_000
 
 
+class Counts(typing.NamedTuple):
+    """An entry's counts of one model since it started."""
+
+    offered: int
+    good: int
+
+
 class Planner:
     """Plans the roles while this process holds the planner's scope."""
 
@@ -34,8 +45,8 @@
         self._keeper = keeper
         self._http = _http.client(REPORT_TIMEOUT_MS)
         self._last_by_id = {}
-        self._forecast_by_model = {}
-        self._changed_at_by_model = {}
+        self._plan_by_model = {}
+        self._outcomes_by_entry = {}
         self._at = None
 
     async def run(self):
@@ -46,7 +57,8 @@
                 await self._round()
             else:
                 self._last_by_id.clear()
-                self._forecast_by_model.clear()
+                self._plan_by_model.clear()
+                self._outcomes_by_entry.clear()
                 self._at = None
 
     async def _round(self):
@@ -62,10 +74,50 @@
         now = self._node.clock.now()
         elapsed = 0 if self._at is None else now - self._at
         self._at = now
+        outcomes = await self._new_outcomes()
         for model in self._models(names):
-            await self._plan(model, report_by_id, elapsed)
+            await self._plan(model, report_by_id, elapsed, outcomes)
         self._last_by_id = report_by_id
 
+    async def _new_outcomes(self):
+        """Return ``(offered, good)`` by model since the last round.
+
+        The entries that every node knows are asked: all of them in a small
+        deployment, a sample in a large one.
+        """
+        rows = self._node.members.representatives("entry")
+        counts = {}
+        async with anyio.create_task_group() as group:
+            for row in rows:
+                group.start_soon(self._fetch_outcomes, row, counts)
+        total = {}
+        for boot, by_model in counts.items():
+            before = self._outcomes_by_entry.get(boot, {})
+            for model, (offered, good) in by_model.items():
+                old = before.get(model, (0, 0))
+                sums = total.get(model, (0, 0))
+                total[model] = (
+                    sums[0] + offered - old[0],
+                    sums[1] + good - old[1],
+                )
+        self._outcomes_by_entry = counts
+        return total
+
+    async def _fetch_outcomes(self, row, counts):
+        token = self._node.settings.security.control_token
+        try:
+            answer = await self._http.get(
+                f"http://{row.control}{OUTCOMES_PATH}",
+                headers={"Authorization": f"Bearer {token}"},
+            )
+            data = answer.json()
+        except (httpx.HTTPError, ValueError) as exc:
+            _log.debug("no outcomes", entry=row.id, why=repr(exc))
+            return
+        value, mistakes = _schema.build(dict[str, Counts], data)
+        if not mistakes:
+            counts[row.boot] = value
+
     def _models(self, names):
         rows = self._node.view.endpoints_by_id
         return sorted({model for name in names for model in rows[name].serves})
@@ -79,7 +131,7 @@
             return
         report_by_id[name] = report
 
-    async def _plan(self, model, report_by_id, elapsed):
+    async def _plan(self, model, report_by_id, elapsed, outcomes):
         rows = self._node.view.endpoints_by_id
         mine = {
             name: report
@@ -88,16 +140,14 @@
         }
         if not elapsed or not mine:
             return
-        forecast = self._forecast_by_model.setdefault(model, roles.Forecast())
-        forecast.add(demand_of(mine, self._last_by_id, elapsed), elapsed)
         now = self._node.clock.now()
-        since = now - self._changed_at_by_model.setdefault(model, now)
-        proposal = roles.propose(
+        plan = self._plan_by_model.setdefault(model, roles.ModelPlan(now))
+        demand = demand_of(mine, self._last_by_id, elapsed)
+        plan.add(demand, *outcomes.get(model, (0, 0)), elapsed)
+        proposal = plan.consider(
             [self._view(name, report) for name, report in mine.items()],
-            forecast.short,
-            forecast.long,
             self._node.view.policy,
-            since,
+            now,
         )
         if proposal is not None:
             await self._publish(model, proposal)
@@ -132,7 +182,7 @@
         except errors.ClementinewallError as exc:
             _log.warning("an assignment is unsure", error=exc.message)
             return
-        self._changed_at_by_model[model] = self._node.clock.now()
+        self._plan_by_model[model].changed(self._node.clock.now())
         _log.info(
             "assigned a role" if outcome.valid else "lost an assignment",
             endpoint=proposal.engine,
