--- a/clementinewall/records/control.py
+++ b/clementinewall/records/control.py
@@ -119,9 +119,8 @@
     A record nobody can read is void for everybody; it must not end a
     process, since it would end all of them and again at each start.
     """
-    if not isinstance(data, dict):
-        return None
-    shape = _SHAPE_BY_KIND.get(data.get("kind"))
+    kind = data.get("kind") if isinstance(data, dict) else None
+    shape = _SHAPE_BY_KIND.get(kind) if isinstance(kind, str) else None
     if shape is None:
         return None
     value, mistakes = _schema.build(shape, data)
