--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -52,13 +52,15 @@
     return dep, names
 
 
-def _cpu_ticks(pid):
+def cpu_ticks(pid):
+    """Return the processor time that a process took, in ticks."""
     with open(f"/proc/{pid}/stat") as file:
         fields = file.read().rpartition(")")[2].split()
     return int(fields[11]) + int(fields[12])
 
 
-def _resident_bytes(pid):
+def resident_bytes(pid):
+    """Return the memory that a process holds, in bytes."""
     with open(f"/proc/{pid}/statm") as file:
         pages = int(file.read().split()[1])
     return pages * os.sysconf("SC_PAGE_SIZE")
@@ -79,14 +81,14 @@
         with dep:
             pids = [dep.process_by_name[name].pid for name in names]
             bytes_before = [_control_bytes(dep, name) for name in names]
-            before = [_cpu_ticks(pid) for pid in pids]
+            before = [cpu_ticks(pid) for pid in pids]
             time.sleep(IDLE_SECONDS)
-            ticks = [_cpu_ticks(pid) - b for pid, b in zip(pids, before)]
+            ticks = [cpu_ticks(pid) - b for pid, b in zip(pids, before)]
             sent = [
                 _control_bytes(dep, name) - b
                 for name, b in zip(names, bytes_before)
             ]
-            resident = [_resident_bytes(pid) for pid in pids]
+            resident = [resident_bytes(pid) for pid in pids]
         cpu.append((count, 100 * sum(ticks) / count / TICKS / IDLE_SECONDS))
         memory.append((count, sum(resident) / count / 1e6))
         traffic.append((count, sum(sent) / count / IDLE_SECONDS / 1e3))
@@ -141,7 +143,7 @@
         script = f"{code}\nimport time; time.sleep(3)"
         process = subprocess.Popen([sys.executable, "-c", script])
         time.sleep(2.0)
-        size = _resident_bytes(process.pid) / 1e6
+        size = resident_bytes(process.pid) / 1e6
         process.wait()
         rows.append(
             (
--- a/clementinewall/policy/tracking.py
+++ b/clementinewall/policy/tracking.py
@@ -9,6 +9,7 @@
 from clementinewall.policy import speed
 
 MAX_SCALE = 16.0
+SILENT_MS = 4_000
 # The part of earlier counts that is kept at each report.
 KEPT = 0.9
 
@@ -61,6 +62,8 @@
         report = self.report
         if report is None:
             return routing.Candidate(name, distance_ms=distance_ms)
+        if now - self.at > SILENT_MS:
+            return self._guess(name, now, distance_ms, cached_tokens)
         return routing.Candidate(
             id=name,
             role=report.role,
@@ -77,6 +80,28 @@
             slowness=self.health.slowness,
         )
 
+    def _guess(self, name, now, distance_ms, cached_tokens):
+        """Return the engine as it may be after a long silence.
+
+        What was sent since the last report has mostly been worked off, but
+        no report says so: adding it up would show an engine ever fuller
+        and refuse work that it could do.  What is still open here, scaled,
+        is the best that is known.
+        """
+        report = self.report
+        return routing.Candidate(
+            id=name,
+            role=report.role,
+            distance_ms=distance_ms,
+            prefill_ms=report.prefill_us / 1_000,
+            gap_ms=report.gap_ms,
+            slots=max(1, report.slots),
+            running=self.open * self._scale,
+            report_age_ms=now - self.at,
+            cached_tokens=cached_tokens,
+            slowness=self.health.slowness,
+        )
+
     def worked(self, gap_ms=None):
         """Note an answer and the time seen between its tokens."""
         expected = None
