--- a/clementinewall/entry/loads.py
+++ b/clementinewall/entry/loads.py
@@ -25,11 +25,7 @@
 
 _log = logs.PartLog("load")
 
-# Under load the answers themselves bring reports along.  Each poll costs
-# over a millisecond of processor time, see docs/CAPACITY.md.
-POLL_MS = 1_000
 POLL_TIMEOUT_MS = 1_000
-SUBSET = 16
 NEAR_MS = 0.5
 FAR_MS = 1.5
 REGION_MS = 20.0
@@ -57,6 +53,7 @@
     def __init__(self, node):
         """Read the configuration in force and the clock of ``node``."""
         self._node = node
+        self._polls = node.settings.polls
         self._seen_by_id = collections.defaultdict(tracking.Tracker)
         self._endpoint_by_prefix = collections.OrderedDict()
         self._known_index = None
@@ -73,7 +70,7 @@
                 for name in wanted:
                     group.start_soon(self._poll, name)
             spread = random.uniform(0.8, 1.2)
-            await anyio.sleep(clock.seconds(POLL_MS) * spread)
+            await anyio.sleep(clock.seconds(self._polls.load_ms) * spread)
 
     def models(self):
         """Return the names of the models that the fleet serves."""
@@ -103,9 +100,11 @@
         liked = self.preferred("engine", model, prompt)
         near = self._index().subset.get(("engine", model), [])
         ids = self.usable("engine", model, without)
-        if len(ids) > SUBSET:
+        if len(ids) > self._polls.subset:
             polled = {*near, *liked}
-            ids = [name for name in ids if name in polled] or ids[:SUBSET]
+            ids = [name for name in ids if name in polled] or ids[
+                : self._polls.subset
+            ]
         hints = self._hints(prompt)
         return [self._candidate(name, hints) for name in ids]
 
@@ -217,7 +216,7 @@
         for key, ids in known.items():
             order = members.rendezvous(self._node.id, ids)
             order.sort(key=self._distance)
-            subset[key] = order[:SUBSET]
+            subset[key] = order[: self._polls.subset]
         return _Index(view, dict(serving), set(known), subset)
 
     def _is_paused(self, endpoint_id):
@@ -242,7 +241,7 @@
 
         Answers bring reports along, so under load few are left to poll.
         """
-        limit = self._node.clock.now() - POLL_MS / 2
+        limit = self._node.clock.now() - self._polls.load_ms / 2
         wanted = set()
         for ids in self._index().subset.values():
             wanted.update(ids)
--- a/clementinewall/settings.py
+++ b/clementinewall/settings.py
@@ -74,6 +74,18 @@
     order_timeout_ms: Millis = 1_000
 
 
+class Polls(typing.NamedTuple):
+    """How often reports are asked for, and of how many endpoints.
+
+    Each poll costs over a millisecond of processor time, see
+    docs/CAPACITY.md.  Under load the answers bring the reports along.
+    """
+
+    load_ms: Millis = 1_000
+    fleet_ms: Millis = 500
+    subset: typing.Annotated[int, _schema.Range(2, 256)] = 16
+
+
 class Limits(typing.NamedTuple):
     """Bounds on what callers may hold of this process."""
 
@@ -115,6 +127,7 @@
     security: Security
     membership: Membership = Membership()
     leases: Leases = Leases()
+    polls: Polls = Polls()
     limits: Limits = Limits()
     logging: Logging = Logging()
     faults: Faults = Faults()
--- a/clementinewall/steward/fleet.py
+++ b/clementinewall/steward/fleet.py
@@ -17,7 +17,6 @@
 
 _log = logs.PartLog("fleet")
 
-ROUND_MS = 500
 REPORT_TIMEOUT_MS = 1_000
 
 
@@ -40,7 +39,9 @@
                 for name, endpoint in self._mine():
                     if endpoint.kind == "engine":
                         group.start_soon(self._reconcile, name, endpoint)
-            await anyio.sleep(clock.seconds(ROUND_MS))
+            await anyio.sleep(
+                clock.seconds(self._node.settings.polls.fleet_ms)
+            )
 
     def changes_wanted(self):
         """Return the models of which an engine waits for a change."""
