--- a/tests/integration/test_planned_changes.py
+++ b/tests/integration/test_planned_changes.py
@@ -90,9 +90,12 @@
         )
 
     def test_withdrawing_an_engine_moves_its_streams(self):
-        """An engine is withdrawn while it carries long streams."""
+        """An engine is withdrawn while it carries streams of 9 s.
+
+        Were they left to finish, the engine would be held up by them.
+        """
         self.bring_up_slow()
-        load = self.load()
+        load = self.load(tokens=300)
         time.sleep(0.8)
         self.dep.operate("withdraw", "engine-1")
         moved = time.monotonic()
--- a/tests/membership/test_wire.py
+++ b/tests/membership/test_wire.py
@@ -162,6 +162,18 @@
                 break
         self.assertEqual(list(range(1, len(passed) + 1)), passed)
 
+    @hypothesis.given(st.lists(st.integers(0, 20), max_size=20))
+    def test_late_copies_do_not_end_a_stream(self, late):
+        """An engine repeats old positions between the new ones.
+
+        Taken for a gap, they would cost the caller another engine's time.
+        """
+        sequence = sse.Sequence()
+        for position in range(1, len(late) + 1):
+            self.assertTrue(sequence.accept(sse.Event(b"", position, b"{}")))
+            old = sse.Event(b"", min(late[position - 1], position), b"{}")
+            self.assertFalse(sequence.accept(old))
+
     @hypothesis.given(st.lists(st.binary(max_size=60), max_size=10))
     def test_any_bytes(self, pieces):
         """An engine sends what is no event stream at all."""
