Watch streams with one task; blame a slow caller, not the engine

Cause: a caller that stopped reading ended its stream with the same error as an engine that broke off, so the engine was counted as failing and the answer went on from another one, to the same caller. The profile also showed three timeouts set for each token.

A slow caller gets an error of its own and no retry.

Ruled out: one timeout scope a stream with a moving deadline, since it cannot tell which side was waited for.

--- a/clementinewall/entry/app.py
+++ b/clementinewall/entry/app.py
@@ -258,7 +258,7 @@
         await self._push(raw, True)
 
     async def finish(self):
-        await self._push(b"", False)
+        await self._push_last(b"")
 
     async def fail(self, error, scope, receive):
         if not self.started:
@@ -267,7 +267,7 @@
             return
         body = _web.problem_body(error, self._wanted.asked.request_id)
         event = f"event: error\ndata: {json.dumps(body)}\n\n"
-        await self._push(event.encode(), False)
+        await self._push_last(event.encode())
 
     async def _start(self, endpoint_id):
         self.started = True
@@ -285,17 +285,18 @@
             }
         )
 
+    async def _push_last(self, body):
+        """End the answer, unless the caller has stopped reading."""
+        with anyio.move_on_after(self._seconds):
+            await self._push(body, False)
+
     async def _push(self, body, more):
         message = {
             "type": "http.response.body",
             "body": body,
             "more_body": more,
         }
-        try:
-            with anyio.fail_after(self._seconds):
-                await self._send(message)
-        except TimeoutError as exc:
-            raise errors.StreamCut("the caller reads too slowly") from exc
+        await self._send(message)
 
 
 class _WholeSink:
--- a/clementinewall/entry/main.py
+++ b/clementinewall/entry/main.py
@@ -71,6 +71,7 @@
             await self.node.run(group)
             group.start_soon(self.loads.run)
             group.start_soon(self.calls.run)
+            group.start_soon(self.relay.watch)
             group.start_soon(_web.serve, control, listen.control, closed)
             group.start_soon(
                 _web.serve, self.callers.application(), listen.callers, closed
--- a/clementinewall/entry/model.py
+++ b/clementinewall/entry/model.py
@@ -17,6 +17,7 @@
 from clementinewall.endpoints import reports
 from clementinewall.endpoints import sse
 from clementinewall.entry import outcomes
+from clementinewall.entry import watchdog
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
@@ -77,11 +78,17 @@
         self._node = node
         self._guard = guard
         self.outcomes = outcomes.Outcomes()
+        self._watchdog = watchdog.Watchdog(node.clock.now)
+        self._slow_reader_ms = node.settings.limits.slow_reader_ms
         self._loads = loads
         self._shares = shares
         self._http = attempt.stream_client()
         self._budgets = collections.defaultdict(budget.RetryBudget)
 
+    async def watch(self):
+        """Run the watchdog of all streams for ever."""
+        await self._watchdog.run()
+
     async def run(self, work, sink):
         """Carry the whole answer to ``sink``.
 
@@ -236,23 +243,29 @@
                 await answer.aclose()
 
     async def _relay(self, run, name, answer, sink):
+        with self._watchdog.watch() as watch:
+            await self._relay_watched(run, name, answer, sink, watch)
+        if watch.expired == watchdog.CALLER:
+            raise errors.CallerTooSlow("the caller reads too slowly")
+        if watch.expired == watchdog.ENGINE:
+            # An engine that is stuck keeps its connection open and says
+            # nothing; unwatched, its streams would end at the deadline.
+            raise errors.EndpointFailed(f"{name}: silent too long")
+
+    async def _relay_watched(self, run, name, answer, sink, watch):
         splitter = sse.Splitter()
-        pieces = answer.aiter_raw()
         started = self._node.clock.now()
-        while True:
-            # An engine that is stuck keeps its connection open and says
-            # nothing; without this limit its streams end at the deadline.
-            with anyio.fail_after(clock.seconds(_silence_ms(run))):
-                piece = await anext(pieces, None)
-            if piece is None:
-                break
+        watch.wait_for(watchdog.ENGINE, _silence_ms(run))
+        async for piece in answer.aiter_raw():
             for event in splitter.feed(piece):
                 if run.sequence.accept(event):
+                    watch.wait_for(watchdog.CALLER, self._slow_reader_ms)
                     await self._pass_on(run, name, event, sink)
             if run.sequence.finished:
                 self._say_done(run, name, started)
                 return
             self._check_leaving(run, name)
+            watch.wait_for(watchdog.ENGINE, _silence_ms(run))
         raise errors.StreamCut(
             f"{name}: ended after position {run.sequence.delivered}"
         )
@@ -344,7 +357,7 @@
     async def _after_failure(self, run, plan, exc):
         """Prepare the next attempt, or raise the final answer."""
         name = plan.decode.id
-        if isinstance(exc, errors.NotRunError):
+        if isinstance(exc, (errors.NotRunError, errors.CallerTooSlow)):
             raise exc
         run.attempts += 1
         run.failed.update({name, plan.prefill_id} - {""})
--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -138,6 +138,17 @@
     status = 502
 
 
+class CallerTooSlow(ClementinewallError):
+    """The caller took too long to read its answer, which was then ended.
+
+    Reconnect with the position of the last event received.
+    """
+
+    code = "caller_too_slow"
+    status = 408
+    verdict = verdicts.Verdict.RAN
+
+
 class MissingKey(NotRunError):
     """A non-idempotent call came without ``Idempotency-Key``; send one."""
 
