Part the relay's state from its work; no silent gap in whole answers

An event that could not be read counted as empty text, so that an answer asked for whole came out short without a word.

Change: entry/progress.py holds a request's state; unreadable events end a whole answer with an error that says so.

Ruled out: resuming from another engine after an unreadable event, since its position was passed on already.

--- a/clementinewall/entry/app.py
+++ b/clementinewall/entry/app.py
@@ -15,20 +15,19 @@
 
 from clementinewall import _web
 from clementinewall import clock
+from clementinewall.endpoints import sse
 from clementinewall.entry import calls
-from clementinewall.entry import model
+from clementinewall.entry import progress
 from clementinewall.entry import work
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
+from clementinewall import verdicts
 
 _log = logs.PartLog("caller")
 
 ADDRESSES_LIMIT = 6
 ADDRESSES_A_DATA_CENTRE = 2
-# How much of a streamed answer may wait for a caller that reads slowly.
-# Hypercorn's send returns only when the socket took the bytes, so what
-# waits here is one event, and the engine is held back beyond that.
 EVENT_STREAM = b"text/event-stream"
 
 
@@ -305,15 +304,20 @@
     def __init__(self, wanted, send, _limits):
         self._wanted = wanted
         self._send = send
-        self._splitter = model.sse.Splitter()
+        self._splitter = sse.Splitter()
         self._texts = []
         self.started = False
 
     async def send(self, raw, _endpoint_id):
         for event in self._splitter.feed(raw):
-            self._texts.append(model.text_of(event))
+            self._texts.append(progress.text_of(event))
 
     async def finish(self):
+        if None in self._texts:
+            # Left out, the answer would be short and nobody would know.
+            raise errors.EndpointFailed(
+                "an event of the engine cannot be read", verdicts.Verdict.RAN
+            )
         response = responses.JSONResponse(
             self._answer(),
             headers={"X-Request-Id": self._wanted.asked.request_id},
--- a/clementinewall/entry/model.py
+++ b/clementinewall/entry/model.py
@@ -6,7 +6,6 @@
 """
 
 import collections
-import json
 import typing
 
 import anyio
@@ -17,6 +16,7 @@
 from clementinewall.endpoints import reports
 from clementinewall.endpoints import sse
 from clementinewall.entry import outcomes
+from clementinewall.entry import progress
 from clementinewall.entry import watchdog
 from clementinewall import errors
 from clementinewall import logs
@@ -32,13 +32,10 @@
 # Before the second retry and, twice as long, before the third; the first
 # goes at once, to another engine.
 BACKOFF_MS = 300
-CHARS_PER_TOKEN = 4
 # A split pays off for long prompts only; below, the extra hop costs more
 # than the prompt work it moves away.
 SPLIT_TOKENS = 512
 MOVE_MS_PER_TOKEN = 0.005
-SILENCE_FACTOR = 8
-SILENCE_FLOOR_MS = 2_000
 
 
 class Sink(typing.Protocol):
@@ -52,24 +49,6 @@
     """The engine is leaving; the stream goes on elsewhere."""
 
 
-class _Run:
-    """The state of one request while it is carried."""
-
-    def __init__(self, work, now):
-        self.work = work
-        self.sequence = sse.Sequence(work.delivered)
-        self.deadline = now + work.asked.work_class.deadline_ms
-        self.started = now
-        self.failed = set()
-        self.kept = []
-        self.kept_bytes = 0
-        self.attempts = 0
-        self.seen_here = 0
-        self.first_ms = None
-        self.gap_ms = None
-        self.verdict = verdicts.Verdict.NOT_RUN
-
-
 class ModelRelay:
     """Serves model work; one per entry."""
 
@@ -94,7 +73,7 @@
 
         :raises ClementinewallError: with the verdict, when given up.
         """
-        run = _Run(work, self._node.clock.now())
+        run = progress.Run(work, self._node.clock.now())
         if not self._loads.is_known("engine", work.model):
             raise errors.UnknownModel(f"no engine serves {work.model!r}")
         self._budgets[work.asked.class_name].earn()
@@ -102,7 +81,7 @@
         try:
             await self._carry(run, sink, left)
         finally:
-            self.outcomes.add(work.model, _is_good(run))
+            self.outcomes.add(work.model, run.is_good())
 
     async def _carry(self, run, sink, left):
         try:
@@ -153,7 +132,7 @@
             # still up get another turn; the attempts are bounded anyway.
             run.failed.clear()
             candidates = self._loads.candidates(work.model, work.prompt)
-        wanted = _wanted(work)
+        wanted = progress.wanted(work)
         draw = int(work.digest[:6], 16) / 0x1000000
         choice = routing.choose(
             candidates,
@@ -184,7 +163,7 @@
         demand = admission.Demand(asked.work_class.priority, share, callers)
         verdict = admission.judge(choice, demand, asked.work_class.first_ms)
         if verdict.admit:
-            self._shares.add(asked.caller, _tokens(run.work))
+            self._shares.add(asked.caller, progress.tokens(run.work))
             return
         _log.info(
             "refused",
@@ -213,9 +192,9 @@
             )
         url = f"http://{endpoint.address}{work.path}"
         request = self._http.build_request(
-            "POST", url, content=_body_for(run), headers=headers
+            "POST", url, content=run.body(), headers=headers
         )
-        tokens = 0 if plan.prefill_id else _prompt_tokens(work)
+        tokens = 0 if plan.prefill_id else progress.prompt_tokens(work)
         self._loads.sent(name, tokens)
         try:
             await self._stream(run, name, request, sink)
@@ -227,7 +206,7 @@
             self._loads.ended(name)
 
     async def _stream(self, run, name, request, sink):
-        with anyio.fail_after(clock.seconds(_silence_ms(run))):
+        with anyio.fail_after(clock.seconds(run.silence_ms())):
             answer = await self._http.send(request, stream=True)
         try:
             if attempt.is_refusal(answer):
@@ -255,7 +234,7 @@
     async def _relay_watched(self, run, name, answer, sink, watch):
         splitter = sse.Splitter()
         started = self._node.clock.now()
-        watch.wait_for(watchdog.ENGINE, _silence_ms(run))
+        watch.wait_for(watchdog.ENGINE, run.silence_ms())
         async for piece in answer.aiter_raw():
             for event in splitter.feed(piece):
                 if run.sequence.accept(event):
@@ -265,7 +244,7 @@
                 self._say_done(run, name, started)
                 return
             self._check_leaving(run, name)
-            watch.wait_for(watchdog.ENGINE, _silence_ms(run))
+            watch.wait_for(watchdog.ENGINE, run.silence_ms())
         raise errors.StreamCut(
             f"{name}: ended after position {run.sequence.delivered}"
         )
@@ -281,10 +260,7 @@
             self._loads.remember_prefix(name, run.work.prompt)
         run.seen_here += 1
         run.verdict = verdicts.Verdict.RAN
-        limit = self._node.settings.limits.resume_bytes
-        if run.kept_bytes + len(event.raw) <= limit:
-            run.kept.append(event)
-            run.kept_bytes += len(event.raw)
+        run.keep(event, self._node.settings.limits.resume_bytes)
         await sink.send(event.raw, name)
 
     def _say_done(self, run, name, started):
@@ -325,7 +301,7 @@
     async def _prefill(self, run, prefill_id, headers):
         """Have the prompt worked off at another engine, if that works."""
         endpoint = self._loads.endpoint(prefill_id)
-        self._loads.sent(prefill_id, _prompt_tokens(run.work))
+        self._loads.sent(prefill_id, progress.prompt_tokens(run.work))
         try:
             request = self._http.build_request(
                 "POST",
@@ -334,7 +310,7 @@
                 headers=headers,
             )
             answer = await attempt.call(
-                self._http, prefill_id, request, _silence_ms(run)
+                self._http, prefill_id, request, run.silence_ms()
             )
             handle = answer.json()["handle"]
         finally:
@@ -405,60 +381,3 @@
             attempt=run.attempts + 1,
             why=plan.decode.reason,
         )
-
-
-def _is_good(run):
-    """Tell whether the request was answered within its class's targets."""
-    work_class = run.work.asked.work_class
-    return (
-        run.sequence.finished
-        and run.first_ms is not None
-        and run.first_ms <= work_class.first_ms
-        and (run.gap_ms is None or run.gap_ms <= work_class.gap_ms)
-    )
-
-
-def _wanted(work):
-    work_class = work.asked.work_class
-    return routing.Work(
-        _prompt_tokens(work), work_class.first_ms, work_class.gap_ms
-    )
-
-
-def _prompt_tokens(work):
-    return max(1, len(work.prompt) // CHARS_PER_TOKEN)
-
-
-def _tokens(work):
-    return _prompt_tokens(work) + int(work.body.get("max_tokens", 16))
-
-
-def _silence_ms(run):
-    """Return how long an engine may say nothing before it counts as stuck."""
-    work_class = run.work.asked.work_class
-    if run.seen_here == 0:
-        return SILENCE_FACTOR * work_class.first_ms + SILENCE_FLOOR_MS
-    return SILENCE_FACTOR * work_class.gap_ms + SILENCE_FLOOR_MS
-
-
-def _body_for(run):
-    """Return the body for the engine, unchanged where that is possible."""
-    work = run.work
-    if work.streamed and not run.kept:
-        return work.raw
-    body = {**work.body, "stream": True}
-    if run.kept:
-        body["resume_text"] = "".join(text_of(event) for event in run.kept)
-    return json.dumps(body).encode()
-
-
-def text_of(event):
-    """Return the text that an event adds to the answer."""
-    if event.is_last:
-        return ""
-    try:
-        choice = json.loads(event.data)["choices"][0]
-    except (ValueError, KeyError, IndexError, TypeError):
-        return ""
-    delta = choice.get("delta") or {}
-    return choice.get("text") or delta.get("content") or ""
--- a/clementinewall/operator/main.py
+++ b/clementinewall/operator/main.py
@@ -108,9 +108,13 @@
     status_by_id = await live.statuses()
     state = await live.read_state()
     rows = {
-        name: {**value, "state": row.state, "address": row.address}
+        name: {
+            "kind": row.kind,
+            "data_centre": row.data_centre,
+            "state": row.state,
+            "address": row.address,
+        }
         for name, row in state.view.endpoints_by_id.items()
-        for value in [{"kind": row.kind, "data_centre": row.data_centre}]
     }
     held = {
         scope: {"holder": held.holder, "fence": held.offset}
--- a/clementinewall/policy/tracking.py
+++ b/clementinewall/policy/tracking.py
@@ -62,44 +62,28 @@
         report = self.report
         if report is None:
             return routing.Candidate(name, distance_ms=distance_ms)
-        if now - self.at > SILENT_MS:
-            return self._guess(name, now, distance_ms, cached_tokens)
-        return routing.Candidate(
+        known = routing.Candidate(
             id=name,
             role=report.role,
             distance_ms=distance_ms,
             prefill_ms=report.prefill_us / 1_000,
             gap_ms=report.gap_ms,
             slots=max(1, report.slots),
-            queued_tokens=report.queued_tokens,
-            running=report.running,
-            sent_tokens=self._tokens * self._scale,
-            sent_streams=self._streams * self._scale,
             report_age_ms=now - self.at,
             cached_tokens=cached_tokens,
             slowness=self.health.slowness,
         )
-
-    def _guess(self, name, now, distance_ms, cached_tokens):
-        """Return the engine as it may be after a long silence.
-
-        What was sent since the last report has mostly been worked off, but
-        no report says so: adding it up would show an engine ever fuller
-        and refuse work that it could do.  What is still open here, scaled,
-        is the best that is known.
-        """
-        report = self.report
-        return routing.Candidate(
-            id=name,
-            role=report.role,
-            distance_ms=distance_ms,
-            prefill_ms=report.prefill_us / 1_000,
-            gap_ms=report.gap_ms,
-            slots=max(1, report.slots),
-            running=self.open * self._scale,
-            report_age_ms=now - self.at,
-            cached_tokens=cached_tokens,
-            slowness=self.health.slowness,
+        if now - self.at > SILENT_MS:
+            # What was sent since the last report has mostly been worked
+            # off, but no report says so: adding it up would show an engine
+            # ever fuller and refuse work that it could do.  What is still
+            # open here, scaled, is the best that is known.
+            return known._replace(running=self.open * self._scale)
+        return known._replace(
+            queued_tokens=report.queued_tokens,
+            running=report.running,
+            sent_tokens=self._tokens * self._scale,
+            sent_streams=self._streams * self._scale,
         )
 
     def worked(self, gap_ms=None):
--- a/tests/entry/test_watchdog.py
+++ b/tests/entry/test_watchdog.py
@@ -44,12 +44,16 @@
         """Waits that follow one another are not added up."""
         now = clock.ManualClock()
         dog = watchdog.Watchdog(now.now)
-        with dog.watch() as watch:
-            for _ in range(10):
-                watch.wait_for(watchdog.ENGINE, 500)
-                now.advance(400)
-                watch.check()
-        self.assertIsNone(watch.expired)
+
+        async def run():
+            with dog.watch() as watch:
+                for _ in range(10):
+                    watch.wait_for(watchdog.ENGINE, 500)
+                    now.advance(400)
+                    watch.check()
+            return watch.expired
+
+        self.assertIsNone(anyio.run(run))
 
 
 if __name__ == "__main__":
