Old load reports no longer refuse work

Cause: with all load reports silent for a minute the policy refused 9 to 10% of ten minutes' requests. The penalty for an old report, meant for choosing among engines, was part of the score that admission judges: it grew to almost four times within the minute, so nearly everything was refused.

Change: engines are ranked with the penalty and judged without it.

Ruled out: a cap on the penalty; any cap moves the same refusals to a smaller margin.

--- a/clementinewall/policy/routing.py
+++ b/clementinewall/policy/routing.py
@@ -15,7 +15,7 @@
 NEARLY_EQUAL = 1.15
 # Beyond this part of the target, prefixes are no reason to stay.
 AFFINITY_LIMIT = 0.5
-# A report this old says little: the prediction grows by this share for each
+# A report this old says little: the rank grows by this share for each
 # second, so a fresh engine is preferred and a silent one is not abandoned.
 STALE_SHARE = 0.05
 STALE_AFTER_MS = 2_000
@@ -79,11 +79,20 @@
     """Return how much of its targets the candidate would use up."""
     first = predict_first(candidate, work.prompt_tokens) / work.first_ms
     between = predict_gap(candidate) / work.gap_ms
-    stale = max(0, candidate.report_age_ms - STALE_AFTER_MS) / 1_000
     # The sum's small part breaks ties towards the engine that is better in
     # the other target too; the larger of the two decides.
-    worst = max(first, between)
-    return (worst + 0.1 * min(first, between)) * (1 + STALE_SHARE * stale)
+    return max(first, between) + 0.1 * min(first, between)
+
+
+def rank(candidate, work):
+    """Return the score with a penalty for an old report.
+
+    The penalty is for choosing among engines only.  When all reports stop,
+    it says nothing of the load; counted in admission, it refused nearly
+    everything after half a minute without reports.
+    """
+    stale = max(0, candidate.report_age_ms - STALE_AFTER_MS) / 1_000
+    return score(candidate, work) * (1 + STALE_SHARE * stale)
 
 
 def choose(candidates, work, draw, preferred=()):
@@ -104,13 +113,13 @@
 
 
 def _best(candidates, work, draw, word):
-    scored = sorted((score(c, work), c.id, c) for c in candidates)
-    limit = scored[0][0] * NEARLY_EQUAL
-    equal = [item for item in scored if item[0] <= limit]
-    value, name, chosen = equal[int(draw * len(equal)) % len(equal)]
+    ranked = sorted((rank(c, work), c.id, c) for c in candidates)
+    limit = ranked[0][0] * NEARLY_EQUAL
+    equal = [item for item in ranked if item[0] <= limit]
+    _, name, chosen = equal[int(draw * len(equal)) % len(equal)]
     return Choice(
         name,
-        value,
+        score(chosen, work),
         predict_first(chosen, work.prompt_tokens),
         predict_gap(chosen),
         f"{word} of {len(candidates)}, {len(equal)} nearly equal",
--- a/tests/policy/test_replay.py
+++ b/tests/policy/test_replay.py
@@ -41,6 +41,12 @@
         bare = goodput("overload", self.by_name["least open"])
         self.assertGreater(own.goodput, bare.goodput * 2)
 
+    def test_silent_reports_refuse_little(self):
+        """For a minute no load report arrives; the engines are well."""
+        own = goodput("silent", self.by_name["policy"])
+        bare = goodput("silent", self.by_name["least open"])
+        self.assertGreater(own.goodput, bare.goodput - 0.01)
+
     def test_a_flood_hurts_its_sender(self):
         """The other callers keep most of their answers."""
         own = goodput("flooding", self.by_name["policy"])
