Blame the engine that broke, not the one that was to decode

With a request split by roles, a failure at the prefill engine was put down to the decoding engine: that one was probed, found well, and no mark was set. A request that crashes engines took down all that do prompts. A prefill answer without a handle raised an error that no handler expected.

Change: a run knows the engine that it talks to; a missing handle is a failed attempt. Three names that nothing used are gone or used.

Ruled out: marking both engines of a split, which would end sound work that shared the decoding engine.

--- a/clementinewall/entry/app.py
+++ b/clementinewall/entry/app.py
@@ -22,6 +22,7 @@
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
+from clementinewall.records import bookings
 from clementinewall import verdicts
 
 _log = logs.PartLog("caller")
@@ -151,7 +152,7 @@
             service=service,
             method=request.method,
             path=_service_path(request),
-            key=f"{asked.caller}/{key or asked.request_id}",
+            key=bookings.scoped_key(asked.caller, key or asked.request_id),
             body=base64.b64encode(raw).decode(),
             media_type=request.headers.get(
                 "content-type", "application/octet-stream"
--- a/clementinewall/entry/model.py
+++ b/clementinewall/entry/model.py
@@ -106,7 +106,7 @@
                 )
                 run.failed.add(plan.decode.id)
             except errors.ClementinewallError as exc:
-                await self._after_failure(run, plan, exc)
+                await self._after_failure(run, exc)
 
     def _plan(self, run):
         """Return where the answer shall come from next."""
@@ -184,12 +184,8 @@
         headers = self._headers(run)
         if plan.prefill_id:
             await self._prefill(run, plan.prefill_id, headers)
-        name = plan.decode.id
-        endpoint = self._loads.endpoint(name)
-        if endpoint is None:
-            raise errors.EndpointFailed(
-                f"{name} is gone", verdicts.Verdict.NOT_RUN
-            )
+        name = run.engine = plan.decode.id
+        endpoint = self._endpoint(name)
         url = f"http://{endpoint.address}{work.path}"
         request = self._http.build_request(
             "POST", url, content=run.body(), headers=headers
@@ -300,7 +296,8 @@
 
     async def _prefill(self, run, prefill_id, headers):
         """Have the prompt worked off at another engine, if that works."""
-        endpoint = self._loads.endpoint(prefill_id)
+        run.engine = prefill_id
+        endpoint = self._endpoint(prefill_id)
         self._loads.sent(prefill_id, progress.prompt_tokens(run.work))
         try:
             request = self._http.build_request(
@@ -313,10 +310,22 @@
                 self._http, prefill_id, request, run.silence_ms()
             )
             handle = answer.json()["handle"]
+        except (ValueError, KeyError, TypeError) as exc:
+            raise errors.EndpointFailed(
+                f"{prefill_id}: no handle in the answer"
+            ) from exc
         finally:
             self._loads.ended(prefill_id)
         headers["kv-source"] = f"{endpoint.address}#{handle}"
 
+    def _endpoint(self, name):
+        endpoint = self._loads.endpoint(name)
+        if endpoint is None:
+            raise errors.EndpointFailed(
+                f"{name} is gone", verdicts.Verdict.NOT_RUN
+            )
+        return endpoint
+
     def _headers(self, run):
         asked = run.work.asked
         headers = {
@@ -330,13 +339,13 @@
             headers["resume-after"] = str(run.sequence.delivered)
         return headers
 
-    async def _after_failure(self, run, plan, exc):
+    async def _after_failure(self, run, exc):
         """Prepare the next attempt, or raise the final answer."""
-        name = plan.decode.id
+        name = run.engine
         if isinstance(exc, (errors.NotRunError, errors.CallerTooSlow)):
             raise exc
         run.attempts += 1
-        run.failed.update({name, plan.prefill_id} - {""})
+        run.failed.add(name)
         run.verdict = verdicts.worst(run.verdict, exc.verdict)
         ran = exc.verdict is not verdicts.Verdict.NOT_RUN
         if ran:
--- a/clementinewall/entry/progress.py
+++ b/clementinewall/entry/progress.py
@@ -28,6 +28,8 @@
         self.started = now
         self.failed = set()
         self.attempts = 0
+        # The engine that the present attempt talks to.
+        self.engine = None
         # Events passed on from the engine of the present attempt.
         self.seen_here = 0
         self.first_ms = None
--- a/clementinewall/records/bookings.py
+++ b/clementinewall/records/bookings.py
@@ -17,7 +17,6 @@
 # Fixed for ever: a key that changed its partition would be taken for new.
 # 32 carry the size of docs/CAPACITY.md within the log's appends.
 PARTITIONS = 32
-KEY_LIMIT = 200
 KEPT_BODY_LIMIT = 16_384
 
 State = typing.Annotated[
--- a/tests/integration/test_crashing.py
+++ b/tests/integration/test_crashing.py
@@ -82,6 +82,37 @@
             self.assertEqual(callers.expected(f"beside {number}", 60), events)
         self.assertGreaterEqual(self.up("engine", 5), 3)
 
+    def test_it_crashes_the_engines_of_prompts(self):
+        """The prompt is worked off at one engine, the tokens at another.
+
+        The request takes down the first.  Blamed on the second, it would
+        never be recognised and take down all engines that do prompts.
+        """
+
+        def prepare(dep):
+            for number in range(1, 6):
+                role = "prefill" if number <= 4 else "decode"
+                options = [f"--role={role}", "--prefill-us=500"]
+                dep.engine(f"engine-{number}", "a", options=options, role=role)
+            dep.service("orders-1", "a")
+            # Tight enough that only the split of the roles meets it.
+            dep.fleet["class"]["drafting"]["gap_ms"] = 12
+
+        self.bring_up(3, 1, prepare)
+        bringup.wait_until(self.takes_split, 10, "a split by roles")
+        for number in (1, 2, 3, 1, 2, 3):
+            answer = self.send(number, "poison " * 600)
+        self.assertGreaterEqual(self.up("engine", 5), 3)
+        self.assertEqual("crashed_endpoints", answer.json()["code"])
+
+    def takes_split(self):
+        """Tell whether every entry knows the roles and uses them."""
+        for number in (1, 2, 3):
+            self.send(number, f"{number} sound " * 600)
+        return all(
+            "prefill=engine-" in self.dep.log_of(name) for name in self.entries
+        )
+
     def test_a_lookup_that_crashes_services(self):
         """The same for an idempotent call to a plain service."""
         self.bring_up_many()
