--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -69,6 +69,13 @@
     status = 404
 
 
+class NoRoute(NotRunError):
+    """No route of the configuration in force leads to this host and path."""
+
+    code = "no_route"
+    status = 404
+
+
 class UnknownClass(NotRunError):
     """The class header names no published class; the message lists them."""
 
--- /dev/null
+++ b/clementinewall/gateway/endpoints.py
@@ -0,0 +1,151 @@
+"""The endpoints as this gateway uses them: connections, work, caches."""
+
+import collections
+
+from clementinewall.gateway import peers
+from clementinewall.gateway import types
+from clementinewall.http1 import client
+from clementinewall import logs
+from clementinewall.policy import speed
+
+_log = logs.PartLog("endpoint")
+
+CONNECT_TIMEOUT_MS = 500
+URGENCIES = 3
+
+
+class State:
+    """One life of an endpoint."""
+
+    def __init__(self, endpoint, now):
+        """Begin with no connection and no work."""
+        self.endpoint = endpoint
+        self.pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
+        self.health = speed.Health()
+        self.open = 0
+        self.streams = 0
+        self.prompt_ms = [0.0] * URGENCIES
+        self.load = None
+        self.load_at = None
+        self._cached = collections.OrderedDict()
+        self._cached_tokens = 0
+
+    def read(self, parts, capacity):
+        """Note the parts of a prompt that are in the engine's cache now."""
+        for part, tokens in parts:
+            if part in self._cached:
+                self._cached.move_to_end(part)
+                continue
+            self._cached[part] = tokens
+            self._cached_tokens += tokens
+        while self._cached_tokens > capacity and self._cached:
+            _, tokens = self._cached.popitem(last=False)
+            self._cached_tokens -= tokens
+
+    def cached_tokens(self, parts):
+        """Return how many leading tokens of a prompt are in the cache."""
+        total = 0
+        for part in parts:
+            if part.id not in self._cached:
+                break
+            total += part.tokens
+        return total
+
+    def own_work(self):
+        """Return this gateway's unfinished work."""
+        return peers.Work(
+            tuple(round(ms) for ms in self.prompt_ms), self.streams
+        )
+
+
+class Endpoints:
+    """All endpoints, by id."""
+
+    def __init__(self, beliefs, now):
+        """Use what the beliefs say."""
+        self._beliefs = beliefs
+        self._now = now
+        self._state_by_life = {}
+        self._read = []
+
+    def state(self, endpoint):
+        """Return the state of this life of an endpoint."""
+        state = self._state_by_life.get(endpoint.life)
+        if state is None:
+            state = State(endpoint, self._now)
+            self._state_by_life[endpoint.life] = state
+        state.endpoint = endpoint
+        return state
+
+    def of_service(self, service):
+        """Return the states of the endpoints that take new work."""
+        return [
+            self.state(endpoint)
+            for endpoint in self._beliefs.endpoint_by_id.values()
+            if endpoint.service == service and not endpoint.leaving
+        ]
+
+    def is_current(self, state):
+        """Tell whether the endpoint still takes new work."""
+        known = self._beliefs.endpoint_by_id.get(state.endpoint.id)
+        return (
+            known is not None
+            and known.life == state.endpoint.life
+            and not known.leaving
+        )
+
+    def learn_read(self, endpoint_id, parts):
+        """Note prompts that another gateway had read."""
+        endpoint = self._beliefs.endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            self.state(endpoint).read(parts, self._capacity(endpoint))
+
+    def note_read(self, state, prompt):
+        """Note a prompt that was read for this gateway, to tell others."""
+        parts = [(part.id, part.tokens) for part in prompt.parts]
+        state.read(parts, self._capacity(state.endpoint))
+        # The last part belongs to this request alone.
+        self._read.append((state.endpoint.id, parts[:-1]))
+
+    def _capacity(self, endpoint):
+        configuration = self._beliefs.configuration
+        service = configuration and configuration.service_by_name.get(
+            endpoint.service
+        )
+        if not service or service.engine is None:
+            return 0
+        return service.engine.kv_tokens
+
+    def drain_read(self):
+        """Return what was read since the last time."""
+        read = self._read
+        self._read = []
+        return read
+
+    def work_by_endpoint(self):
+        """Return this gateway's unfinished work at each engine."""
+        work = {}
+        for state in self._state_by_life.values():
+            own = state.own_work()
+            if own.streams or any(own.prompt_ms):
+                work[state.endpoint.id] = own
+        return work
+
+    def sweep(self):
+        """Close what is left of endpoints that are gone, and old links."""
+        current = {
+            endpoint.life for endpoint in self._beliefs.endpoint_by_id.values()
+        }
+        for life, state in list(self._state_by_life.items()):
+            if life in current:
+                state.pool.prune()
+                continue
+            state.pool.close()
+            if not state.open:
+                del self._state_by_life[life]
+                _log.info("endpoint forgotten", endpoint=state.endpoint.id)
+
+
+def is_engine(state):
+    """Tell whether the endpoint is a model engine with a stage."""
+    return state.endpoint.stage in (types.PREFILL, types.DECODE)
--- /dev/null
+++ b/clementinewall/gateway/exchange.py
@@ -0,0 +1,114 @@
+"""One request at this gateway, from its arrival to its answer."""
+
+import json
+
+from clementinewall import errors
+from clementinewall.http1 import messages
+from clementinewall import verdicts
+
+# Where a refusal doesn't know better: about the time in which a burst of
+# the callers' clumps passes.
+RETRY_MS = 300
+# Callers wait no longer than this part of the time that they have left.
+RETRY_PART = 1 / 3
+_REASONS = {
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class AttemptFailed(Exception):
+    """One send failed; ``verdict`` says whether the request may have run.
+
+    ``answer`` is the endpoint's own failure, to be handed on if nothing
+    better comes.
+    """
+
+    def __init__(self, verdict, why, endpoint_id=None, answer=None):
+        """Keep what is known of the failure."""
+        super().__init__(why)
+        self.verdict = verdict
+        self.why = why
+        self.endpoint_id = endpoint_id
+        self.answer = answer
+
+
+class Exchange:
+    """A request with its route, its time and what became of it so far."""
+
+    def __init__(self, connection, call, route, service, now):
+        """Begin at the moment at which the request was read."""
+        self.connection = connection
+        self.call = call
+        self.route = route
+        self.service = service
+        self._now = now
+        self.arrived = now()
+        self.end = self.arrived + _wait_ms(call, route)
+        self.verdict = verdicts.Verdict.NOT_RUN
+        self.sends = 0
+        self.tried = set()
+
+    @property
+    def left_ms(self):
+        """Return the time left until the final answer is due."""
+        return self.end - self._now()
+
+    @property
+    def waited_ms(self):
+        """Return how long the request is here."""
+        return self._now() - self.arrived
+
+    def note(self, verdict):
+        """Count a send that failed with ``verdict``."""
+        self.verdict = verdicts.worst(self.verdict, verdict)
+
+    def may_send_again(self):
+        """Tell whether the route and the verdict allow another send."""
+        return self.sends < self.route.max_attempts and verdicts.may_retry(
+            self.verdict, self.route.idempotent
+        )
+
+
+def _wait_ms(call, route):
+    limits = [ms for ms in (call.wait_ms, route.timeout_ms) if ms]
+    return min(limits) if limits else DEFAULT_WAIT_MS
+
+
+# For a request that names no deadline on a route that has no timeout.
+DEFAULT_WAIT_MS = 30_000
+
+
+def problem(error, left_ms=None):
+    """Return head and body of the answer to a request that failed."""
+    body = json.dumps(
+        {
+            "code": error.code,
+            "detail": error.message,
+            "verdict": error.verdict.value,
+        }
+    ).encode()
+    headers = [(b"Content-Type", b"application/problem+json")]
+    if error.status in (429, 503):
+        wait_ms = error.retry_after_ms or RETRY_MS
+        if left_ms is not None:
+            wait_ms = min(wait_ms, left_ms * RETRY_PART)
+        seconds = max(0.0, wait_ms) / 1_000
+        headers.append((b"Retry-After", f"{seconds:.3f}".encode()))
+    reason = _REASONS.get(error.status, b"Error")
+    return messages.Head(error.status, reason, tuple(headers)), body
+
+
+def final_error(exchange, why):
+    """Return the error for a request that no further send can save."""
+    if exchange.verdict is verdicts.Verdict.NOT_RUN:
+        return errors.NoEndpoint(why)
+    return errors.EndpointFailed(why, exchange.verdict)
--- /dev/null
+++ b/clementinewall/gateway/peers.py
@@ -0,0 +1,175 @@
+"""What gateways tell one another, in datagrams, several times a second.
+
+Each gateway sends its state to all it knows: that it serves, and how much
+work it has at each engine.  Datagrams may be lost or late and peers may be
+cut off; a peer that isn't heard for a while counts as gone, and its work
+with it.  Nothing that must hold depends on this.
+"""
+
+import json
+import socket
+import typing
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.gateway import following
+from clementinewall import logs
+from clementinewall.platform import store
+
+_log = logs.PartLog("peers")
+
+# Often enough that a burst at one gateway is seen by the others within one
+# prompt's reading (tens of ms).
+EVERY_MS = 50
+# A state that didn't change is sent this seldom, as a sign of life.
+UNCHANGED_MS = 300
+# Three signs of life and one lost: callers that ask are not sent to a
+# gateway that died longer ago than that.
+SILENT_MS = 1_200
+REGISTER_RETRY_MS = 1_000
+MAX_BYTES = 60_000
+
+
+class Work(typing.NamedTuple):
+    """One gateway's unfinished work at one engine.
+
+    ``prompt_ms`` is the prompt reading that is waiting or going on, by
+    urgency; ``streams`` the answers that are being made.
+    """
+
+    prompt_ms: tuple[int, ...]
+    streams: int
+
+
+class Peer(typing.NamedTuple):
+    """A gateway as it was last heard."""
+
+    ip: str
+    callers: str
+    data_centre: str
+    ready: bool
+    work_by_endpoint: dict[str, Work]
+    heard_at: clock.Millis
+
+
+class Peers:
+    """The other gateways, and the socket to talk with them."""
+
+    def __init__(self, settings, now, report, learn):
+        """Send what ``report`` returns; give read prompts to ``learn``."""
+        self._settings = settings
+        self._now = now
+        self._report = report
+        self._learn = learn
+        self._ips = set()
+        self._peer_by_ip = {}
+        self._last = None
+        self._last_at = -UNCHANGED_MS
+
+    def live(self):
+        """Return the peers heard lately."""
+        limit = self._now() - SILENT_MS
+        return [p for p in self._peer_by_ip.values() if p.heard_at >= limit]
+
+    def take(self, record):
+        """Take in a record of the gateways' topic."""
+        if record.value is None:
+            self._ips.discard(record.key)
+        elif record.key != self._settings.ip:
+            self._ips.add(record.key)
+
+    async def register(self):
+        """Put this gateway's address into the store, once."""
+        client = store.Store(self._settings.store, self._now)
+        while True:
+            try:
+                await client.append(
+                    following.PEERS_TOPIC, self._settings.ip, b"1"
+                )
+                break
+            except errors.LogUnavailable as exc:
+                _log.warning("not registered yet", why=exc.message)
+                await anyio.sleep(clock.seconds(REGISTER_RETRY_MS))
+        _log.info("registered", ip=self._settings.ip)
+        client.close()
+
+    async def run(self):
+        """Send and receive until cancelled."""
+        async with await anyio.create_udp_socket(
+            family=socket.AF_INET,
+            local_host=self._settings.ip,
+            local_port=self._settings.peer_port,
+        ) as udp:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._receive, udp)
+                while True:
+                    await self._send(udp)
+                    await anyio.sleep(clock.seconds(EVERY_MS))
+
+    async def _send(self, udp):
+        state, read = self._report()
+        now = self._now()
+        same = state == self._last and not read
+        if same and now - self._last_at < UNCHANGED_MS:
+            return
+        self._last = state
+        self._last_at = now
+        raw = json.dumps([state, read], separators=(",", ":")).encode()
+        if len(raw) > MAX_BYTES:
+            _log.warning("state too large to tell", size=len(raw))
+            return
+        port = self._settings.peer_port
+        for ip in self._ips:
+            try:
+                await udp.sendto(raw, ip, port)
+            except OSError as exc:
+                _log.debug("not sent", ip=ip, why=repr(exc))
+
+    async def send_last(self, udp=None):
+        """Forget what was sent, so that the next state goes out at once."""
+        self._last = None
+
+    async def _receive(self, udp):
+        async for raw, (ip, _port) in udp:
+            try:
+                state, read = json.loads(raw)
+                peer = _decode(state, ip, self._now())
+            except (ValueError, TypeError, KeyError) as exc:
+                _log.warning("unreadable datagram", ip=ip, why=repr(exc))
+                continue
+            if ip not in self._peer_by_ip:
+                _log.info("peer heard", ip=ip, ready=peer.ready)
+            self._peer_by_ip[ip] = peer
+            self._ips.add(ip)
+            for endpoint_id, parts in read:
+                self._learn(endpoint_id, parts)
+
+
+def encode(settings, ready, work_by_endpoint):
+    """Return a gateway's state as plain data."""
+    return {
+        "callers": settings.callers,
+        "data_centre": settings.data_centre,
+        "ready": ready,
+        "work": {
+            name: [*work.prompt_ms, work.streams]
+            for name, work in work_by_endpoint.items()
+        },
+    }
+
+
+def _decode(state, ip, now):
+    work = {
+        name: Work(tuple(row[:-1]), row[-1])
+        for name, row in state["work"].items()
+    }
+    return Peer(
+        ip,
+        state["callers"],
+        state["data_centre"],
+        state["ready"] is True,
+        work,
+        now,
+    )
--- /dev/null
+++ b/clementinewall/gateway/sending.py
@@ -0,0 +1,118 @@
+"""One send of a request to one endpoint, up to the head of its answer."""
+
+import contextlib
+
+from clementinewall.gateway import exchange as exchanges
+from clementinewall.http1 import client
+from clementinewall import logs
+from clementinewall.platform import calls
+from clementinewall import verdicts
+
+_log = logs.PartLog("send")
+
+ANSWER_LIMIT = 8_000_000
+
+
+class Sent:
+    """A request that was sent; its answer is read from ``link``."""
+
+    def __init__(self, state, link, head):
+        """Keep the link and the head of the answer."""
+        self.state = state
+        self.link = link
+        self.head = head
+        self.is_over = False
+
+    async def read_all(self):
+        """Return the rest of the answer.
+
+        :raises AttemptFailed: it broke off.
+        """
+        try:
+            body = await self.link.read_rest(ANSWER_LIMIT)
+        except client.LinkBroken as exc:
+            raise self.failed(exc.why) from exc
+        self.is_over = True
+        return body
+
+    async def read_part(self):
+        """Return the next part of the answer, ``None`` at its whole end.
+
+        :raises AttemptFailed: it broke off.
+        """
+        try:
+            part = await self.link.read_part()
+        except client.LinkBroken as exc:
+            raise self.failed(exc.why) from exc
+        self.is_over = part is None
+        return part
+
+    def failed(self, why, verdict=verdicts.Verdict.MAY_HAVE_RUN, answer=None):
+        """Return the error for an answer that can't be used."""
+        return exchanges.AttemptFailed(
+            verdict, why, self.state.endpoint.id, answer
+        )
+
+
+@contextlib.asynccontextmanager
+async def send(call, state, request, now):
+    """Send and wait for the head; close the link unless the answer ended.
+
+    :raises AttemptFailed: with what is known of whether it ran.
+    """
+    link = None
+    sent = None
+    state.open += 1
+    try:
+        link = await state.pool.take()
+        await link.send(request)
+        head = await _own_head(call, link)
+        sent = Sent(state, link, head)
+        _note_load(state, head, now())
+        if calls.says_not_run(head):
+            await sent.read_all()
+            raise sent.failed(
+                f"refused with {head.status}", verdicts.Verdict.NOT_RUN
+            )
+        yield sent
+    except client.LinkBroken as exc:
+        raise exchanges.AttemptFailed(
+            verdicts.verdict_of(exc.progress), exc.why, state.endpoint.id
+        ) from exc
+    finally:
+        state.open -= 1
+        if link is not None:
+            _put_away(state, link, sent)
+
+
+async def _own_head(call, link):
+    """Return the head of the answer to this call.
+
+    An endpoint may send a second answer to an earlier request late; handing
+    it on would give one caller the answer of another.
+    """
+    head = await link.read_head()
+    while not calls.is_answer_to(head, call):
+        _log.warning(
+            "answer to another request dropped",
+            request=call.attempt,
+            status=head.status,
+        )
+        await link.read_rest(ANSWER_LIMIT)
+        link.expect_another()
+        head = await link.read_head()
+    return head
+
+
+def _note_load(state, head, now):
+    load = calls.load(head)
+    if load is not None:
+        state.load = load
+        state.load_at = now
+
+
+def _put_away(state, link, sent):
+    if sent is not None and sent.is_over:
+        state.pool.give_back(link)
+    else:
+        state.pool.drop(link)
--- /dev/null
+++ b/clementinewall/gateway/streams.py
@@ -0,0 +1,336 @@
+"""Work for model engines: placing, prefill, streams and their resumption."""
+
+import random
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.gateway import endpoints as endpoints_module
+from clementinewall.gateway import exchange as exchanges
+from clementinewall.gateway import sending
+from clementinewall.gateway import sse
+from clementinewall.gateway import types
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.platform import calls
+from clementinewall.policy import placement
+from clementinewall import verdicts
+
+_log = logs.PartLog("stream")
+
+FREE_TIMEOUT_MS = 1_000
+MOST_URGENT = 0
+LEAST_URGENT = 9
+# Returning callers are spread over half as much time again.
+RETRY_SPREAD = 0.5
+
+
+class StreamRelay:
+    """Carries streams from the engines of a service to callers."""
+
+    def __init__(self, settings, endpoints, peers, budgets, group, now):
+        """Use the gateway's parts; ``group`` runs what outlives a request."""
+        self._settings = settings
+        self._endpoints = endpoints
+        self._peers = peers
+        self._budgets = budgets
+        self._group = group
+        self._now = now
+
+    async def run(self, exchange):
+        """Answer the request.
+
+        :raises ClementinewallError: it could not be answered.
+        """
+        stream = _Stream(exchange)
+        last = None
+        while True:
+            if exchange.sends and not self._budgets.spend(exchange.service):
+                _log.info("no budget", request=exchange.call.attempt)
+                break
+            way = self._place(exchange, last)
+            try:
+                await self._run_way(exchange, stream, way)
+            except exchanges.AttemptFailed as exc:
+                last = exc
+                self._note_failure(exchange, exc)
+                if not exchange.may_send_again():
+                    break
+                continue
+            return
+        if last.answer is not None and not stream.started:
+            head, body = last.answer
+            await exchange.connection.answer(calls.forwarded(head), body)
+            return
+        raise exchanges.final_error(exchange, last.why)
+
+    def _place(self, exchange, last):
+        """Choose the engines.
+
+        :raises Overloaded: the request cannot be served in time.
+        """
+        demand = self._demand(exchange)
+        states = {
+            state.endpoint.id: state
+            for state in self._endpoints.of_service(exchange.service.name)
+            if state.endpoint.id not in exchange.tried
+            and endpoints_module.is_engine(state)
+        }
+        peers = self._peers.live()
+        engines = [
+            self._engine(state, exchange, peers) for state in states.values()
+        ]
+        chosen = placement.choose(engines, demand)
+        if isinstance(chosen, placement.Refusal):
+            self._refuse(exchange, demand, chosen, last)
+        _log.info(
+            "placed",
+            request=exchange.call.attempt,
+            route=exchange.route.name,
+            prefill=chosen.prefill,
+            decode=chosen.decode,
+            first_ms=round(chosen.first_ms),
+            wait_ms=round(chosen.wait_ms),
+            prompt_ms=round(chosen.prompt_ms),
+            cached=chosen.cached,
+            tokens=demand.tokens,
+            left_ms=round(demand.left_ms),
+        )
+        reader = states.get(chosen.prefill)
+        return reader, states[chosen.decode], chosen
+
+    def _demand(self, exchange):
+        prompt = exchange.call.prompt or types.Prompt("", 0, 0, ())
+        limits = exchange.service.engine
+        return placement.Demand(
+            tokens=prompt.tokens_in,
+            left_ms=exchange.route.goal_ms - exchange.waited_ms,
+            goal_ms=exchange.route.goal_ms,
+            token_bytes=limits.kv_token_bytes,
+            link_mbps=limits.link_mbps,
+        )
+
+    def _engine(self, state, exchange, peers):
+        urgency = _urgency(exchange.route)
+        endpoint = state.endpoint
+        waiting = sum(state.prompt_ms[: urgency + 1])
+        streams = state.streams
+        for peer in peers:
+            work = peer.work_by_endpoint.get(endpoint.id)
+            if work is not None:
+                waiting += sum(work.prompt_ms[: urgency + 1])
+                streams += work.streams
+        prompt = exchange.call.prompt
+        return placement.Engine(
+            id=endpoint.id,
+            prefill=endpoint.stage == types.PREFILL,
+            wait_ms=waiting,
+            streams=streams,
+            slots=max(1, endpoint.slots),
+            cached=state.cached_tokens(prompt.parts[:-1]) if prompt else 0,
+            near=endpoint.data_centre == self._settings.data_centre,
+            slowness=state.health.slowness
+            if state.health.is_usable(self._now())
+            else 10.0,
+        )
+
+    def _refuse(self, exchange, demand, refusal, last):
+        best = refusal.best
+        _log.info(
+            "refused",
+            request=exchange.call.attempt,
+            route=exchange.route.name,
+            why=refusal.why,
+            first_ms=round(best.first_ms) if best else None,
+            wait_ms=round(best.wait_ms) if best else None,
+            left_ms=round(demand.left_ms),
+            tokens=demand.tokens,
+        )
+        metrics.count("refused", route=exchange.route.name)
+        if last is not None:
+            raise exchanges.final_error(exchange, last.why)
+        spread = 1 + RETRY_SPREAD * random.random()
+        raise errors.Overloaded(
+            refusal.why, retry_after_ms=refusal.retry_ms * spread
+        )
+
+    async def _run_way(self, exchange, stream, way):
+        reader, decoder, chosen = way
+        prefilled = None
+        if reader is not None:
+            prefilled = await self._prefill(exchange, reader, chosen)
+        exchange.sends += 1
+        exchange.tried.add(decoder.endpoint.id)
+        request = calls.run(
+            exchange.call,
+            decoder.endpoint,
+            exchange.left_ms,
+            stream.events.last,
+            prefilled,
+            _urgency(exchange.route),
+        )
+        prompt_ms = 0.0 if prefilled else chosen.prompt_ms
+        urgency = _urgency(exchange.route)
+        decoder.streams += 1
+        decoder.prompt_ms[urgency] += prompt_ms
+        stream.on_first = lambda: self._first(
+            exchange, decoder, urgency, prompt_ms, chosen
+        )
+        taken = False
+        try:
+            async with sending.send(
+                exchange.call, decoder, request, self._now
+            ) as sent:
+                taken = True
+                await stream.carry(sent)
+        finally:
+            decoder.streams -= 1
+            if not stream.had_first:
+                decoder.prompt_ms[urgency] -= prompt_ms
+            if prefilled is not None and not taken:
+                self._group.start_soon(self._free, reader, prefilled)
+        decoder.health.worked()
+
+    def _first(self, exchange, decoder, urgency, prompt_ms, chosen):
+        decoder.prompt_ms[urgency] -= prompt_ms
+        if prompt_ms and exchange.call.prompt:
+            self._endpoints.note_read(decoder, exchange.call.prompt)
+        took = exchange.waited_ms
+        metrics.observe_ms("first_event", took, route=exchange.route.name)
+        _log.info(
+            "first event",
+            request=exchange.call.attempt,
+            took_ms=took,
+            predicted_ms=round(chosen.first_ms),
+        )
+
+    async def _prefill(self, exchange, reader, chosen):
+        urgency = _urgency(exchange.route)
+        request = calls.prefill(
+            exchange.call, reader.endpoint, exchange.left_ms, urgency
+        )
+        started = self._now()
+        reader.prompt_ms[urgency] += chosen.prompt_ms
+        try:
+            async with sending.send(
+                exchange.call, reader, request, self._now
+            ) as sent:
+                body = await sent.read_all()
+        except exchanges.AttemptFailed as exc:
+            # Only the prompt was read, so the request itself has not run.
+            exchange.sends += 1
+            exchange.tried.add(reader.endpoint.id)
+            exc.verdict = verdicts.Verdict.NOT_RUN
+            raise
+        finally:
+            reader.prompt_ms[urgency] -= chosen.prompt_ms
+        try:
+            prefilled = calls.prefilled(reader.endpoint, body)
+        except errors.BadRecord as exc:
+            exchange.sends += 1
+            raise exchanges.AttemptFailed(
+                verdicts.Verdict.NOT_RUN, exc.message, reader.endpoint.id
+            ) from exc
+        reader.health.worked()
+        self._endpoints.note_read(reader, exchange.call.prompt)
+        _log.info(
+            "prompt read",
+            request=exchange.call.attempt,
+            engine=reader.endpoint.id,
+            took_ms=self._now() - started,
+            wait_ms=round(chosen.wait_ms),
+            prompt_ms=round(chosen.prompt_ms),
+        )
+        return prefilled
+
+    async def _free(self, reader, prefilled):
+        request = calls.free(prefilled.handle)
+        with anyio.move_on_after(clock.seconds(FREE_TIMEOUT_MS)):
+            try:
+                link = await reader.pool.take()
+                await link.send(request)
+                await link.read_head()
+                await link.read_rest(sending.ANSWER_LIMIT)
+            except sending.client.LinkBroken as exc:
+                _log.info("handle not freed", why=exc.why)
+                return
+            reader.pool.give_back(link)
+
+    def _note_failure(self, exchange, exc):
+        exchange.note(exc.verdict)
+        for state in self._endpoints.of_service(exchange.service.name):
+            if state.endpoint.id == exc.endpoint_id and exc.answer is None:
+                state.health.failed(self._now())
+        _log.info(
+            "attempt failed",
+            request=exchange.call.attempt,
+            endpoint=exc.endpoint_id,
+            verdict=exc.verdict.value,
+            why=exc.why,
+        )
+
+
+def _urgency(route):
+    """Return the place among waiting requests, 0 first."""
+    last = endpoints_module.URGENCIES - 1
+    return max(MOST_URGENT, min(last, route.priority))
+
+
+class _Stream:
+    """The answer as the caller gets it, from one engine or several."""
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+        self.events = sse.Events(exchange.call.resume_after)
+        self.started = False
+        self.had_first = False
+        self.on_first = None
+
+    async def carry(self, sent):
+        """Hand on the events of one engine until the whole end.
+
+        :raises AttemptFailed: the stream broke off.
+        """
+        head = sent.head
+        if head.status >= 300:
+            await self._carry_failure(sent)
+            return
+        if not calls.is_whole_success(head):
+            raise sent.failed("a success without the engine's stamp")
+        self.events.restart()
+        part = await sent.read_part()
+        while part is not None:
+            try:
+                fresh = self.events.feed(part)
+            except sse.BadEvent as exc:
+                raise sent.failed(str(exc)) from exc
+            if fresh:
+                await self._pass_on(head, fresh)
+            part = await sent.read_part()
+        if not self.events.is_whole:
+            raise sent.failed("the answer ends within an event")
+        await self._pass_on(head, b"")
+        await self._exchange.connection.finish()
+
+    async def _pass_on(self, head, data):
+        if not self.had_first and self.on_first is not None:
+            self.had_first = True
+            self.on_first()
+        connection = self._exchange.connection
+        if not self.started:
+            self.started = True
+            await connection.send_head(calls.forwarded(head))
+        if data:
+            await connection.send_body(data)
+
+    async def _carry_failure(self, sent):
+        body = await sent.read_all()
+        answer = sent.head, body
+        if sent.head.status >= 500 or self.started:
+            raise sent.failed(
+                f"status {sent.head.status}", verdicts.Verdict.RAN, answer
+            )
+        await self._exchange.connection.answer(
+            calls.forwarded(sent.head), body
+        )
--- /dev/null
+++ b/clementinewall/gateway/types.py
@@ -0,0 +1,191 @@
+"""What a gateway knows of its surroundings, in the project's own words.
+
+:mod:`clementinewall.platform` decodes the platform's messages into these
+types; all decisions are made on them.  All durations are milliseconds.
+"""
+
+import typing
+
+from clementinewall import clock
+from clementinewall.http1 import messages
+from clementinewall.http1 import server
+
+SAFE = "safe"
+UNSAFE = "unsafe"
+STREAM = "stream"
+
+PREFILL = "prefill"
+DECODE = "decode"
+
+
+class Bounds(typing.NamedTuple):
+    """The deployment's limits that a gateway has to respect."""
+
+    grace_ms: clock.Millis = 8_000
+    # Retries of all gateways together, for each service in a sliding
+    # window: this part of its requests and so many besides.
+    retry_ratio: float = 0.2
+    retry_window_ms: clock.Millis = 10_000
+    retry_slack: float = 50.0
+    # How long callers keep the addresses that they were told, at most.
+    addresses_ttl_ms: clock.Millis = 5_000
+
+
+class Settings(typing.NamedTuple):
+    """What a gateway process learns from its settings."""
+
+    instance: str
+    ip: str
+    data_centre: str
+    region: str
+    callers: str
+    ready: str
+    directory: str
+    peer_port: int
+    store: str
+    bounds: Bounds
+    memory_mb: int = 256
+    max_connections: int = 2_000
+
+
+class Share(typing.NamedTuple):
+    """A service that a route leads to, with its part of the requests."""
+
+    service: str
+    weight: float
+
+
+class Route(typing.NamedTuple):
+    """Where requests of one host and path prefix go, and their targets."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    shares: tuple[Share, ...]
+    timeout_ms: clock.Millis | None
+    goal_ms: clock.Millis
+    gap_goal_ms: clock.Millis
+    priority: int
+    max_attempts: int
+    resumable: bool
+
+    @property
+    def idempotent(self):
+        """Tell whether a request of this route may run more than once."""
+        return self.kind == SAFE or (self.kind == STREAM and self.resumable)
+
+
+class EngineLimits(typing.NamedTuple):
+    """What all engines of one model service have in common."""
+
+    slots: int
+    kv_tokens: int
+    kv_token_bytes: int
+    link_mbps: float
+    stride: int
+    handle_ttl_ms: clock.Millis
+    switch_ms: clock.Millis
+
+
+class Service(typing.NamedTuple):
+    """A service; ``engine`` is set if its endpoints are model engines."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineLimits | None
+
+
+class Configuration(typing.NamedTuple):
+    """One version of what operators publish."""
+
+    version: int
+    routes_by_host: dict[str, tuple[Route, ...]]
+    service_by_name: dict[str, Service]
+    limits: server.Limits
+
+    def route_for(self, host, path):
+        """Return the route with the longest matching prefix, or ``None``."""
+        for route in self.routes_by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class Endpoint(typing.NamedTuple):
+    """One endpoint as it registered itself.
+
+    ``born`` tells two lives under the same id apart.
+    """
+
+    id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool
+    stage: str | None
+    born: int
+
+    @property
+    def life(self):
+        """Return what is unique to this life of the endpoint."""
+        return self.id, self.born, self.address
+
+
+class PromptPart(typing.NamedTuple):
+    """A part of a prompt that other requests may share."""
+
+    id: str
+    tokens: int
+
+
+class Prompt(typing.NamedTuple):
+    """What a request asks of a model engine."""
+
+    model: str
+    tokens_in: int
+    tokens_out: int
+    parts: tuple[PromptPart, ...]
+    expected_out: int | None = None
+
+
+class Call(typing.NamedTuple):
+    """A caller's request, decoded once.
+
+    ``headers`` are those to be forwarded.  ``attempt`` is the caller's id
+    for this attempt, which the endpoint repeats in its answer.
+    """
+
+    attempt: str
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: tuple[messages.Header, ...]
+    body: bytes
+    wait_ms: clock.Millis | None
+    resume_after: int | None
+    prompt: Prompt | None
+
+
+class Prefilled(typing.NamedTuple):
+    """A prompt that one engine has read, for another to fetch."""
+
+    address: str
+    handle: str
+    tokens: int
+
+    @property
+    def source(self):
+        """Return where the memory of the prompt can be fetched."""
+        return f"{self.address}/{self.handle}"
+
+
+class EndpointLoad(typing.NamedTuple):
+    """The load that an endpoint says it has, with its answers."""
+
+    running: int
+    waiting: int
+    slots: int
--- /dev/null
+++ b/clementinewall/http1/client.py
@@ -0,0 +1,280 @@
+"""Connections to endpoints, kept for reuse, with how far each send came.
+
+A :class:`Link` is one connection; its owner is the task that holds it.  A
+:class:`Pool` keeps the idle ones of one peer.  An idle link that shows any
+byte or its end before it is used again is thrown away: bytes that come
+after a whole answer belong to no request, and a request written into a
+closing connection may or may not have run.
+"""
+
+import select
+import socket
+
+import anyio
+import anyio.abc
+import h11
+
+from clementinewall import clock
+from clementinewall.http1 import messages
+from clementinewall import verdicts
+
+READ_BYTES = 65_536
+HEAD_BYTES = 65_536
+# Packets that the peer doesn't confirm for so long end the connection: a
+# peer without power sends no reset, and the default of the operating system
+# is a quarter of an hour.
+UNCONFIRMED_MS = 3_000
+# The margin by which a kept connection is given up before its peer may
+# close it; covers the way there and a late timer.
+IDLE_MARGIN_MS = 400
+# A peer that names no timeout for kept connections closes them within a
+# second or so.
+UNNAMED_IDLE_MS = 500
+
+
+class LinkBroken(Exception):
+    """The exchange ended early; ``progress`` says how far it had come."""
+
+    def __init__(self, progress, why):
+        """Keep how far the exchange had come."""
+        super().__init__(why)
+        self.progress = progress
+        self.why = why
+
+
+class Link:
+    """One connection to a peer, for one exchange at a time."""
+
+    def __init__(self, stream, now):
+        """Own ``stream``, opened at ``now``."""
+        self._stream = stream
+        self._h11 = _new_h11()
+        self._sent = None
+        self._idle_ms = UNNAMED_IDLE_MS
+        self._is_last = False
+        self.progress = verdicts.Progress.NOTHING_SENT
+        self.idle_until = now
+        self.is_fresh = True
+
+    async def send(self, request):
+        """Write a whole request.
+
+        :raises LinkBroken: it could not be written.
+        """
+        headers = list(request.headers)
+        if request.body or request.method not in (b"GET", b"DELETE"):
+            length = str(len(request.body)).encode()
+            headers.append((b"Content-Length", length))
+        self._sent = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._h11.send(self._sent)
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body))
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        self.progress = verdicts.Progress.SENT_IN_PART
+        try:
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            raise self._broken("reset while sending") from exc
+        self.progress = verdicts.Progress.SENT_WHOLE
+
+    async def read_head(self):
+        """Return the head of the next answer.
+
+        :raises LinkBroken: there came none.
+        """
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                head = messages.Head(
+                    event.status_code,
+                    event.reason,
+                    tuple(event.headers.raw_items()),
+                )
+                self._note_idle(head)
+                return head
+            if not isinstance(event, h11.InformationalResponse):
+                raise self._broken("closed without an answer")
+
+    async def read_part(self):
+        """Return the next part of the body, or ``None`` at its whole end.
+
+        :raises LinkBroken: it ended early.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise self._broken("closed within the answer")
+
+    async def read_rest(self, limit):
+        """Return the rest of the body, of ``limit`` bytes at most.
+
+        :raises LinkBroken: it ended early or is too long.
+        """
+        parts = []
+        size = 0
+        part = await self.read_part()
+        while part is not None:
+            size += len(part)
+            if size > limit:
+                raise self._broken(f"the answer is over {limit} bytes")
+            parts.append(part)
+            part = await self.read_part()
+        return b"".join(parts)
+
+    def expect_another(self):
+        """Wait for a further answer to the request that was sent.
+
+        Endpoints at times send a second, late answer to an earlier request
+        where the answer to this one is due.  ``h11`` would take it for a
+        breach of protocol, so the parser is set up anew with the bytes that
+        are left.
+        """
+        rest, closed = self._h11.trailing_data
+        self._h11 = _new_h11()
+        self._h11.send(self._sent)
+        self._h11.receive_data(bytes(rest))
+        if closed:
+            self._h11.receive_data(b"")
+        self._is_last = True
+
+    async def _next_event(self):
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise self._broken(f"not HTTP: {exc}") from exc
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except anyio.EndOfStream:
+                data = b""
+            except (
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ) as exc:
+                raise self._broken("reset by the peer") from exc
+            self._h11.receive_data(data)
+
+    def _note_idle(self, head):
+        named = head.header(b"keep-alive")
+        if named is None:
+            return
+        for part in named.split(b","):
+            name, _, value = part.partition(b"=")
+            if name.strip().lower() == b"timeout":
+                seconds = messages.whole_number(value, 0)
+                self._idle_ms = seconds * 1_000 - IDLE_MARGIN_MS
+
+    def _broken(self, why):
+        return LinkBroken(self.progress, why)
+
+    def renew(self, now):
+        """Get ready for another request; return whether that is possible."""
+        done = (
+            self._h11.our_state is h11.DONE
+            and self._h11.their_state is h11.DONE
+        )
+        if not done or self._is_last or self._h11.trailing_data[0]:
+            return False
+        self._h11.start_next_cycle()
+        self.progress = verdicts.Progress.NOTHING_SENT
+        self.idle_until = now + self._idle_ms
+        self.is_fresh = False
+        return self._idle_ms > 0
+
+    def is_quiet(self):
+        """Tell whether nothing has come since the last whole answer."""
+        raw = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        if raw.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def close(self):
+        """Close at once; the endpoint then drops the request."""
+        transport = self._stream._transport
+        transport.abort()
+
+
+class Pool:
+    """The idle links to one peer, last used first."""
+
+    def __init__(self, address, now, connect_ms):
+        """Keep links to ``address`` (``IP:port``)."""
+        self.address = address
+        self._now = now
+        self._connect_ms = connect_ms
+        self._idle = []
+        self.open = 0
+
+    async def take(self):
+        """Return a kept link, or a new one.
+
+        :raises LinkBroken: no connection could be made.
+        """
+        while self._idle:
+            link = self._idle.pop()
+            if link.idle_until > self._now() and link.is_quiet():
+                return link
+            self.drop(link)
+        return await self.connect()
+
+    async def connect(self):
+        """Return a new link.
+
+        :raises LinkBroken: no connection could be made.
+        """
+        host, _, port = self.address.rpartition(":")
+        self.open += 1
+        try:
+            with anyio.fail_after(clock.seconds(self._connect_ms)):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError) as exc:
+            self.open -= 1
+            raise LinkBroken(
+                verdicts.Progress.NEVER_CONNECTED,
+                f"no connection: {exc!r}",
+            ) from exc
+        except BaseException:
+            self.open -= 1
+            raise
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNCONFIRMED_MS
+        )
+        return Link(stream, self._now())
+
+    def give_back(self, link):
+        """Keep a link whose exchange is over, if it can be used again."""
+        if link.renew(self._now()):
+            self._idle.append(link)
+        else:
+            self.drop(link)
+
+    def drop(self, link):
+        """Close a link."""
+        self.open -= 1
+        link.close()
+
+    def close(self):
+        """Close all idle links."""
+        while self._idle:
+            self.drop(self._idle.pop())
+
+    def prune(self):
+        """Close the links whose time to be kept is over."""
+        now = self._now()
+        old = [link for link in self._idle if link.idle_until <= now]
+        self._idle = [link for link in self._idle if link.idle_until > now]
+        for link in old:
+            self.drop(link)
+
+
+def _new_h11():
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_BYTES)
--- /dev/null
+++ b/clementinewall/http1/messages.py
@@ -0,0 +1,81 @@
+"""Requests and answers as plain data, and their headers.
+
+Header names are compared in lower case; what is forwarded keeps the case
+and order in which it came.
+"""
+
+import typing
+
+Header = tuple[bytes, bytes]
+
+# What concerns one connection only (RFC 9110, section 7.6.1), and the
+# framing, which each connection writes for itself.
+_HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+class Request(typing.NamedTuple):
+    """A whole request; ``target`` is the path with its query, as sent."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes = b""
+
+    def header(self, name):
+        """Return the first value of a header, or ``None``."""
+        return find(self.headers, name)
+
+
+class Head(typing.NamedTuple):
+    """The status line and the headers of an answer."""
+
+    status: int
+    reason: bytes
+    headers: tuple[Header, ...]
+
+    def header(self, name):
+        """Return the first value of a header, or ``None``."""
+        return find(self.headers, name)
+
+
+def find(headers, name):
+    """Return the first value of the header ``name`` (lower case)."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def end_to_end(headers):
+    """Return the headers without those that concern one connection."""
+    named = find(headers, b"connection") or b""
+    listed = {part.strip().lower() for part in named.split(b",")}
+    return tuple(
+        (key, value)
+        for key, value in headers
+        if key.lower() not in _HOP_BY_HOP and key.lower() not in listed
+    )
+
+
+def whole_number(value, default=None):
+    """Return a header's value as a whole number of at most 18 digits."""
+    if value is None:
+        return default
+    text = value.strip()
+    if not text.isdigit() or len(text) > 18:
+        return default
+    return int(text)
--- /dev/null
+++ b/clementinewall/http1/server.py
@@ -0,0 +1,228 @@
+"""One caller's connection: requests in, answers out.
+
+The task that serves the connection owns its socket.  While an answer is
+being made a second task reads on, for two reasons: a caller that closes is
+noticed at once, so that its work can be cancelled, and bytes of its next
+request are kept.
+"""
+
+import typing
+
+import anyio
+import h11
+
+from clementinewall import clock
+from clementinewall.http1 import messages
+from clementinewall import logs
+
+_log = logs.PartLog("http")
+
+READ_BYTES = 65_536
+# What a caller may send ahead while its answer is made; more is left in the
+# socket's buffer until the answer is done.
+AHEAD_BYTES = 65_536
+CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
+
+
+class Limits(typing.NamedTuple):
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: clock.Millis = 3_000
+    idle_timeout_ms: clock.Millis = 15_000
+
+
+class Refused(Exception):
+    """The bytes are no acceptable request; the status says why."""
+
+    def __init__(self, status, why):
+        """Keep the status to answer with."""
+        super().__init__(why)
+        self.status = status
+        self.why = why
+
+
+class CallerGone(Exception):
+    """The caller closed the connection."""
+
+
+class Connection:
+    """A caller's connection."""
+
+    def __init__(self, stream, limits):
+        """Serve ``stream`` within the :class:`Limits` given."""
+        self._stream = stream
+        self._limits = limits
+        self._h11 = _new_h11(limits)
+        self._closing = False
+        self.answered = False
+
+    @property
+    def is_idle(self):
+        """Tell whether no byte of a next request has come."""
+        return (
+            self._h11.their_state is h11.IDLE
+            and not self._h11.trailing_data[0]
+        )
+
+    def close_after_answer(self):
+        """Let the answer that comes next be the last one."""
+        self._closing = True
+
+    async def read_request(self):
+        """Return the next request, or ``None`` at the end.
+
+        :raises Refused: the bytes are no request, or it is too large.
+        """
+        try:
+            head = await self._read_head()
+            if head is None:
+                return None
+            body = await self._read_body()
+        except h11.RemoteProtocolError as exc:
+            raise Refused(exc.error_status_hint, str(exc)) from exc
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            return None
+        return messages.Request(
+            head.method, head.target, tuple(head.headers.raw_items()), body
+        )
+
+    async def _read_head(self):
+        """Wait for a head: long for its first byte, not long for the rest."""
+        wait_ms = self._limits.idle_timeout_ms
+        if not self.is_idle:
+            wait_ms = self._limits.header_timeout_ms
+        event = self._h11.next_event()
+        while event is h11.NEED_DATA:
+            with anyio.move_on_after(clock.seconds(wait_ms)) as scope:
+                await self._receive()
+            if scope.cancelled_caught:
+                if self.is_idle:
+                    return None
+                raise Refused(408, "the head of the request took too long")
+            wait_ms = self._limits.header_timeout_ms
+            event = self._h11.next_event()
+        if isinstance(event, h11.Request):
+            return event
+        return None
+
+    async def _read_body(self):
+        if self._h11.they_are_waiting_for_100_continue:
+            await self._stream.send(self._h11.send(CONTINUE))
+        parts = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                with anyio.move_on_after(
+                    clock.seconds(self._limits.idle_timeout_ms)
+                ) as scope:
+                    await self._receive()
+                if scope.cancelled_caught:
+                    raise Refused(408, "the body took too long")
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    raise Refused(413, "the body is too large")
+                parts.append(bytes(event.data))
+            else:
+                return b"".join(parts)
+
+    async def _receive(self):
+        try:
+            data = await self._stream.receive(READ_BYTES)
+        except anyio.EndOfStream:
+            data = b""
+        self._h11.receive_data(data)
+
+    async def wait_gone(self):
+        """Return when the caller closes; keep what it sends ahead."""
+        ahead = 0
+        while ahead < AHEAD_BYTES:
+            try:
+                data = await self._stream.receive(READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                self._closing = True
+                return
+            self._h11.receive_data(data)
+            ahead += len(data)
+        await anyio.sleep_forever()
+
+    async def send_head(self, head, length=None):
+        """Send the head of an answer, framed by length or in chunks."""
+        headers = list(head.headers)
+        if length is not None:
+            headers.append((b"Content-Length", str(length).encode()))
+        elif head.status >= 200 and head.status not in (204, 304):
+            headers.append((b"Transfer-Encoding", b"chunked"))
+        if self._closing:
+            headers.append((b"Connection", b"close"))
+        self.answered = True
+        await self._send(
+            h11.Response(
+                status_code=head.status,
+                headers=headers,
+                reason=head.reason,
+            )
+        )
+
+    async def send_body(self, data):
+        """Send a part of the body."""
+        await self._send(h11.Data(data=data))
+
+    async def finish(self):
+        """End the answer as whole."""
+        await self._send(h11.EndOfMessage())
+
+    async def answer(self, head, body):
+        """Send a whole answer in one write."""
+        headers = list(head.headers)
+        headers.append((b"Content-Length", str(len(body)).encode()))
+        if self._closing:
+            headers.append((b"Connection", b"close"))
+        self.answered = True
+        parts = [
+            self._h11.send(
+                h11.Response(
+                    status_code=head.status,
+                    headers=headers,
+                    reason=head.reason,
+                )
+            )
+        ]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        await self._write(b"".join(part for part in parts if part))
+
+    async def _send(self, event):
+        data = self._h11.send(event)
+        if data:
+            await self._write(data)
+
+    async def _write(self, data):
+        try:
+            await self._stream.send(data)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+            raise CallerGone from exc
+
+    def next_request(self):
+        """Get ready for the next request; return whether there may be one."""
+        if self._h11.our_state is not h11.DONE or self._closing:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        self.answered = False
+        return True
+
+
+def _new_h11(limits):
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.header_bytes
+    )
--- a/clementinewall/logs.py
+++ b/clementinewall/logs.py
@@ -9,12 +9,16 @@
 import collections
 import json
 import sys
+import traceback as traceback_module
 
 import loguru
 
+from clementinewall import _log_writer
+
 RECENT_LIMIT = 4_000
 
 _recent = collections.deque(maxlen=RECENT_LIMIT)
+_IMPORTANT = frozenset(("WARNING", "ERROR"))
 
 
 class PartLog:
@@ -87,3 +91,32 @@
     }
     line.update(record["extra"].get("fields", {}))
     sys.stderr.write(json.dumps(line, default=str) + "\n")
+
+
+def to_standard_output(instance_id):
+    """Send the log to standard output as JSON lines, never blocking.
+
+    Return the writer: its owner calls ``flush`` several times a second.
+    """
+    writer = _log_writer.Writer(sys.stdout.fileno())
+    loguru.logger.remove()
+
+    def sink(message):
+        record = message.record
+        line = {
+            "time": round(record["time"].timestamp(), 3),
+            "level": record["level"].name,
+            "instance": instance_id,
+            "message": record["message"],
+        }
+        line.update(record["extra"].get("fields", {}))
+        text = json.dumps(line, default=str) + "\n"
+        writer.add(text.encode(), record["level"].name in _IMPORTANT)
+
+    loguru.logger.add(sink, level="INFO", format="{message}")
+    return writer
+
+
+def traceback(part):
+    """Log the traceback of the exception that is being handled."""
+    part.error("traceback", lines=traceback_module.format_exc())
--- /dev/null
+++ b/clementinewall/platform/calls.py
@@ -0,0 +1,204 @@
+"""Requests as callers send them and as endpoints get them."""
+
+import json
+import urllib.parse
+
+from clementinewall import errors
+from clementinewall.gateway import types
+from clementinewall.http1 import messages
+
+ATTEMPT = b"attempt-id"
+_DEADLINE = b"deadline-ms"
+_RESUME = b"last-event-id"
+_STAMP = b"server-stamp"
+_NOT_RUN = b"not-executed"
+_LOAD = b"server-load"
+_INSTANCE = b"instance-id"
+_ENCODED = b"content-encoding"
+_MISDIRECTED = 421
+
+# These are the system's to set.  A caller that sends them would choose its
+# engine, jump queues or continue from the memory of somebody else's prompt,
+# so whatever it sent is dropped.
+_OWN = frozenset(
+    (
+        b"deadline-ms",
+        b"expect-instance",
+        b"expect-version",
+        b"kv-backup",
+        b"kv-fetch",
+        b"kv-hold",
+        b"kv-source",
+        b"pin-ms",
+        b"request-priority",
+        b"stage",
+        b"wait-ms",
+    )
+)
+
+
+def decode(request):
+    """Decode a caller's request.
+
+    :raises BadRequest: it has no usable id or host.
+    """
+    attempt = request.header(ATTEMPT)
+    host = request.header(b"host")
+    if not attempt:
+        raise errors.BadRequest("the request has no Attempt-Id")
+    if not host:
+        raise errors.BadRequest("the request has no Host")
+    path = request.target.split(b"?", 1)[0]
+    headers = tuple(
+        (key, value)
+        for key, value in messages.end_to_end(request.headers)
+        if key.lower() not in _OWN
+    )
+    return types.Call(
+        attempt=attempt.decode("latin-1"),
+        method=request.method,
+        target=request.target,
+        host=_host_name(host),
+        path=path.decode("latin-1"),
+        headers=headers,
+        body=request.body,
+        wait_ms=messages.whole_number(request.header(_DEADLINE)),
+        resume_after=messages.whole_number(request.header(_RESUME)),
+        prompt=_prompt(request),
+    )
+
+
+def _host_name(value):
+    """Return the host without its port, in lower case."""
+    text = value.decode("latin-1").strip().lower()
+    name, colon, port = text.rpartition(":")
+    return name if colon and port.isdigit() else text
+
+
+def _prompt(request):
+    usage = request.header(b"token-usage")
+    if usage is None:
+        return None
+    tokens_in, _, tokens_out = usage.partition(b",")
+    hint = messages.whole_number(request.header(b"length-hint"))
+    model = request.header(b"model") or b""
+    return types.Prompt(
+        model=model.decode("latin-1"),
+        tokens_in=messages.whole_number(tokens_in, 0),
+        tokens_out=messages.whole_number(tokens_out, 0),
+        parts=_parts(request.header(b"prompt-prefix")),
+        expected_out=hint,
+    )
+
+
+def _parts(value):
+    if value is None:
+        return ()
+    parts = []
+    for entry in value.decode("latin-1").split(","):
+        part, _, tokens = entry.strip().partition(":")
+        if part and tokens.isdigit():
+            parts.append(types.PromptPart(part, int(tokens)))
+    return tuple(parts)
+
+
+def run(call, endpoint, left_ms, after=None, prefilled=None, urgency=None):
+    """Return the request that has ``endpoint`` run the call.
+
+    ``after`` is the last event that the caller has, ``prefilled`` where the
+    engine gets the memory of the prompt, ``urgency`` its place among the
+    engine's waiting requests, 0 first.
+    """
+    extra = []
+    if prefilled is not None:
+        extra.append((b"Kv-Source", prefilled.source.encode()))
+    if urgency is not None:
+        extra.append((b"Request-Priority", str(urgency).encode()))
+    headers = call.headers
+    if after is not None:
+        headers = tuple(row for row in headers if row[0].lower() != _RESUME)
+        extra.append((b"Last-Event-Id", str(after).encode()))
+    return _request(call, headers, endpoint, left_ms, extra)
+
+
+def prefill(call, endpoint, left_ms, urgency=None):
+    """Return the request that has an engine only read the prompt."""
+    extra = [(b"Stage", b"prefill")]
+    if urgency is not None:
+        extra.append((b"Request-Priority", str(urgency).encode()))
+    return _request(call, call.headers, endpoint, left_ms, extra)
+
+
+def _request(call, headers, endpoint, left_ms, extra):
+    # Without the id another process that got the address of an endpoint
+    # that has left would run the request.
+    own = (
+        (b"Deadline-Ms", str(max(1, left_ms)).encode()),
+        (b"Expect-Instance", endpoint.id.encode()),
+        *extra,
+    )
+    return messages.Request(call.method, call.target, headers + own, call.body)
+
+
+def free(handle):
+    """Return the request that frees the memory of a prefilled prompt."""
+    target = f"/kv-handle/{urllib.parse.quote(handle)}"
+    return messages.Request(
+        b"DELETE", target.encode(), ((b"Host", b"engine"),)
+    )
+
+
+def prefilled(endpoint, body):
+    """Decode the answer to a prefill.
+
+    :raises BadRecord: it is not such an answer.
+    """
+    try:
+        data = json.loads(body)
+        return types.Prefilled(
+            endpoint.address, str(data["cache_handle"]), data["token_count"]
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        raise errors.BadRecord(f"no prefill answer: {exc!r}") from exc
+
+
+def is_answer_to(head, call):
+    """Tell whether an answer belongs to this call.
+
+    A failure may come without the id; a success never does.
+    """
+    echoed = head.header(ATTEMPT)
+    if echoed is None:
+        return head.status >= 400
+    return echoed.decode("latin-1") == call.attempt
+
+
+def says_not_run(head):
+    """Tell whether the endpoint says that it has not run the request."""
+    return head.status == _MISDIRECTED or head.header(_NOT_RUN) is not None
+
+
+def is_other_instance(head):
+    """Tell whether another endpoint has taken over the address."""
+    return head.status == _MISDIRECTED and head.header(_INSTANCE) is not None
+
+
+def is_whole_success(head):
+    """Tell whether a success can be handed on as the endpoint's own."""
+    return head.header(_STAMP) is not None and head.header(_ENCODED) is None
+
+
+def forwarded(head):
+    """Return the head of an answer as the caller gets it."""
+    return head._replace(headers=messages.end_to_end(head.headers))
+
+
+def load(head):
+    """Return the load that an answer tells, or ``None``."""
+    value = head.header(_LOAD)
+    if value is None:
+        return None
+    numbers = [messages.whole_number(part) for part in value.split(b",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    return types.EndpointLoad(*numbers)
--- /dev/null
+++ b/clementinewall/platform/records.py
@@ -0,0 +1,174 @@
+"""The records of operators and endpoints in the platform's store."""
+
+import json
+import math
+
+from clementinewall import errors
+from clementinewall.gateway import types
+from clementinewall.http1 import server
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+ENDPOINTS_TOPIC = "keyed.servers"
+_STATES = ("ready", "draining")
+
+
+def configuration(raw):
+    """Decode a version of the configuration.
+
+    :raises BadRecord: it cannot be read.
+    """
+    data = _object(raw)
+    try:
+        routes = [_route(row) for row in data["routes"]]
+        services = [_service(row) for row in data["services"]]
+        return types.Configuration(
+            version=_whole(data["version"]),
+            routes_by_host=_by_host(routes),
+            service_by_name={service.name: service for service in services},
+            limits=_limits(data.get("limits", {})),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise errors.BadRecord(f"configuration: {exc!r}") from exc
+
+
+def endpoint(endpoint_id, raw):
+    """Decode what an endpoint says of itself.
+
+    :raises BadRecord: it is not from an endpoint or can't be read.
+    """
+    data = _object(raw)
+    try:
+        state = data["state"]
+        if state not in _STATES:
+            raise ValueError(f"state {state!r}")
+        return types.Endpoint(
+            id=endpoint_id,
+            service=_text(data["service"]),
+            address=_address(data["address"]),
+            data_centre=_text(data["zone"]),
+            slots=_whole(data.get("slot_count", 1)),
+            leaving=state == "draining",
+            stage=data.get("stage"),
+            born=_whole(data.get("born", 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise errors.BadRecord(f"{endpoint_id}: {exc!r}") from exc
+
+
+def _object(raw):
+    try:
+        data = json.loads(raw)
+    except (ValueError, RecursionError) as exc:
+        raise errors.BadRecord(f"not JSON: {exc}") from exc
+    if not isinstance(data, dict):
+        raise errors.BadRecord("not an object")
+    return data
+
+
+def _text(value):
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{value!r} is no text")
+    return value
+
+
+def _whole(value):
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(f"{value!r} is no whole number")
+    return value
+
+
+def _number(value):
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{value!r} is no number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r} is not finite")
+    return value
+
+
+def _address(value):
+    host, _, port = _text(value).rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{value!r} is no address")
+    return value
+
+
+def _route(row):
+    goal_ms = int(_number(row.get("goal_ms") or 1_000))
+    timeout_ms = row.get("timeout_ms")
+    return types.Route(
+        name=_text(row["name"]),
+        host=_text(row["host"]).lower(),
+        prefix=_text(row["path_prefix"]),
+        kind=row.get("route_kind") or types.UNSAFE,
+        shares=_shares(row),
+        timeout_ms=None if not timeout_ms else int(_number(timeout_ms)),
+        goal_ms=goal_ms,
+        gap_goal_ms=int(_number(row.get("gap_goal_ms") or goal_ms)),
+        priority=_whole(row.get("priority") or 0),
+        max_attempts=max(1, _whole(row.get("max_attempts") or 1)),
+        resumable=row.get("resumable") is True,
+    )
+
+
+def _shares(row):
+    """Return the services of a route; ``traffic_split`` goes first."""
+    split = row.get("traffic_split")
+    if split:
+        return tuple(
+            types.Share(_text(part["service"]), _number(part["weight"]))
+            for part in split
+        )
+    return (types.Share(_text(row["service"]), 1.0),)
+
+
+def _service(row):
+    engine = row.get("engine")
+    return types.Service(
+        name=_text(row["name"]),
+        health_path=row.get("health_path") or "/health",
+        max_connections=_whole(row.get("max_conns") or 100),
+        engine=_engine(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def _engine(row):
+    return types.EngineLimits(
+        slots=_whole(row["slot_count"]),
+        kv_tokens=_whole(row["kv_capacity"]),
+        kv_token_bytes=_whole(row.get("kv_token_bytes") or 0),
+        link_mbps=_number(row.get("link_mbps") or 0),
+        # How many tokens one event of a stream holds.
+        stride=_whole(row.get("stride") or 1),
+        handle_ttl_ms=int(_number(row.get("handle_ttl_s") or 0) * 1_000),
+        switch_ms=int(_number(row.get("switch_s") or 0) * 1_000),
+    )
+
+
+def _limits(row):
+    fallback = server.Limits()
+    return server.Limits(
+        header_bytes=_whole(row.get("max_header_bytes"))
+        if row.get("max_header_bytes")
+        else fallback.header_bytes,
+        body_bytes=_whole(row.get("max_body_bytes"))
+        if row.get("max_body_bytes")
+        else fallback.body_bytes,
+        header_timeout_ms=int(
+            row.get("header_timeout_ms") or fallback.header_timeout_ms
+        ),
+        idle_timeout_ms=int(
+            row.get("idle_timeout_ms") or fallback.idle_timeout_ms
+        ),
+    )
+
+
+def _by_host(routes):
+    """Group by host, longest prefix first, as routes are looked up."""
+    grouped = {}
+    for route in routes:
+        grouped.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(rows, key=lambda r: -len(r.prefix)))
+        for host, rows in grouped.items()
+    }
--- /dev/null
+++ b/clementinewall/platform/settings.py
@@ -0,0 +1,114 @@
+"""The settings file that the platform writes for each process.
+
+It has the platform's format, not that of :mod:`clementinewall.settings`.
+New keys may appear at any time and are ignored.
+"""
+
+import os
+import tomllib
+import typing
+
+from clementinewall import _schema
+from clementinewall import errors
+from clementinewall.gateway import types
+
+PATH_VARIABLE = "CLEMENTINEWALL_SETTINGS"
+# Descriptors that the platform keeps for files, out of ``max_fds``.
+RESERVED_DESCRIPTORS = 200
+
+
+class _Listen(typing.NamedTuple):
+    front: str
+    ready_addr: str
+    directory: str
+
+
+class _Limits(typing.NamedTuple):
+    memory_mb: int = 256
+    max_fds: int = 2_048
+
+
+class _Platform(typing.NamedTuple):
+    address: str
+
+
+class _Bounds(typing.NamedTuple):
+    grace_s: float = 8.0
+    budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 50.0
+    ttl_max_s: float = 5.0
+
+
+class _File(typing.NamedTuple):
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    port_range: tuple[int, ...]
+    listen: _Listen
+    platform: _Platform
+    bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
+
+
+def load(path=None):
+    """Read and check the file, by default the one that the platform names.
+
+    :raises SettingsError: naming the file and each mistake in it.
+    """
+    path = path or os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise errors.SettingsError(f"{PATH_VARIABLE} is not set")
+    try:
+        with open(path, "rb") as file:
+            data = tomllib.load(file)
+    except OSError as exc:
+        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
+    known, mistakes = _schema.build(_File, _only_known(_File, data))
+    if known is not None and not known.port_range:
+        mistakes += (_schema.Mistake("port_range", "[]", "one port or more"),)
+    if mistakes:
+        lines = "\n".join(f"{path}: {mistake}" for mistake in mistakes)
+        raise errors.SettingsError(lines)
+    return _translate(known)
+
+
+def _only_known(shape, data):
+    """Drop the keys that this version doesn't know, at every level."""
+    if not isinstance(data, dict):
+        return data
+    kept = {}
+    for name, hint in typing.get_type_hints(shape).items():
+        if name in data:
+            value = data[name]
+            if hasattr(hint, "_fields"):
+                value = _only_known(hint, value)
+            kept[name] = value
+    return kept
+
+
+def _translate(known):
+    bounds = known.bounds
+    return types.Settings(
+        instance=known.node_name,
+        ip=known.ip,
+        data_centre=known.zone,
+        region=known.region,
+        callers=known.listen.front,
+        ready=known.listen.ready_addr,
+        directory=known.listen.directory,
+        peer_port=known.port_range[0],
+        store=known.platform.address,
+        bounds=types.Bounds(
+            grace_ms=int(bounds.grace_s * 1_000),
+            retry_ratio=bounds.budget_ratio,
+            retry_window_ms=int(bounds.budget_window_s * 1_000),
+            retry_slack=bounds.budget_slack,
+            addresses_ttl_ms=int(bounds.ttl_max_s * 1_000),
+        ),
+        memory_mb=known.limits.memory_mb,
+        max_connections=known.limits.max_fds - RESERVED_DESCRIPTORS,
+    )
--- /dev/null
+++ b/clementinewall/platform/store.py
@@ -0,0 +1,184 @@
+"""The one client of the platform's store, a log of topics.
+
+Each call may be refused, lost, or carried out seconds after it was given
+up.  A :class:`Store` has one connection for each task that uses it, so that
+a waiting read holds up nothing else.
+"""
+
+import base64
+import json
+import struct
+import typing
+import urllib.parse
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.http1 import client
+from clementinewall.http1 import messages
+
+# An answer takes 4 ms on a calm store, and 60 times as long on a slow one.
+CALL_TIMEOUT_MS = 1_500
+CONNECT_TIMEOUT_MS = 1_000
+ANSWER_LIMIT = 8_000_000
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+
+
+class Record(typing.NamedTuple):
+    """The newest value of a key; ``None`` when the key was removed."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+class Batch(typing.NamedTuple):
+    """Records in the order of their offsets, and where the log ends."""
+
+    records: tuple[Record, ...]
+    end: int
+
+
+class HistoryGone(Exception):
+    """The records asked for have expired; read the newest of each key."""
+
+
+class Store:
+    """Calls to the store over one kept connection."""
+
+    def __init__(self, address, now):
+        """Talk to the store at ``address``."""
+        self._pool = client.Pool(address, now, CONNECT_TIMEOUT_MS)
+        self._host = address.encode()
+
+    async def newest(self, topic):
+        """Return the newest record of each key of a topic.
+
+        The end is that of the first page: pages are no snapshot, and what
+        changed between two of them is read again from there.
+
+        :raises LogUnavailable: the store doesn't answer.
+        """
+        records = []
+        first_end = None
+        after = None
+        while True:
+            query = {"topic": topic, "part": 0}
+            if after is not None:
+                query["after"] = after
+            data = _json(await self._get("/log-newest", query))
+            try:
+                rows = [_item(row) for row in data["items"]]
+                end = int(data["end_offset"])
+            except (KeyError, TypeError, ValueError) as exc:
+                raise errors.LogUnavailable(f"bad page: {exc!r}") from exc
+            records.extend(rows)
+            first_end = end if first_end is None else first_end
+            if not data.get("has_more") or not rows:
+                return Batch(tuple(records), first_end)
+            after = rows[-1].key
+
+    async def read(self, topic, start, wait_ms=0):
+        """Return the records from ``start`` on, waiting if there are none.
+
+        :raises HistoryGone: they have expired.
+        :raises LogUnavailable: the store doesn't answer.
+        """
+        query = {"topic": topic, "part": 0, "from": start}
+        if wait_ms:
+            query["wait_ms"] = wait_ms
+        raw = await self._get("/log-read", query, wait_ms)
+        return _batch(raw, start)
+
+    async def append(self, topic, key, value):
+        """Write the newest value of a key.
+
+        :raises LogUnavailable: it was not written, or nothing is known.
+        """
+        name = key.encode()
+        content = bytes([len(name)]) + name + (value or b"")
+        body = _LENGTH.pack(len(content)) + content
+        query = urllib.parse.urlencode({"topic": topic, "part": 0})
+        await self._call(b"POST", f"/log-append?{query}", body, 0)
+
+    async def _get(self, path, query, wait_ms=0):
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        return await self._call(b"GET", target, b"", wait_ms)
+
+    async def _call(self, method, target, body, wait_ms):
+        request = messages.Request(
+            method, target.encode(), ((b"Host", self._host),), body
+        )
+        limit = clock.seconds(CALL_TIMEOUT_MS + wait_ms)
+        try:
+            with anyio.fail_after(limit):
+                status, answer = await self._exchange(request)
+        except TimeoutError as exc:
+            raise errors.LogUnavailable(f"{target}: no answer") from exc
+        except client.LinkBroken as exc:
+            raise errors.LogUnavailable(f"{target}: {exc.why}") from exc
+        if status == 410:
+            raise HistoryGone(target)
+        if status != 200:
+            raise errors.LogUnavailable(f"{target}: status {status}")
+        return answer
+
+    async def _exchange(self, request):
+        link = await self._pool.take()
+        try:
+            await link.send(request)
+            head = await link.read_head()
+            answer = await link.read_rest(ANSWER_LIMIT)
+        except BaseException:
+            self._pool.drop(link)
+            raise
+        self._pool.give_back(link)
+        return head.status, answer
+
+    def close(self):
+        """Close the connection."""
+        self._pool.close()
+
+
+def _json(raw):
+    try:
+        data = json.loads(raw)
+    except ValueError as exc:
+        raise errors.LogUnavailable(f"not JSON: {exc}") from exc
+    if not isinstance(data, dict):
+        raise errors.LogUnavailable("not an object")
+    return data
+
+
+def _item(row):
+    value = base64.b64decode(row["value"] or "")
+    return Record(row["key"], value or None, int(row["offset"]))
+
+
+def _batch(raw, start):
+    if len(raw) < _OFFSETS.size:
+        raise errors.LogUnavailable("a short answer")
+    end, first = _OFFSETS.unpack_from(raw)
+    if first > start:
+        raise HistoryGone(f"first is {first}")
+    records = []
+    position = _OFFSETS.size
+    offset = start
+    while position + _LENGTH.size <= len(raw):
+        (length,) = _LENGTH.unpack_from(raw, position)
+        position += _LENGTH.size
+        content = raw[position : position + length]
+        if len(content) < length:
+            break
+        position += length
+        records.append(_record(content, offset))
+        offset += 1
+    return Batch(tuple(records), max(offset, min(end, offset)))
+
+
+def _record(content, offset):
+    size = content[0] if content else 0
+    key = content[1 : 1 + size].decode("utf-8", "replace")
+    return Record(key, content[1 + size :] or None, offset)
--- /dev/null
+++ b/clementinewall/policy/engine_time.py
@@ -0,0 +1,46 @@
+"""How long engines take, from the figures that their operators publish.
+
+All figures are for the engines of both deployments (the same model on the
+same accelerators); an engine that differs is told by its measured speed.
+"""
+
+PROMPT_TOKENS_A_MS = 157.0
+# Attention grows with the pairs of a new token and each one before it.
+PAIRS_MS_A_MILLION = 0.109
+# From the end of the prompt's reading to the first event of the answer.
+FIRST_EVENT_MS = 26.0
+# A request to an engine and its answer: two ways over 1.4 ms, and set-up.
+HOP_MS = 8.0
+# A decoding engine reads prompts at half speed, in pieces of 512 tokens
+# between the steps of its streams.
+DECODE_SLOWDOWN = 2.0
+DECODE_CHUNK = 512
+STEP_MS = 3.55
+STEP_MS_A_STREAM = 0.0462
+
+
+def prompt_ms(tokens, cached):
+    """Return how long an idle prefill engine takes to read a prompt."""
+    new = max(0, tokens - cached)
+    pairs = new * (cached + new / 2) / 1e6
+    return new / PROMPT_TOKENS_A_MS + pairs * PAIRS_MS_A_MILLION
+
+
+def step_ms(streams):
+    """Return how long one step of a batch of ``streams`` takes."""
+    return STEP_MS + STEP_MS_A_STREAM * streams
+
+
+def prompt_ms_beside(prompt, streams):
+    """Return how long ``prompt`` ms take on an engine that decodes too."""
+    work = prompt * DECODE_SLOWDOWN
+    pieces = prompt * PROMPT_TOKENS_A_MS / DECODE_CHUNK
+    return work + pieces * step_ms(streams)
+
+
+def transfer_ms(tokens, token_bytes, link_mbps, is_near):
+    """Return how long the memory of a prompt takes to another engine."""
+    if not link_mbps:
+        return 0.0
+    ms = tokens * token_bytes * 8 / (link_mbps * 1_000)
+    return ms if is_near else 2 * ms
--- /dev/null
+++ b/clementinewall/policy/placement.py
@@ -0,0 +1,151 @@
+"""Where a request for a model goes, or that it is refused; pure functions.
+
+Load this answers: more work than the fixed engines can do in time, with a
+mix that swings every few seconds.  A prompt can be read by a prefill engine,
+whose memory a decode engine then fetches, or by the decode engine itself,
+at half speed.  For each way the time to the first event is predicted from
+the work that all gateways have at the engines.  The way with the least time
+wins, with the engine time that it takes as a price; a request that would
+come late on each way is refused at once, so that those that are served are
+served in time.
+"""
+
+import typing
+
+from clementinewall.policy import engine_time
+
+# The part of the time to the target that predictions may fill.  Work that
+# other gateways sent in the last 50 ms isn't known yet.
+ROOM = 0.85
+# A prompt so large that reading it alone takes longer than the target is
+# still taken while the wait before it is under this part of the target;
+# otherwise the largest requests would never be served.
+LARGE_WAIT_PART = 0.2
+# How much a millisecond of engine time weighs against one of the caller's:
+# it keeps prompts where their first parts are in the cache.
+WORK_WEIGHT = 1.0
+# Streams beside which a decode engine still takes new ones, of its slots.
+STREAMS_PART = 0.95
+MIN_RETRY_MS = 50
+
+
+class Engine(typing.NamedTuple):
+    """An engine as one gateway knows it, with the work of all gateways.
+
+    ``wait_ms`` is the prompt reading ahead of the request at its urgency,
+    ``cached`` how many leading tokens of the prompt are in its cache.
+    """
+
+    id: str
+    prefill: bool
+    wait_ms: float
+    streams: int
+    slots: int
+    cached: int
+    near: bool
+    slowness: float = 1.0
+
+
+class Demand(typing.NamedTuple):
+    """What a request needs, and the time left to its first-event target."""
+
+    tokens: int
+    left_ms: float
+    goal_ms: float
+    token_bytes: int = 0
+    link_mbps: float = 0.0
+
+
+class Way(typing.NamedTuple):
+    """A way to serve a request: ``prefill`` is ``None`` without a split."""
+
+    prefill: str | None
+    decode: str
+    first_ms: float
+    wait_ms: float
+    prompt_ms: float
+    cached: int
+
+
+class Refusal(typing.NamedTuple):
+    """That a request cannot be served in time, and when to come back."""
+
+    why: str
+    retry_ms: int
+    best: Way | None
+
+
+def choose(engines, demand):
+    """Return the best :class:`Way`, or a :class:`Refusal`."""
+    ways = list(_ways(engines, demand))
+    if not ways:
+        return Refusal("no engine takes work", MIN_RETRY_MS, None)
+    best = min(ways, key=_price)
+    if _is_in_time(best, demand):
+        return best
+    fastest = min(ways, key=lambda way: (way.first_ms, way.decode))
+    if _is_in_time(fastest, demand):
+        return fastest
+    late_by = fastest.first_ms - demand.left_ms * ROOM
+    return Refusal(
+        "too late on each way", max(MIN_RETRY_MS, int(late_by)), fastest
+    )
+
+
+def _price(way):
+    return way.first_ms + WORK_WEIGHT * way.prompt_ms, way.decode
+
+
+def _is_in_time(way, demand):
+    if way.first_ms <= demand.left_ms * ROOM:
+        return True
+    own_ms = way.first_ms - way.wait_ms
+    is_large = own_ms > demand.goal_ms * ROOM
+    return is_large and way.wait_ms <= demand.goal_ms * LARGE_WAIT_PART
+
+
+def _ways(engines, demand):
+    decoding = [e for e in engines if not e.prefill and _has_slot(e)]
+    for engine in decoding:
+        yield _direct(engine, demand)
+    reading = [e for e in engines if e.prefill]
+    if not reading or not decoding:
+        return
+    target = min(decoding, key=lambda e: (e.streams / e.slots, e.id))
+    for engine in reading:
+        near = [e for e in decoding if e.near == engine.near]
+        yield _split(engine, target if not near else target, demand)
+
+
+def _has_slot(engine):
+    return engine.streams < engine.slots * STREAMS_PART
+
+
+def _direct(engine, demand):
+    alone = engine_time.prompt_ms(demand.tokens, engine.cached)
+    prompt = engine_time.prompt_ms_beside(alone, engine.streams)
+    wait = engine_time.prompt_ms_beside(engine.wait_ms, engine.streams)
+    own = engine_time.HOP_MS + engine_time.FIRST_EVENT_MS + prompt
+    return Way(
+        None,
+        engine.id,
+        (wait + own) * engine.slowness,
+        wait * engine.slowness,
+        prompt,
+        engine.cached,
+    )
+
+
+def _split(reader, target, demand):
+    prompt = engine_time.prompt_ms(demand.tokens, reader.cached)
+    transfer = engine_time.transfer_ms(
+        demand.tokens, demand.token_bytes, demand.link_mbps, False
+    )
+    own = (
+        prompt * reader.slowness
+        + transfer
+        + 2 * engine_time.HOP_MS
+        + engine_time.FIRST_EVENT_MS
+    )
+    wait = reader.wait_ms * reader.slowness
+    return Way(reader.id, target.id, wait + own, wait, prompt, reader.cached)
