--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -136,7 +136,8 @@
         rest, closed = self._h11.trailing_data
         self._h11 = _new_h11()
         self._h11.send(self._sent)
-        self._h11.receive_data(bytes(rest))
+        if rest:
+            self._h11.receive_data(bytes(rest))
         if closed:
             self._h11.receive_data(b"")
         self._is_last = True
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,6 +8,7 @@
                     [--role=R] [--ignore-fencing]
   standins service ADDRESS [--id=ID] [--delay-ms=N]
   standins proxy ADDRESS CONTROL TARGET
+  standins store ADDRESS
 
 Options:
   --keep=N          Records kept in each stream [default: 100000].
@@ -32,6 +33,7 @@
 from standins import log
 from standins import proxy
 from standins import service
+from standins import store
 
 _MAIN_BY_COMMAND = {
     "log": log.main,
@@ -39,6 +41,7 @@
     "engine": engine.main,
     "service": service.main,
     "proxy": proxy.main,
+    "store": store.main,
 }
 
 
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,153 @@
+"""The platform's store as a gateway sees it: topics of keyed records.
+
+``POST /standin/put?topic=T&key=K`` writes a value for the operator or an
+endpoint, an empty body removes the key; ``POST /standin/mode`` sets ``ok``,
+``busy`` (every call gets 503) or ``silent`` (calls get no answer);
+``POST /standin/forget?topic=T`` drops the history but not the newest
+records.
+"""
+
+import base64
+import struct
+
+import anyio
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from standins import base
+
+_LENGTH = struct.Struct(">I")
+_OFFSETS = struct.Struct(">QQ")
+
+
+class Topic:
+    """One partition: all records, and the offset of each key's newest."""
+
+    def __init__(self):
+        """Begin empty."""
+        self.records = []
+        self.first = 0
+        self.offset_by_key = {}
+        self.changed = anyio.Event()
+
+    def append(self, content):
+        """Add one raw record."""
+        size = content[0]
+        key = content[1 : 1 + size].decode()
+        self.records.append(content)
+        if len(content) > 1 + size:
+            self.offset_by_key[key] = len(self.records) - 1
+        else:
+            self.offset_by_key.pop(key, None)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class Store:
+    """All topics, and what goes wrong."""
+
+    def __init__(self):
+        """Begin empty and well."""
+        self.topic_by_name = {}
+        self.mode = "ok"
+
+    def topic(self, request):
+        """Return the topic that a call names, made on first use."""
+        name = request.query_params["topic"]
+        return self.topic_by_name.setdefault(name, Topic())
+
+    def guarded(self, handle):
+        """Apply the mode before ``handle``."""
+
+        async def guard(request: requests.Request):
+            if self.mode == "busy":
+                return responses.Response(status_code=503)
+            if self.mode == "silent":
+                await anyio.sleep_forever()
+            return await handle(request)
+
+        return guard
+
+    async def on_newest(self, request):
+        """Return the newest record of each key, one page."""
+        topic = self.topic(request)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(
+                    topic.records[offset][1 + len(key) :]
+                ).decode(),
+                "offset": offset,
+            }
+            for key, offset in sorted(topic.offset_by_key.items())
+        ]
+        return base.reply(
+            {
+                "items": items,
+                "has_more": False,
+                "end_offset": len(topic.records),
+            }
+        )
+
+    async def on_read(self, request):
+        """Return the records from an offset on, waiting for the first."""
+        topic = self.topic(request)
+        start = int(request.query_params["from"])
+        wait_ms = int(request.query_params.get("wait_ms", 0))
+        if start < topic.first:
+            return base.reply({"first_offset": topic.first}, 410)
+        if start >= len(topic.records) and wait_ms:
+            with anyio.move_on_after(wait_ms / 1_000):
+                await topic.changed.wait()
+        found = topic.records[start:]
+        raw = _OFFSETS.pack(len(topic.records), topic.first) + b"".join(
+            _LENGTH.pack(len(record)) + record for record in found
+        )
+        return responses.Response(raw)
+
+    async def on_append(self, request):
+        """Add the records of a call."""
+        topic = self.topic(request)
+        raw = await request.body()
+        start = len(topic.records)
+        while raw:
+            (length,) = _LENGTH.unpack_from(raw)
+            topic.append(raw[4 : 4 + length])
+            raw = raw[4 + length :]
+        return base.reply({"offset": start, "end_offset": len(topic.records)})
+
+    async def on_put(self, request):
+        """Write or remove a key for a test."""
+        key = request.query_params["key"].encode()
+        content = bytes([len(key)]) + key + await request.body()
+        self.topic(request).append(content)
+        return base.reply({})
+
+    async def on_mode(self, request):
+        """Set what goes wrong."""
+        self.mode = (await base.body_of(request))["mode"]
+        return base.reply({})
+
+    async def on_forget(self, request):
+        """Drop the history of a topic."""
+        topic = self.topic(request)
+        topic.first = len(topic.records)
+        return base.reply({})
+
+
+async def main(options):
+    """Serve the store."""
+    store = Store()
+    guarded = store.guarded
+    routes = [
+        routing.Route("/log-newest", guarded(store.on_newest)),
+        routing.Route("/log-read", guarded(store.on_read)),
+        routing.Route(
+            "/log-append", guarded(store.on_append), methods=["POST"]
+        ),
+        routing.Route("/standin/put", store.on_put, methods=["POST"]),
+        routing.Route("/standin/mode", store.on_mode, methods=["POST"]),
+        routing.Route("/standin/forget", store.on_forget, methods=["POST"]),
+    ]
+    await base.serve(routes, options["ADDRESS"])
--- /dev/null
+++ b/tests/integration/gateway_base.py
@@ -0,0 +1,199 @@
+"""What the tests with a gateway process share."""
+
+import json
+import signal
+import socket
+import unittest
+
+import httpx
+
+from standins import bringup
+from standins import scripted
+
+HOST = "shop.example"
+CONFIGURATION_TOPIC = "keyed.op"
+ENDPOINTS_TOPIC = "keyed.servers"
+
+
+def route(name, service, kind, **more):
+    """Return a route as operators write it; its prefix is its name."""
+    row = {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "route_kind": kind,
+        "timeout_ms": 3_000,
+        "goal_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "resumable": False,
+        "gap_goal_ms": 200,
+    }
+    row.update(more)
+    return row
+
+
+ENGINE = {
+    "slot_count": 16,
+    "kv_capacity": 100_000,
+    "kv_token_bytes": 18_432,
+    "link_mbps": 370_000.0,
+    "stride": 9,
+    "handle_ttl_s": 5.0,
+    "switch_s": 3.0,
+}
+
+
+class GatewayCase(unittest.TestCase):
+    """Runs the store's stand-in and gateways beside scripted endpoints."""
+
+    def setUp(self):
+        """Start the store."""
+        self.dep = bringup.Deployment()
+        self.addCleanup(self.dep.close)
+        self.http = httpx.Client(timeout=10, trust_env=False)
+        self.addCleanup(self.http.close)
+        self.store = self.dep.standin("store", "store")
+        bringup.wait_until(lambda: self._listens(self.store), what="the store")
+        self.version = 0
+        self.listen_by_name = {}
+
+    def _listens(self, address):
+        host, _, port = address.rpartition(":")
+        with socket.socket() as probe:
+            probe.settimeout(1)
+            return probe.connect_ex((host, int(port))) == 0
+
+    def put(self, topic, key, value):
+        """Write a record as the operator or an endpoint does."""
+        raw = value if isinstance(value, bytes) else json.dumps(value)
+        self.http.post(
+            f"http://{self.store}/standin/put",
+            params={"topic": topic, "key": key},
+            content=raw,
+        ).raise_for_status()
+
+    def mode(self, mode):
+        """Set what goes wrong at the store."""
+        self.http.post(
+            f"http://{self.store}/standin/mode", json={"mode": mode}
+        ).raise_for_status()
+
+    def publish(self, *routes, version=None, **limits):
+        """Publish routes to the services ``app`` and ``model``."""
+        self.version = version or self.version + 1
+        services = [
+            {"name": "app", "health_path": "/health", "max_conns": 50},
+            {
+                "name": "model",
+                "health_path": "/health",
+                "max_conns": 50,
+                "engine": ENGINE,
+            },
+        ]
+        self.put(
+            CONFIGURATION_TOPIC,
+            "config",
+            {
+                "version": self.version,
+                "routes": list(routes),
+                "services": services,
+                "limits": limits,
+            },
+        )
+
+    def endpoint(self, name, script, service="app", **more):
+        """Start a scripted endpoint and register it."""
+        endpoint = scripted.Endpoint(script)
+        self.addCleanup(endpoint.close)
+        self.register(name, endpoint.address, service, **more)
+        return endpoint
+
+    def register(self, name, address, service="app", **more):
+        """Write the record of an endpoint."""
+        row = {
+            "service": service,
+            "address": address,
+            "zone": "a",
+            "version": "v1",
+            "slot_count": 16,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 1_000,
+        }
+        row.update(more)
+        self.put(ENDPOINTS_TOPIC, name, row)
+
+    def gateway(self, name="gateway-1", ip="127.0.0.1", **bounds):
+        """Start a gateway and wait until it is ready."""
+        listen = {
+            "front": f"{ip}:{bringup.free_port()}",
+            "ready_addr": f"{ip}:{bringup.free_port()}",
+            "directory": f"{ip}:{bringup.free_port()}",
+        }
+        self.listen_by_name[name] = listen
+        path = self.dep.folder / f"{name}.toml"
+        path.write_text(
+            bringup.to_toml(
+                {
+                    "node_name": name,
+                    "ip": ip,
+                    "zone": "a",
+                    "region": "r",
+                    "port_range": [self._peer_port(), 0],
+                    "listen": listen,
+                    "limits": {"memory_mb": 300, "max_fds": 1_000},
+                    "platform": {"address": self.store},
+                    "bounds": {"grace_s": 3, **bounds},
+                }
+            )
+        )
+        self.dep.start(
+            name, "clementinewall.gateway.main", f"--settings={path}"
+        )
+        bringup.wait_until(lambda: self.is_ready(name), what=name)
+        return listen["front"]
+
+    def _peer_port(self):
+        if not hasattr(self, "_port"):
+            self._port = bringup.free_port()
+        return self._port
+
+    def is_ready(self, name):
+        """Tell whether a gateway says that it serves."""
+        where = self.listen_by_name[name]["ready_addr"]
+        try:
+            return self.http.get(f"http://{where}/ready").status_code == 200
+        except httpx.HTTPError:
+            return False
+
+    def addresses(self, name="gateway-1"):
+        """Return what a gateway tells a caller who asks where to connect."""
+        where = self.listen_by_name[name]["directory"]
+        answer = self.http.get(
+            f"http://{where}/resolve",
+            params={"name": HOST, "region": "r", "zone": "a"},
+        )
+        return answer.json()["addresses"]
+
+    def ask(self, front, path, attempt="a1", method="POST", **headers):
+        """Send one request on a connection of its own."""
+        named = {"Host": HOST, "Attempt-Id": attempt}
+        named.update(
+            {key.replace("_", "-"): value for key, value in headers.items()}
+        )
+        content = named.pop("content", None)
+        return httpx.request(
+            method,
+            f"http://{front}{path}",
+            headers=named,
+            content=content,
+            timeout=10,
+            trust_env=False,
+        )
+
+    def terminate(self, name="gateway-1"):
+        """Ask a gateway to stop."""
+        self.dep.process_by_name[name].send_signal(signal.SIGTERM)
--- /dev/null
+++ b/tests/integration/test_gateway_verdicts.py
@@ -0,0 +1,230 @@
+"""What a gateway answers when endpoints fail in the middle of a call."""
+
+import time
+
+from standins import scripted
+from tests.integration import gateway_base
+
+route = gateway_base.route
+
+
+class PlainCalls(gateway_base.GatewayCase):
+    """Calls to a plain service."""
+
+    def setUp(self):
+        """Publish a route for each kind of call."""
+        super().setUp()
+        self.publish(
+            route("book", "app", "unsafe", max_attempts=1),
+            route("look", "app", "safe"),
+        )
+
+    def test_answer_is_unchanged(self):
+        def script(_endpoint, request):
+            yield scripted.answer(request, b"a body", 201, X_Own="kept")
+
+        endpoint = self.endpoint("one", script)
+        front = self.gateway()
+        answer = self.ask(
+            front, "/book/x?y=1", content=b"pears", Deadline_Ms="2000"
+        )
+        self.assertEqual(
+            (answer.status_code, answer.content), (201, b"a body")
+        )
+        self.assertEqual(answer.headers["x-own"], "kept")
+        self.assertEqual(answer.headers["server-stamp"], "stamp")
+        seen = endpoint.requests[0]
+        self.assertEqual(
+            (seen.method, seen.target, seen.body),
+            ("POST", "/book/x?y=1", b"pears"),
+        )
+        self.assertEqual(seen.header_by_name["expect-instance"], "one")
+        self.assertLessEqual(int(seen.header_by_name["deadline-ms"]), 2_000)
+
+    def test_unsafe_call_is_not_sent_again_after_a_reset(self):
+        # The endpoint books the order and crashes before it answers.  Sent
+        # to another endpoint the order would be booked twice; answered with
+        # 503 the caller would send it again.  The caller gets 502.
+        def script(_endpoint, _request):
+            yield scripted.RESET
+
+        endpoints = [self.endpoint(name, script) for name in ("one", "two")]
+        front = self.gateway()
+        answer = self.ask(front, "/book/x")
+        self.assertEqual(answer.status_code, 502)
+        self.assertEqual(sum(len(e.requests) for e in endpoints), 1)
+
+    def test_safe_call_goes_to_another_endpoint(self):
+        def crash(_endpoint, _request):
+            yield scripted.RESET
+
+        def serve(_endpoint, request):
+            yield scripted.answer(request)
+
+        self.endpoint("one", crash)
+        self.endpoint("two", serve)
+        front = self.gateway()
+        for number in range(3):
+            answer = self.ask(front, "/look/x", f"a{number}", "GET")
+            self.assertEqual(answer.status_code, 200)
+
+    def test_refusal_by_the_endpoint_stays_a_true_one(self):
+        # A full endpoint says that it did not run the booking.  The caller
+        # may come back, so it gets 503 and when.
+        def script(_endpoint, request):
+            yield scripted.answer(request, b"", 503, Not_Executed="1")
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        answer = self.ask(front, "/book/x", Deadline_Ms="1000")
+        self.assertEqual(answer.status_code, 503)
+        self.assertLessEqual(float(answer.headers["retry-after"]), 1 / 3)
+
+    def test_plain_503_is_no_promise(self):
+        # Only the endpoint's own mark says that a call has not run.  Its
+        # other failures go on as they are, with its stamp.
+        def script(_endpoint, request):
+            yield scripted.answer(request, b"broken", 500)
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        answer = self.ask(front, "/book/x")
+        self.assertEqual(
+            (answer.status_code, answer.content), (500, b"broken")
+        )
+        self.assertEqual(answer.headers["server-stamp"], "stamp")
+
+    def test_late_answer_to_another_call_is_dropped(self):
+        # An endpoint sends a second answer to an earlier request where the
+        # answer to the next one is due.  Handed on, one office would read
+        # the order of another.
+        def script(endpoint, request):
+            if len(endpoint.requests) == 1:
+                yield scripted.answer(request, b"first")
+                return
+            stray = endpoint.requests[0]
+            yield scripted.answer(stray, b"first again")
+            yield 0.05
+            yield scripted.answer(request, b"second")
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        self.assertEqual(self.ask(front, "/book/x", "a1").content, b"first")
+        self.assertEqual(self.ask(front, "/book/x", "a2").content, b"second")
+
+    def test_bytes_after_an_answer_belong_to_nobody(self):
+        def script(_endpoint, request):
+            yield scripted.answer(request, b"whole") + b"rubbish"
+
+        endpoint = self.endpoint("one", script)
+        front = self.gateway()
+        for number in range(3):
+            answer = self.ask(front, "/book/x", f"a{number}")
+            self.assertEqual(answer.content, b"whole")
+        self.assertEqual(endpoint.connections, 3)
+
+    def test_truncated_answer_is_not_handed_on(self):
+        def script(_endpoint, request):
+            yield scripted.answer(request, b"half of the body")[:-4]
+            yield scripted.CLOSE
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        self.assertEqual(self.ask(front, "/book/x").status_code, 502)
+
+    def test_success_without_stamp_is_not_handed_on(self):
+        def script(_endpoint, request):
+            whole = scripted.answer(request, b"forged")
+            yield whole.replace(b"Server-Stamp: stamp\r\n", b"")
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        self.assertEqual(self.ask(front, "/book/x").status_code, 502)
+
+    def test_unframed_answer_ends_with_its_connection(self):
+        def script(_endpoint, request):
+            whole = scripted.answer(request, b"no length")
+            yield whole.replace(b"Content-Length: 9\r\n", b"")
+            yield scripted.CLOSE
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        answer = self.ask(front, "/book/x")
+        self.assertEqual(
+            (answer.status_code, answer.content), (200, b"no length")
+        )
+
+    def test_no_answer_by_the_timeout_of_the_route(self):
+        # The endpoint never answers.  The route allows 3 s; the caller
+        # learns then that nothing is known, not half a minute later.
+        def script(_endpoint, _request):
+            yield 30
+
+        self.endpoint("one", script)
+        self.publish(route("book", "app", "unsafe", timeout_ms=500))
+        front = self.gateway()
+        start = time.monotonic()
+        answer = self.ask(front, "/book/x", Deadline_Ms="9000")
+        self.assertEqual(answer.status_code, 504)
+        self.assertLess(time.monotonic() - start, 1.0)
+
+    def test_headers_of_the_system_are_not_taken_from_callers(self):
+        # A caller that sets them would continue from the memory of somebody
+        # else's prompt or jump the queue.
+        def script(_endpoint, request):
+            yield scripted.answer(request)
+
+        endpoint = self.endpoint("one", script)
+        front = self.gateway()
+        self.ask(
+            front,
+            "/book/x",
+            Kv_Source="10.0.0.1:1/x",
+            Stage="prefill",
+            Expect_Instance="other",
+            Request_Priority="0",
+            Deadline_Ms="100000",
+        )
+        seen = endpoint.requests[0].header_by_name
+        self.assertNotIn("kv-source", seen)
+        self.assertNotIn("stage", seen)
+        self.assertNotIn("request-priority", seen)
+        self.assertEqual(seen["expect-instance"], "one")
+        self.assertLessEqual(int(seen["deadline-ms"]), 3_000)
+
+    def test_unknown_path_and_bad_bytes(self):
+        def script(_endpoint, request):
+            yield scripted.answer(request)
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        self.assertEqual(self.ask(front, "/nowhere/x").status_code, 404)
+        host, _, port = front.rpartition(":")
+        for raw in (b"no http at all\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n"):
+            with gateway_base.socket.create_connection(
+                (host, int(port)), 5
+            ) as peer:
+                peer.sendall(raw)
+                self.assertIn(b" 400 ", peer.recv(4_096))
+        self.assertEqual(self.ask(front, "/book/x").status_code, 200)
+
+    def test_caller_that_leaves_ends_the_work(self):
+        # A caller closes its connection; work that nobody waits for keeps
+        # an engine from the others.
+        def script(_endpoint, _request):
+            yield 5
+
+        endpoint = self.endpoint("one", script)
+        front = self.gateway()
+        with self.assertRaises(gateway_base.httpx.ReadTimeout):
+            gateway_base.httpx.get(
+                f"http://{front}/look/x",
+                headers={"Host": gateway_base.HOST, "Attempt-Id": "a1"},
+                timeout=0.5,
+                trust_env=False,
+            )
+        left = time.monotonic()
+        gateway_base.bringup.wait_until(
+            lambda: endpoint.closed_by_peer, seconds=2, what="the end"
+        )
+        self.assertLess(time.monotonic() - left, 0.5)
