Leave silent engines; mark requests that crash endpoints

Cause: an engine that fell dark kept its requests until their deadline, and a request that crashes engines reached a new one at each try.

Change: a prompt that is not read in three times the predicted time and half a second is read elsewhere; a resumable stream without an event for a second goes on elsewhere while a send is left; endpoints that say nothing with work open get no more.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -12,6 +12,10 @@
 
 CONNECT_TIMEOUT_MS = 500
 URGENCIES = 3
+# With work open, an engine that says nothing for so long is taken for dead:
+# with streams running each engine sends an event every 50 ms or so, and a
+# plain endpoint answers in 20 to 90 ms.
+SILENT_MS = 1_000
 
 
 class State:
@@ -20,6 +24,8 @@
     def __init__(self, endpoint, now):
         """Begin with no connection and no work."""
         self.endpoint = endpoint
+        self._now = now
+        self._quiet_since = None
         self.pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
         self.health = speed.Health()
         self.open = 0
@@ -30,6 +36,27 @@
         self._cached = collections.OrderedDict()
         self._cached_tokens = 0
 
+    def begin(self):
+        """Count a request that is sent now."""
+        if not self.open:
+            self._quiet_since = self._now()
+        self.open += 1
+
+    def end(self):
+        """Count the end of a request."""
+        self.open -= 1
+
+    def heard(self):
+        """Note that the endpoint said something."""
+        self._quiet_since = self._now()
+
+    def is_usable(self):
+        """Tell whether new work may go there."""
+        now = self._now()
+        if self.open and now - self._quiet_since > SILENT_MS:
+            return False
+        return self.health.is_usable(now)
+
     def read(self, parts, capacity):
         """Note the parts of a prompt that are in the engine's cache now."""
         for part, tokens in parts:
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -29,16 +29,19 @@
     """One send failed; ``verdict`` says whether the request may have run.
 
     ``answer`` is the endpoint's own failure, to be handed on if nothing
-    better comes.
+    better comes; ``broken`` tells that the connection ended early.
     """
 
-    def __init__(self, verdict, why, endpoint_id=None, answer=None):
+    def __init__(
+        self, verdict, why, endpoint_id=None, answer=None, broken=False
+    ):
         """Keep what is known of the failure."""
         super().__init__(why)
         self.verdict = verdict
         self.why = why
         self.endpoint_id = endpoint_id
         self.answer = answer
+        self.broken = broken
 
 
 class Exchange:
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -57,8 +57,12 @@
 class Peers:
     """The other gateways, and the socket to talk with them."""
 
-    def __init__(self, settings, now, report, learn):
-        """Send what ``report`` returns; give read prompts to ``learn``."""
+    def __init__(self, settings, now, report, learn, guard):
+        """Send what ``report`` returns; give read prompts to ``learn``.
+
+        The marks of ``guard`` go with each state.
+        """
+        self._guard = guard
         self._settings = settings
         self._now = now
         self._report = report
@@ -116,7 +120,8 @@
             return
         self._last = state
         self._last_at = now
-        raw = json.dumps([state, read], separators=(",", ":")).encode()
+        marks = self._guard.message()
+        raw = json.dumps([state, read, marks], separators=(",", ":")).encode()
         if len(raw) > MAX_BYTES:
             _log.warning("state too large to tell", size=len(raw))
             return
@@ -127,15 +132,12 @@
             except OSError as exc:
                 _log.debug("not sent", ip=ip, why=repr(exc))
 
-    async def send_last(self, udp=None):
-        """Forget what was sent, so that the next state goes out at once."""
-        self._last = None
-
     async def _receive(self, udp):
         async for raw, (ip, _port) in udp:
             try:
-                state, read = json.loads(raw)
+                state, read, marks = json.loads(raw)
                 peer = _decode(state, ip, self._now())
+                self._guard.merge(marks)
             except (ValueError, TypeError, KeyError) as exc:
                 _log.warning("unreadable datagram", ip=ip, why=repr(exc))
                 continue
--- a/clementinewall/gateway/plain.py
+++ b/clementinewall/gateway/plain.py
@@ -22,8 +22,9 @@
 class PlainRelay:
     """Carries calls to the endpoints of a service and the answers back."""
 
-    def __init__(self, settings, endpoints, budgets, now):
+    def __init__(self, settings, endpoints, budgets, guard, now):
         """Use the gateway's parts."""
+        self._guard = guard
         self._settings = settings
         self._endpoints = endpoints
         self._budgets = budgets
@@ -61,13 +62,12 @@
         raise exchanges.final_error(exchange, why)
 
     def _pick(self, exchange):
-        now = self._now()
         states = [
             state
             for state in self._endpoints.of_service(exchange.service.name)
             if state.endpoint.id not in exchange.tried
         ]
-        usable = [s for s in states if s.health.is_usable(now)] or states
+        usable = [s for s in states if s.is_usable()] or states
         if not usable:
             return None
         return min(usable, key=self._weight)
@@ -126,6 +126,7 @@
         exchange.note(exc.verdict)
         if exc.answer is None:
             state.health.failed(self._now())
+        self._guard.note_failure(exchange.call, state, exc, True)
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -13,6 +13,7 @@
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import following
+from clementinewall.gateway import guard
 from clementinewall.gateway import peers
 from clementinewall.gateway import plain
 from clementinewall.gateway import streams
@@ -48,15 +49,26 @@
         self._group = group
         self._beliefs = beliefs.Beliefs(now)
         self._endpoints = endpoints.Endpoints(self._beliefs, now)
+        self._guard = guard.Guard(now)
         self._peers = peers.Peers(
-            settings, now, self._report, self._endpoints.learn_read
+            settings,
+            now,
+            self._report,
+            self._endpoints.learn_read,
+            self._guard,
         )
         self._budgets = budgets.Budgets(settings, self._peers, now)
         self._plain = plain.PlainRelay(
-            settings, self._endpoints, self._budgets, now
+            settings, self._endpoints, self._budgets, self._guard, now
         )
         self._streams = streams.StreamRelay(
-            settings, self._endpoints, self._peers, self._budgets, group, now
+            settings,
+            self._endpoints,
+            self._peers,
+            self._budgets,
+            self._guard,
+            group,
+            now,
         )
         self._stopping = anyio.Event()
         self._connections = set()
@@ -240,6 +252,7 @@
         if service is None:
             raise errors.NoEndpoint(f"route {route.name} has no service")
         self._budgets.count_request(service)
+        self._guard.check(call)
         exchange = exchanges.Exchange(
             connection, call, route, service, self._now
         )
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -2,6 +2,9 @@
 
 import contextlib
 
+import anyio
+
+from clementinewall import clock
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.http1 import client
 from clementinewall import logs
@@ -31,42 +34,65 @@
         try:
             body = await self.link.read_rest(ANSWER_LIMIT)
         except client.LinkBroken as exc:
-            raise self.failed(exc.why) from exc
+            raise self.failed(exc.why, broken=True) from exc
         self.is_over = True
         return body
 
-    async def read_part(self):
+    async def read_part(self, silence_ms=None):
         """Return the next part of the answer, ``None`` at its whole end.
 
-        :raises AttemptFailed: it broke off.
+        :raises AttemptFailed: it broke off, or nothing came for so long.
         """
+        limit = None if silence_ms is None else clock.seconds(silence_ms)
         try:
-            part = await self.link.read_part()
+            with anyio.fail_after(limit):
+                part = await self.link.read_part()
         except client.LinkBroken as exc:
-            raise self.failed(exc.why) from exc
+            raise self.failed(exc.why, broken=True) from exc
+        except TimeoutError as exc:
+            raise self.failed(f"silent for {silence_ms:.0f} ms") from exc
+        self.state.heard()
         self.is_over = part is None
         return part
 
-    def failed(self, why, verdict=verdicts.Verdict.MAY_HAVE_RUN, answer=None):
+    def failed(
+        self,
+        why,
+        verdict=verdicts.Verdict.MAY_HAVE_RUN,
+        answer=None,
+        broken=False,
+    ):
         """Return the error for an answer that can't be used."""
         return exchanges.AttemptFailed(
-            verdict, why, self.state.endpoint.id, answer
+            verdict, why, self.state.endpoint.id, answer, broken
         )
 
 
 @contextlib.asynccontextmanager
-async def send(call, state, request, now):
+async def send(call, state, request, now, silence_ms=None):
     """Send and wait for the head; close the link unless the answer ended.
 
+    Without a head within ``silence_ms`` the attempt counts as failed.
+
     :raises AttemptFailed: with what is known of whether it ran.
     """
     link = None
     sent = None
-    state.open += 1
+    state.begin()
+    limit = None if silence_ms is None else clock.seconds(silence_ms)
     try:
         link = await state.pool.take()
-        await link.send(request)
-        head = await _own_head(call, link)
+        try:
+            with anyio.fail_after(limit):
+                await link.send(request)
+                head = await _own_head(call, link)
+        except TimeoutError as exc:
+            raise exchanges.AttemptFailed(
+                verdicts.verdict_of(link.progress),
+                f"silent for {silence_ms:.0f} ms",
+                state.endpoint.id,
+            ) from exc
+        state.heard()
         sent = Sent(state, link, head)
         _note_load(state, head, now())
         if calls.says_not_run(head):
@@ -77,10 +103,13 @@
         yield sent
     except client.LinkBroken as exc:
         raise exchanges.AttemptFailed(
-            verdicts.verdict_of(exc.progress), exc.why, state.endpoint.id
+            verdicts.verdict_of(exc.progress),
+            exc.why,
+            state.endpoint.id,
+            broken=True,
         ) from exc
     finally:
-        state.open -= 1
+        state.end()
         if link is not None:
             _put_away(state, link, sent)
 
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -24,13 +24,24 @@
 NO_PROMPT = types.Prompt("", 0, 0, ())
 # Returning callers are spread over half as much time again.
 RETRY_SPREAD = 0.5
+# An engine that failed or fell silent is used only if all others are worse.
+UNUSABLE_SLOWNESS = 10.0
+# A prompt that takes this many times as long as predicted, and half a second
+# more, is read elsewhere: reading is no run, so this is always allowed.
+PREFILL_PATIENCE = 3.0
+PREFILL_SLACK_MS = 500
+# Callers give up a stream after a pause of 2,000 ms or more.  Half of it is
+# left for another engine to read the prompt again.
+SILENCE_MS = 1_000
+SILENCE_PAUSES = 4
 
 
 class StreamRelay:
     """Carries streams from the engines of a service to callers."""
 
-    def __init__(self, settings, endpoints, peers, budgets, group, now):
+    def __init__(self, settings, endpoints, peers, budgets, guard, group, now):
         """Use the gateway's parts; ``group`` runs what outlives a request."""
+        self._guard = guard
         self._settings = settings
         self._endpoints = endpoints
         self._peers = peers
@@ -54,7 +65,7 @@
                 await self._run_plan(exchange, stream, plan)
             except exchanges.AttemptFailed as exc:
                 last = exc
-                self._note_failure(exchange, exc)
+                self._note_failure(exchange, exc, not stream.had_first)
                 if not exchange.may_send_again():
                     break
                 continue
@@ -137,8 +148,8 @@
             cached=state.cached_tokens(prompt.parts[:-1]),
             near=endpoint.data_centre == self._settings.data_centre,
             slowness=state.health.slowness
-            if state.health.is_usable(self._now())
-            else 10.0,
+            if state.is_usable()
+            else UNUSABLE_SLOWNESS,
         )
 
     def _refuse(self, exchange, demand, refusal, last):
@@ -181,12 +192,13 @@
         decoder.prompt_ms[plan.urgency] += prompt_ms
         stream.begin(lambda: self._first(exchange, plan, prompt_ms))
         taken = False
+        silence_ms = self._silence_ms(exchange, plan)
         try:
             async with sending.send(
-                exchange.call, decoder, request, self._now
+                exchange.call, decoder, request, self._now, silence_ms
             ) as sent:
                 taken = True
-                await stream.carry(sent)
+                await stream.carry(sent, silence_ms)
         finally:
             decoder.streams -= 1
             if not stream.had_first:
@@ -195,6 +207,27 @@
                 self._group.start_soon(self._free, plan.reader, prefilled)
         decoder.health.worked()
 
+    def _silence_ms(self, exchange, plan):
+        """Return how long the engine may say nothing, or ``None``.
+
+        Without another send left, an answer that comes late is better than
+        none.
+        """
+        route = exchange.route
+        if not route.idempotent or exchange.sends >= route.max_attempts:
+            return None
+        others = [
+            state
+            for state in self._endpoints.of_service(exchange.service.name)
+            if state.endpoint.id not in exchange.tried
+            and state.endpoint.stage == types.DECODE
+        ]
+        if not others:
+            return None
+        expected = plan.way.first_ms * PREFILL_PATIENCE
+        pauses = SILENCE_PAUSES * route.gap_goal_ms
+        return max(SILENCE_MS, expected, pauses)
+
     def _first(self, exchange, plan, prompt_ms):
         plan.decoder.prompt_ms[plan.urgency] -= prompt_ms
         if prompt_ms and exchange.call.prompt:
@@ -216,9 +249,11 @@
         )
         started = self._now()
         reader.prompt_ms[plan.urgency] += prompt_ms
+        expected = plan.way.wait_ms + prompt_ms
+        silence_ms = PREFILL_PATIENCE * expected + PREFILL_SLACK_MS
         try:
             async with sending.send(
-                exchange.call, reader, request, self._now
+                exchange.call, reader, request, self._now, silence_ms
             ) as sent:
                 body = await sent.read_all()
         except exchanges.AttemptFailed as exc:
@@ -262,11 +297,14 @@
                 return
             reader.pool.give_back(link)
 
-    def _note_failure(self, exchange, exc):
+    def _note_failure(self, exchange, exc, before_first):
         exchange.note(exc.verdict)
         for state in self._endpoints.of_service(exchange.service.name):
             if state.endpoint.id == exc.endpoint_id and exc.answer is None:
                 state.health.failed(self._now())
+                self._guard.note_failure(
+                    exchange.call, state, exc, before_first
+                )
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
@@ -300,10 +338,11 @@
         self.had_first = False
         self._on_first = on_first
 
-    async def carry(self, sent):
+    async def carry(self, sent, silence_ms):
         """Hand on the events of one engine until the whole end.
 
-        :raises AttemptFailed: the stream broke off.
+        :raises AttemptFailed: the stream broke off, or the engine said
+            nothing for ``silence_ms``.
         """
         head = sent.head
         if head.status >= 300:
@@ -312,7 +351,7 @@
         if not calls.is_whole_success(head):
             raise sent.failed("a success without the engine's stamp")
         self.events.restart()
-        part = await sent.read_part()
+        part = await sent.read_part(silence_ms)
         while part is not None:
             try:
                 fresh = self.events.feed(part)
@@ -320,7 +359,7 @@
                 raise sent.failed(str(exc)) from exc
             if fresh:
                 await self._pass_on(head, fresh)
-            part = await sent.read_part()
+            part = await sent.read_part(silence_ms)
         if not self.events.is_whole:
             raise sent.failed("the answer ends within an event")
         await self._pass_on(head, b"")
