Weigh engine time three times in placement; short prompts by their reading

Cause: prompts read beside streams slow every stream of that engine, and prompts spread over engines whose caches lack their beginning; engine time counted as much as the caller's time.

--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -29,14 +29,12 @@
 # From this part of the target on, a request's own time leaves so little
 # room that it goes before others at the engine.
 TIGHT_PART = 0.5
-# Prompts that have this much to spare can wait for shorter ones.
-PATIENT_MS = 300
-USUAL = 0
+CHEAP = 0
 TIGHT = 1
 PATIENT = 2
 # How much a millisecond of engine time weighs against one of the caller's:
 # it keeps prompts where their first parts are in the cache.
-WORK_WEIGHT = 1.0
+WORK_WEIGHT = 3.0
 # Streams beside which a decode engine still takes new ones, of its slots.
 STREAMS_PART = 0.95
 MIN_RETRY_MS = 50
@@ -126,13 +124,13 @@
     first.  Of the others a prompt of 30,000 tokens takes 300 of its 400 ms
     and comes late behind any other, while a usual one can wait for it.
     """
-    own_ms = engine_time.prompt_ms(demand.tokens, cached) + 2 * (
-        engine_time.HOP_MS + engine_time.FIRST_EVENT_MS
-    )
+    prompt_ms = engine_time.prompt_ms(demand.tokens, cached)
+    if prompt_ms <= demand.goal_ms * CHEAP_PART:
+        return CHEAP
+    own_ms = prompt_ms + 2 * (engine_time.HOP_MS + engine_time.FIRST_EVENT_MS)
     if own_ms >= demand.goal_ms * TIGHT_PART:
         return TIGHT
-    spare_ms = demand.goal_ms - own_ms
-    return PATIENT if spare_ms >= PATIENT_MS else USUAL
+    return PATIENT
 
 
 def _ways(engines, demand):
