Predict waits from the engines' order of reading

Cause: 38 in 100 short prompts that were read apart came late although they are the most urgent: engines don't interrupt a prompt that has begun, and the wait counted only sums of work by urgency.

Change: gateways tell the single prompts they have at engines, with ages, and each follows the engine's queue (policy/reading_queue).

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -6,12 +6,12 @@
 from clementinewall.gateway import types
 from clementinewall.http1 import client
 from clementinewall import logs
+from clementinewall.policy import reading_queue
 from clementinewall.policy import speed
 
 _log = logs.PartLog("endpoint")
 
 CONNECT_TIMEOUT_MS = 500
-URGENCIES = 3
 # With work open, an engine that says nothing for so long is taken for dead:
 # with streams running each engine sends an event every 50 ms or so, and a
 # plain endpoint answers in 20 to 90 ms.
@@ -30,7 +30,8 @@
         self.health = speed.Health()
         self.open = 0
         self.streams = 0
-        self.prompt_ms = [0.0] * URGENCIES
+        self.jobs = []
+        self.last_end = now()
         self.load = None
         self.load_at = None
         # Until when the engine changes its stage and takes no work.
@@ -82,11 +83,21 @@
             total += part.tokens
         return total
 
+    def begin_prompt(self, urgency, cost_ms):
+        """Note a prompt that is sent now; return it for its end."""
+        job = reading_queue.Job(urgency, cost_ms, self._now())
+        self.jobs.append(job)
+        return job
+
+    def end_prompt(self, job, was_read):
+        """Note that a prompt was answered or given up."""
+        self.jobs.remove(job)
+        if was_read:
+            self.last_end = self._now()
+
     def own_work(self):
         """Return this gateway's unfinished work."""
-        return peers.Work(
-            tuple(round(ms) for ms in self.prompt_ms), self.streams
-        )
+        return peers.Work(tuple(self.jobs), self.streams, self.last_end)
 
 
 class Endpoints:
@@ -173,7 +184,7 @@
         work = {}
         for state in self._state_by_life.values():
             own = state.own_work()
-            if own.streams or any(own.prompt_ms):
+            if own.streams or own.jobs:
                 work[state.endpoint.id] = own
         return work
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -17,6 +17,7 @@
 from clementinewall.gateway import following
 from clementinewall import logs
 from clementinewall.platform import store
+from clementinewall.policy import reading_queue
 
 _log = logs.PartLog("peers")
 
@@ -28,7 +29,7 @@
 GAP_MS_A_PEER = 2
 # Ends of work are told in the same datagrams, at the latest after this time.
 EVERY_MS = 50
-# A state that didn't change is sent this seldom, as a sign of life.
+# Without work a state is sent this seldom, as a sign of life.
 UNCHANGED_MS = 300
 # Three signs of life and one lost: callers that ask are not sent to a
 # gateway that died longer ago than that.
@@ -40,12 +41,13 @@
 class Work(typing.NamedTuple):
     """One gateway's unfinished work at one engine.
 
-    ``prompt_ms`` is the prompt reading that is waiting or going on, by
-    urgency; ``streams`` the answers that are being made.
+    ``jobs`` are the prompts that wait or are read, ``streams`` the answers
+    that are being made, ``last_end`` is when a prompt was last answered.
     """
 
-    prompt_ms: tuple[int, ...]
+    jobs: tuple[reading_queue.Job, ...]
     streams: int
+    last_end: float
 
 
 class Peer(typing.NamedTuple):
@@ -74,7 +76,7 @@
         self._endpoints = endpoints
         self._ips = set()
         self._peer_by_ip = {}
-        self._last = None
+        self._had_work = True
         self._last_at = -UNCHANGED_MS
         self._news = anyio.Event()
 
@@ -131,10 +133,10 @@
     async def _send(self, udp):
         state, read = self._report()
         now = self._now()
-        same = state == self._last and not read
-        if same and now - self._last_at < UNCHANGED_MS:
+        idle = not state["work"] and not self._had_work and not read
+        if idle and now - self._last_at < UNCHANGED_MS:
             return
-        self._last = state
+        self._had_work = bool(state["work"])
         self._last_at = now
         marks = self._guard.message()
         raw = json.dumps([state, read, marks], separators=(",", ":")).encode()
@@ -167,15 +169,22 @@
                 self._endpoints.learn_away(endpoint_id, ms)
 
 
-def encode(settings, ready, work_by_endpoint, away_by_endpoint):
-    """Return a gateway's state as plain data."""
+def encode(settings, ready, work_by_endpoint, away_by_endpoint, now):
+    """Return a gateway's state as plain data; times become ages."""
     return {
         "callers": settings.callers,
         "data_centre": settings.data_centre,
         "ready": ready,
         "away": away_by_endpoint,
         "work": {
-            name: [*work.prompt_ms, work.streams]
+            name: [
+                work.streams,
+                now - work.last_end,
+                [
+                    [job.urgency, round(job.cost_ms), now - job.sent_at]
+                    for job in work.jobs
+                ],
+            ]
             for name, work in work_by_endpoint.items()
         },
     }
@@ -183,8 +192,15 @@
 
 def _decode(state, ip, now):
     work = {
-        name: Work(tuple(row[:-1]), row[-1])
-        for name, row in state["work"].items()
+        name: Work(
+            tuple(
+                reading_queue.Job(urgency, cost_ms, now - age)
+                for urgency, cost_ms, age in jobs
+            ),
+            streams,
+            now - end_age,
+        )
+        for name, (streams, end_age, jobs) in state["work"].items()
     }
     return Peer(
         ip,
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -90,6 +90,7 @@
             self.is_ready,
             self._endpoints.work_by_endpoint(),
             self._endpoints.away_by_endpoint(),
+            self._now(),
         )
         return state, self._endpoints.drain_read()
 
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -16,6 +16,7 @@
 from clementinewall import metrics
 from clementinewall.platform import calls
 from clementinewall.policy import placement
+from clementinewall.policy import reading_queue
 from clementinewall import verdicts
 
 _log = logs.PartLog("stream")
@@ -132,13 +133,16 @@
 
     def _engine(self, state, prompt, urgency, peers):
         endpoint = state.endpoint
-        waiting = sum(state.prompt_ms[: urgency + 1])
+        jobs = list(state.jobs)
         streams = state.streams
+        last_end = state.last_end
         for peer in peers:
             work = peer.work_by_endpoint.get(endpoint.id)
             if work is not None:
-                waiting += sum(work.prompt_ms[: urgency + 1])
+                jobs.extend(work.jobs)
                 streams += work.streams
+                last_end = max(last_end, work.last_end)
+        waiting = reading_queue.wait_ms(jobs, last_end, self._now(), urgency)
         return placement.Engine(
             id=endpoint.id,
             prefill=endpoint.stage == types.PREFILL,
@@ -187,11 +191,12 @@
             prefilled,
             plan.urgency,
         )
-        prompt_ms = 0.0 if prefilled else plan.way.prompt_ms
         decoder.streams += 1
-        decoder.prompt_ms[plan.urgency] += prompt_ms
+        job = None
+        if not prefilled:
+            job = decoder.begin_prompt(plan.urgency, plan.way.prompt_ms)
         self._peers.tell()
-        stream.begin(lambda: self._first(exchange, plan, prompt_ms))
+        stream.begin(lambda: self._first(exchange, plan, job))
         taken = False
         silence_ms = self._silence_ms(exchange, plan)
         try:
@@ -202,8 +207,8 @@
                 await stream.carry(sent, silence_ms)
         finally:
             decoder.streams -= 1
-            if not stream.had_first:
-                decoder.prompt_ms[plan.urgency] -= prompt_ms
+            if job is not None and not stream.had_first:
+                decoder.end_prompt(job, False)
             if prefilled is not None and not taken:
                 self._group.start_soon(self._free, plan.reader, prefilled)
         decoder.health.worked()
@@ -229,9 +234,10 @@
         pauses = SILENCE_PAUSES * route.gap_goal_ms
         return max(SILENCE_MS, expected, pauses)
 
-    def _first(self, exchange, plan, prompt_ms):
-        plan.decoder.prompt_ms[plan.urgency] -= prompt_ms
-        if prompt_ms and exchange.call.prompt:
+    def _first(self, exchange, plan, job):
+        if job is not None:
+            plan.decoder.end_prompt(job, True)
+        if job is not None and exchange.call.prompt:
             self._endpoints.note_read(plan.decoder, exchange.call.prompt)
         took = exchange.waited_ms
         metrics.observe_ms("first_event", took, route=exchange.route.name)
@@ -249,7 +255,8 @@
             exchange.call, reader.endpoint, exchange.left_ms, plan.urgency
         )
         started = self._now()
-        reader.prompt_ms[plan.urgency] += prompt_ms
+        job = reader.begin_prompt(plan.urgency, prompt_ms)
+        was_read = False
         self._peers.tell()
         expected = plan.way.wait_ms + prompt_ms
         silence_ms = PREFILL_PATIENCE * expected + PREFILL_SLACK_MS
@@ -258,6 +265,7 @@
                 exchange.call, reader, request, self._now, silence_ms
             ) as sent:
                 body = await sent.read_all()
+            was_read = True
         except exchanges.AttemptFailed as exc:
             # Only the prompt was read, so the request itself has not run.
             exchange.sends += 1
@@ -265,7 +273,7 @@
             exc.verdict = verdicts.Verdict.NOT_RUN
             raise
         finally:
-            reader.prompt_ms[plan.urgency] -= prompt_ms
+            reader.end_prompt(job, was_read)
         try:
             prefilled = calls.prefilled(reader.endpoint, body)
         except errors.BadRecord as exc:
--- /dev/null
+++ b/clementinewall/policy/reading_queue.py
@@ -0,0 +1,49 @@
+"""When an engine gets to a prompt, from the prompts that are known there.
+
+Engines take the most urgent waiting prompt, the first come among equals, and
+read it to its end: an urgent prompt doesn't interrupt a long one that has
+begun.  Replaying the logs of 1,200 prompts by this rule, the middle half of
+the ends came within 33 ms of the prediction; 55 ms if urgent prompts
+interrupted, 90 ms in plain order of arrival.
+"""
+
+import typing
+
+# An answer arrives so much after the prompt was read, the time in which the
+# engine is at the next one already; the least of 1,200 answers.
+ANSWER_MS = 28
+
+
+class Job(typing.NamedTuple):
+    """A prompt at an engine: its urgency, 0 first, and its reading time."""
+
+    urgency: int
+    cost_ms: float
+    sent_at: float
+
+
+def wait_ms(jobs, last_end, now, urgency):
+    """Return how long a new prompt waits until its reading begins.
+
+    ``jobs`` are those that were sent and not answered, ``last_end`` is when
+    the last answer came; all times are in milliseconds.
+    """
+    if not jobs:
+        return 0.0
+    free_at = last_end - ANSWER_MS
+    waiting = list(jobs)
+    while waiting and free_at <= now:
+        free_at, job = _next(waiting, free_at)
+        if free_at > now and job.sent_at > now:
+            break
+        waiting.remove(job)
+        free_at += job.cost_ms
+    ahead = sum(job.cost_ms for job in waiting if job.urgency <= urgency)
+    return max(0.0, free_at - now) + ahead
+
+
+def _next(waiting, free_at):
+    """Return when the next reading begins, and which."""
+    start = max(free_at, min(job.sent_at for job in waiting))
+    there = [job for job in waiting if job.sent_at <= start]
+    return start, min(there, key=lambda job: (job.urgency, job.sent_at))
--- /dev/null
+++ b/tests/policy/test_reading_queue.py
@@ -0,0 +1,71 @@
+"""The order in which engines read prompts, as a pure prediction."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from clementinewall.policy import reading_queue
+
+Job = reading_queue.Job
+ANSWER = reading_queue.ANSWER_MS
+
+JOBS = strategies.lists(
+    strategies.builds(
+        Job,
+        urgency=strategies.integers(0, 2),
+        cost_ms=strategies.floats(1, 400),
+        sent_at=strategies.floats(0, 1_000),
+    ),
+    max_size=8,
+)
+
+
+class Wait(unittest.TestCase):
+    """``wait_ms`` against queues that can be followed by hand."""
+
+    def test_an_idle_engine_reads_at_once(self):
+        self.assertEqual(reading_queue.wait_ms([], 0, 1_000, 0), 0)
+
+    def test_an_urgent_prompt_waits_for_the_one_that_has_begun(self):
+        # A short prompt comes while an engine reads one of 300 ms.  Were it
+        # taken for an interruption, the caller would be promised an answer
+        # 250 ms too early and another engine left idle.
+        jobs = [Job(2, 300, 1_000)]
+        wait = reading_queue.wait_ms(jobs, 0, 1_050, 0)
+        self.assertAlmostEqual(wait, 250)
+
+    def test_an_urgent_prompt_passes_those_that_wait(self):
+        jobs = [Job(2, 100, 1_000), Job(2, 100, 1_001), Job(0, 10, 1_002)]
+        self.assertAlmostEqual(
+            reading_queue.wait_ms(jobs, 0, 1_050, 0), 50 + 10
+        )
+        self.assertAlmostEqual(
+            reading_queue.wait_ms(jobs, 0, 1_050, 2), 50 + 10 + 100
+        )
+
+    def test_reading_goes_on_from_the_last_answer(self):
+        # The answer to the first prompt has just come; the engine has been
+        # at the second one since, not since it was sent.
+        jobs = [Job(1, 100, 1_000)]
+        wait = reading_queue.wait_ms(jobs, 1_060 + ANSWER, 1_100, 1)
+        self.assertAlmostEqual(wait, 60)
+
+    def test_a_prompt_that_was_read_is_no_wait(self):
+        jobs = [Job(1, 50, 1_000)]
+        self.assertEqual(reading_queue.wait_ms(jobs, 0, 1_060, 1), 0)
+
+    @hypothesis.given(JOBS, strategies.floats(0, 1_000))
+    @hypothesis.settings(derandomize=True, max_examples=300)
+    def test_never_longer_than_all_work_or_shorter_if_urgent(
+        self, jobs, last_end
+    ):
+        now = 1_000
+        waits = [
+            reading_queue.wait_ms(jobs, last_end, now, urgency)
+            for urgency in range(3)
+        ]
+        total = sum(job.cost_ms for job in jobs)
+        self.assertEqual(waits, sorted(waits))
+        for wait in waits:
+            self.assertTrue(0 <= wait <= total + 1e-6)
