Metrics on a port of the instance; the story of a request from log files

The metrics of a gateway are served as text for the platform's collectors; 'clementinewall story ID FILE...' orders the lines of a request from all processes' logs, with the changes of its endpoints, and marks the deciding one.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -108,10 +108,14 @@
         start(self._stages.run)
         start(self._sweep)
         callers = await _listener(settings.callers)
-        for address, handle in (
+        small = [
             (settings.ready, self._on_ready),
             (settings.directory, self._on_directory),
-        ):
+        ]
+        if settings.metrics_port is not None:
+            where = f"{settings.ip}:{settings.metrics_port}"
+            small.append((where, _on_metrics))
+        for address, handle in small:
             start(self._serve_small, await _listener(address), handle)
         _log.info(
             "started",
@@ -361,6 +365,11 @@
         return min(ADDRESSES_TTL_MS, self._settings.bounds.addresses_ttl_ms)
 
 
+def _on_metrics(_request):
+    head = messages.Head(200, b"OK", ((b"Content-Type", b"text/plain"),))
+    return head, metrics.render().encode()
+
+
 def _pick(shares):
     """Return the service of one request, by the weights of the route."""
     if len(shares) == 1:
--- a/clementinewall/gateway/types.py
+++ b/clementinewall/gateway/types.py
@@ -49,6 +49,7 @@
     bounds: Bounds
     memory_mb: int = 256
     max_connections: int = 2_000
+    metrics_port: int | None = None
 
 
 class Share(typing.NamedTuple):
--- a/clementinewall/operator/main.py
+++ b/clementinewall/operator/main.py
@@ -12,6 +12,7 @@
   clementinewall [options] serve ENDPOINT
   clementinewall [options] replace ENDPOINT ADDRESS
   clementinewall [options] explain ABOUT
+  clementinewall [--json] story REQUEST FILE...
   clementinewall --help
 
 Options:
@@ -25,12 +26,14 @@
   clementinewall wait 412 && echo "in force everywhere"
   clementinewall drain engine-3
   clementinewall explain engine-3
+  clementinewall story 9c41d07be2a35f68 gateway-*.log
 
 Exit codes:
   0 done, 1 failed, 2 bad input, 3 lost a race, 4 not in force in time,
   5 unknown: the change may have been made, look with 'show'.
 """
 
+import contextlib
 import functools
 import json
 import sys
@@ -41,6 +44,7 @@
 
 from clementinewall import errors
 from clementinewall.operator import session
+from clementinewall.operator import story
 from clementinewall.operator import tables
 from clementinewall.records import configuration
 from clementinewall import settings
@@ -150,6 +154,24 @@
     return await live.explain(options["ABOUT"]), 0
 
 
+async def _story(options, _live):
+    """Tell a request from log files; nothing is asked of the system."""
+    with contextlib.ExitStack() as stack:
+        try:
+            files = [
+                stack.enter_context(open(path, errors="replace"))
+                for path in options["FILE"]
+            ]
+        except OSError as exc:
+            raise errors.SettingsError(
+                f"{exc.filename}: {exc.strerror}"
+            ) from exc
+        found, decider = story.tell(story.read(files), options["REQUEST"])
+    if options["--json"]:
+        return [line._asdict() for line in found], 0 if found else EXIT_FAILED
+    return story.text(found, decider), 0 if found else EXIT_FAILED
+
+
 _COMMANDS = {
     "check": _check,
     "publish": _publish,
@@ -162,7 +184,10 @@
     "serve": functools.partial(_edit, state="serving"),
     "replace": _replace,
     "explain": _explain,
+    "story": _story,
 }
+# These work on files alone.
+_OFFLINE = ("check", "story")
 
 
 def main():
@@ -175,7 +200,7 @@
     name = next(name for name in _COMMANDS if options[name])
     try:
         live = None
-        if name != "check":
+        if name not in _OFFLINE:
             checked = settings.load(
                 options["--settings"], settings.OperatorSettings
             )
--- /dev/null
+++ b/clementinewall/operator/story.py
@@ -0,0 +1,120 @@
+"""The story of one request, gathered from the logs of all processes.
+
+Logs are JSON lines, as each process writes them to its standard output; what
+stands before the brace, such as a collector's stamp, is passed over.  Lines
+of other forms are passed over too.
+"""
+
+import json
+import typing
+
+# The line that decided what became of a request is the last of these.
+_DECIDING = (
+    "stream: refused",
+    "plain: no budget",
+    "stream: no budget",
+    "plain: attempt failed",
+    "stream: attempt failed",
+    "gateway: caller gone",
+    "gateway: failed",
+    "gateway: answered",
+)
+# What changed meanwhile at an endpoint that the request was sent to.
+_AROUND_MS = 3_000
+
+
+class Line(typing.NamedTuple):
+    """One log line: when in seconds, where, what, and its fields."""
+
+    time: float
+    instance: str
+    message: str
+    fields: dict
+
+
+def read(files):
+    """Yield the lines of open files that are log lines."""
+    for file in files:
+        for text in file:
+            start = text.find("{")
+            if start < 0:
+                continue
+            try:
+                data = json.loads(text[start:])
+                yield Line(
+                    float(data.pop("time")),
+                    str(data.pop("instance")),
+                    str(data.pop("message")),
+                    data,
+                )
+            except (ValueError, KeyError, TypeError, AttributeError):
+                # Other programs may write to the same stream; what isn't a
+                # log line says nothing about a request.
+                continue
+
+
+def tell(lines, request):
+    """Return the lines about a request, in order, and the deciding one.
+
+    Beside its own lines these are the changes that the gateways noted of
+    the endpoints it was sent to, shortly before and meanwhile.
+    """
+    lines = list(lines)
+    own = [line for line in lines if line.fields.get("request") == request]
+    if not own:
+        return [], None
+    own.sort(key=lambda line: line.time)
+    start = own[0].time - _AROUND_MS / 1_000
+    end = own[-1].time + _AROUND_MS / 1_000
+    endpoints = _endpoints(own)
+    where = {line.instance for line in own}
+    around = [
+        line
+        for line in lines
+        if "request" not in line.fields
+        and line.instance in where
+        and start <= line.time <= end
+        and _endpoints([line]) & endpoints
+    ]
+    deciding = [line for line in own if line.message in _DECIDING]
+    story = sorted(own + around, key=lambda line: line.time)
+    return story, _decider(deciding)
+
+
+def _decider(deciding):
+    """Return the line that says why, before the one that says how it ended."""
+    causes = [line for line in deciding if "why" in line.fields]
+    if deciding and deciding[-1].message == "gateway: answered":
+        return deciding[-1]
+    if causes:
+        return causes[0] if len(causes) == 1 else causes[-2]
+    return deciding[-1] if deciding else None
+
+
+def _endpoints(lines):
+    names = ("endpoint", "engine", "prefill", "decode")
+    return {
+        line.fields[name]
+        for line in lines
+        for name in names
+        if line.fields.get(name)
+    }
+
+
+def text(story, decider):
+    """Return a story as text for a person."""
+    if not story:
+        return "no line about this request"
+    first = story[0].time
+    rows = []
+    for line in story:
+        mark = ">" if line is decider else " "
+        fields = " ".join(
+            f"{key}={value}"
+            for key, value in line.fields.items()
+            if key not in ("level", "request")
+        )
+        after = f"{(line.time - first) * 1_000:8.0f} ms"
+        rows.append(f"{mark} {after}  {line.instance}  {line.message}")
+        rows[-1] += f"  {fields}"
+    return "\n".join(rows)
