Count the second reading of a prompt as a retry of its own

Change: it draws twice; the end of a stop comes a little earlier.

Before: the test failed with 4 further arrivals of 3 allowed; after: passes.

--- a/clementinewall/gateway/budgets.py
+++ b/clementinewall/gateway/budgets.py
@@ -25,8 +25,8 @@
         """Count a request of a caller for a service."""
         self._budget(service).count_request()
 
-    def spend(self, service):
-        """Take one further send; return whether there was one left."""
+    def spend(self, service, sends=1):
+        """Take further sends; return whether so many were left."""
         # A gateway that isn't heard may be cut off and still send.
         self._most = max(self._most, 1 + len(self._peers.live()))
-        return self._budget(service).spend(self._most)
+        return self._budget(service).spend(self._most, sends)
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -32,9 +32,11 @@
 # gateway that died is not tried for long; each question costs 0.3 ms.
 ADDRESSES_TTL_MS = 2_000
 # Of the time between SIGTERM and the end: up to here new connections are
-# still accepted, since callers kept the address; then what is open ends.
+# still accepted, since callers kept the address.  What is still open in the
+# last sixth is cut; with less than a tenth left two of 14 slowed processes
+# had not ended in time and were killed.
 ACCEPT_PART = 0.6
-END_PART = 0.9
+END_PART = 0.86
 BACKLOG = 1_024
 
 
--- a/clementinewall/gateway/retries.py
+++ b/clementinewall/gateway/retries.py
@@ -31,15 +31,15 @@
         self._requests.append(now)
         self._trim(now)
 
-    def spend(self, gateways):
-        """Take one further send; return whether there was one left."""
+    def spend(self, gateways, sends=1):
+        """Take further sends; return whether so many were left."""
         now = self._now()
         self._trim(now)
         slack = self._bounds.retry_slack / max(1, gateways)
         allowed = self._bounds.retry_ratio * len(self._requests) + slack
-        if len(self._extra) + 1 > allowed * MARGIN:
+        if len(self._extra) + sends > allowed * MARGIN:
             return False
-        self._extra.append(now)
+        self._extra.extend([now] * sends)
         return True
 
     def _trim(self, now):
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -58,10 +58,10 @@
         stream = _Stream(exchange)
         last = None
         while True:
-            if exchange.sends and not self._budgets.spend(exchange.service):
+            plan = self._place(exchange, last)
+            if exchange.sends and not self._spend(exchange, plan):
                 _log.info("no budget", request=exchange.call.attempt)
                 break
-            plan = self._place(exchange, last)
             try:
                 await self._run_plan(exchange, stream, plan)
             except exchanges.AttemptFailed as exc:
@@ -77,6 +77,16 @@
             return
         raise exchanges.final_error(exchange, last.why)
 
+    def _spend(self, exchange, plan):
+        """Take a retry from the budget; reading the prompt again counts too.
+
+        Only the first reading of a prompt is free.  Retries that were
+        counted once went over the deployment's bound by 24 in 10 s when
+        decode engines were replaced under load.
+        """
+        sends = 1 if plan.reader is None else 2
+        return self._budgets.spend(exchange.service, sends)
+
     def _place(self, exchange, last):
         """Choose the engines.
 
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -177,3 +177,40 @@
             lambda: engine.closed_by_peer, seconds=2, what="the end"
         )
         self.assertLess(time.monotonic() - left, 0.5)
+
+
+class RetryBudget(gateway_base.GatewayCase):
+    """Further sends stay within the budget, prompts that are read too."""
+
+    def test_reading_a_prompt_again_draws_on_the_budget(self):
+        # Decode engines refuse, as they do right after they were replaced.
+        # Each retry has the prompt read again, so it reaches two engines.
+        # Counted as one, the retries of a bad minute went over what the
+        # engines' operators allow, just when the engines had the least to
+        # spare.
+        def reader(_endpoint, request):
+            body = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
+            yield scripted.answer(request, body)
+
+        def full(_endpoint, request):
+            yield scripted.answer(request, b"", 503, Not_Executed="1")
+
+        self.publish(route("chat", "model", "stream", resumable=True))
+        engines = [
+            self.endpoint("one", reader, "model", stage="prefill"),
+            self.endpoint("two", full, "model", stage="decode"),
+            self.endpoint("three", full, "model", stage="decode"),
+        ]
+        slack = 3
+        front = self.gateway(budget_slack=slack, budget_ratio=0.0)
+        usage = dict(MODEL_HEADERS, Token_Usage="30000,20")
+        count = 4
+        for number in range(count):
+            answer = self.ask(front, "/chat/x", f"c{number}", **usage)
+            self.assertEqual(answer.status_code, 503)
+        arrivals = sum(
+            request.method == "POST"
+            for engine in engines
+            for request in engine.requests
+        )
+        self.assertLessEqual(arrivals - 2 * count, slack)
