Deal gateways and engines into cells; poll by the deployment's bounds

Change: cells of about eight gateways share engines and tell each other single prompts; all others get a sign of life twice a second. Reads of the store follow drain_ms and config_ms. Several engines may change their stage at once in a large fleet.

--- a/clementinewall/gateway/following.py
+++ b/clementinewall/gateway/following.py
@@ -17,13 +17,13 @@
 _log = logs.PartLog("follow")
 
 # Operators' changes are rare: a read waits for the next one.  Connections
-# may go silent for good, and a change has to be in force within 2,000 ms of
-# its confirmation, so a read is not kept waiting longer than that.
-CONFIGURATION_WAIT_MS = 1_500
+# may go silent for good, and a change has to be in force within a bound of
+# its confirmation, so a read is kept waiting for this part of the bound.
+CONFIGURATION_PART = 0.75
 # Endpoints write several times a second, so a waiting read would come back
-# at once each time.  A leaving endpoint must be known within 2,000 ms; two
-# reads a second leave room for one that fails.
-FLEET_EVERY_MS = 500
+# at once each time.  A leaving endpoint must be known within a bound; four
+# reads in that time leave room for one that fails.
+FLEET_PART = 0.25
 PEERS_WAIT_MS = 10_000
 RETRY_MS = 200
 
@@ -101,7 +101,7 @@
         records.CONFIGURATION_TOPIC,
         take_all,
         beliefs.take_configuration,
-        CONFIGURATION_WAIT_MS,
+        int(settings.bounds.configuration_ms * CONFIGURATION_PART),
         0,
     )
 
@@ -115,7 +115,7 @@
         beliefs.take_whole_fleet,
         beliefs.take_endpoint,
         0,
-        FLEET_EVERY_MS,
+        int(settings.bounds.leaving_ms * FLEET_PART),
     )
     follower.on_return = beliefs.store_returned
     return follower
--- /dev/null
+++ b/clementinewall/gateway/membership.py
@@ -0,0 +1,49 @@
+"""Which gateways and engines this gateway works with closely."""
+
+from clementinewall.gateway import types
+from clementinewall import logs
+from clementinewall.policy import cells
+
+_log = logs.PartLog("cell")
+
+
+class Membership:
+    """Keeps the cell of this gateway current."""
+
+    def __init__(self, settings, beliefs):
+        """Begin alone."""
+        self._ip = settings.ip
+        self._beliefs = beliefs
+        self._cell = cells.Cell(frozenset((self._ip,)), frozenset())
+
+    def update(self, live_ips):
+        """Deal anew among the gateways that were heard lately."""
+        engines = [
+            cells.Engine(endpoint.id, endpoint.service, endpoint.stage)
+            for endpoint in self._beliefs.endpoint_by_id.values()
+            if endpoint.stage in types.STAGES and not endpoint.leaving
+        ]
+        cell = cells.deal(self._ip, {self._ip, *live_ips}, engines)
+        if cell == self._cell:
+            return
+        self._cell = cell
+        _log.info(
+            "cell dealt",
+            gateways=len(cell.gateways),
+            engines=len(cell.engines),
+            of_gateways=len(live_ips) + 1,
+            of_engines=len(engines),
+        )
+
+    def is_close(self, ip):
+        """Tell whether a gateway shares this one's engines."""
+        return ip in self._cell.gateways
+
+    def own_engines(self, states):
+        """Return those of the cell, or all where it has none."""
+        own = [s for s in states if s.endpoint.id in self._cell.engines]
+        return own if _has_decoder(own) else states
+
+
+def _has_decoder(states):
+    return any(s.endpoint.stage == types.DECODE for s in states)
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -31,8 +31,10 @@
 EVERY_MS = 50
 # Without work a state is sent this seldom, as a sign of life.
 UNCHANGED_MS = 300
-# Three signs of life and one lost: callers that ask are not sent to a
-# gateway that died longer ago than that.
+# Gateways outside the cell need to know only that this one serves.
+FAR_MS = 500
+# Two signs of life and one lost: callers that ask are not sent to a gateway
+# that died longer ago than that.
 SILENT_MS = 1_200
 REGISTER_RETRY_MS = 1_000
 MAX_BYTES = 60_000
@@ -64,11 +66,13 @@
 class Peers:
     """The other gateways, and the socket to talk with them."""
 
-    def __init__(self, settings, now, report, endpoints, guard):
+    def __init__(self, settings, now, report, endpoints, guard, membership):
         """Send what ``report`` returns; ``endpoints`` learn from others.
 
-        The marks of ``guard`` go with each state.
+        The marks of ``guard`` go with each state.  Gateways outside the cell
+        get a sign of life only.
         """
+        self._membership = membership
         self._guard = guard
         self._settings = settings
         self._now = now
@@ -78,6 +82,7 @@
         self._peer_by_ip = {}
         self._had_work = True
         self._last_at = -UNCHANGED_MS
+        self._last_far_at = -FAR_MS
         self._news = anyio.Event()
 
     def live(self):
@@ -128,7 +133,8 @@
                     self._news = anyio.Event()
 
     def _gap_ms(self):
-        return GAP_MS_A_PEER * max(1, len(self._peer_by_ip))
+        close = sum(map(self._membership.is_close, self._peer_by_ip))
+        return GAP_MS_A_PEER * max(1, close)
 
     async def _send(self, udp):
         state, read = self._report()
@@ -138,13 +144,24 @@
             return
         self._had_work = bool(state["work"])
         self._last_at = now
+        ips = [ip for ip in self._ips if self._membership.is_close(ip)]
+        await self._send_to(udp, ips, state, read)
+        if now - self._last_far_at >= FAR_MS:
+            self._last_far_at = now
+            await self._send_to(udp, self._far(ips), {**state, "work": {}}, [])
+
+    def _far(self, close):
+        """Return the addresses outside the cell; until dealt, all others."""
+        return self._ips.difference(close)
+
+    async def _send_to(self, udp, ips, state, read):
         marks = self._guard.message()
         raw = json.dumps([state, read, marks], separators=(",", ":")).encode()
         if len(raw) > MAX_BYTES:
             _log.warning("state too large to tell", size=len(raw))
             return
         port = self._settings.peer_port
-        for ip in self._ips:
+        for ip in ips:
             try:
                 await udp.sendto(raw, ip, port)
             except OSError as exc:
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -14,6 +14,7 @@
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import following
 from clementinewall.gateway import guard
+from clementinewall.gateway import membership
 from clementinewall.gateway import peers
 from clementinewall.gateway import plain
 from clementinewall.gateway import stages
@@ -54,12 +55,14 @@
         self._beliefs = beliefs.Beliefs(now)
         self._endpoints = endpoints.Endpoints(self._beliefs, now)
         self._guard = guard.Guard(now)
+        self._membership = membership.Membership(settings, self._beliefs)
         self._peers = peers.Peers(
             settings,
             now,
             self._report,
             self._endpoints,
             self._guard,
+            self._membership,
         )
         self._budgets = budgets.Budgets(settings, self._peers, now)
         self._plain = plain.PlainRelay(
@@ -69,6 +72,7 @@
             settings,
             self._endpoints,
             self._peers,
+            self._membership,
             self._budgets,
             self._guard,
             group,
@@ -170,6 +174,7 @@
         while True:
             self._log_writer.flush()
             self._beliefs.expire()
+            self._membership.update([p.ip for p in self._peers.live()])
             self._endpoints.sweep()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -22,6 +22,9 @@
 _log = logs.PartLog("stage")
 
 LOOK_MS = 250
+# So many engines, one of this number, may be away for a change at a time:
+# of six engines a second one away costs more than the change gains.
+AWAY_PART = 6
 # The next gateway in line acts when a change stays undone for so long more.
 TURN_MS = 3_000
 # An order without an answer may be carried out up to 12 s later.
@@ -46,6 +49,7 @@
         self._wanted_since = None
         self._why = None
         self._rest_until_by_id = {}
+        self._ordered_by_id = {}
 
     async def run(self):
         """Look and act until cancelled."""
@@ -76,9 +80,8 @@
             if service.engine is None:
                 continue
             states = self._endpoints.of_service(service.name)
-            if any(self._is_resting(state) for state in states):
-                # One change at a time: a second engine away at once would
-                # cost more than the change gains.
+            resting = sum(self._is_resting(state) for state in states)
+            if resting >= max(1, len(states) // AWAY_PART):
                 continue
             change = stages.plan(
                 [
@@ -97,9 +100,13 @@
             for peer in self._peers.live()
             if state.endpoint.id in peer.work_by_endpoint
         )
+        stage = state.endpoint.stage
+        if self._is_resting(state):
+            # Its record shows the new stage only when the change is over.
+            stage = self._ordered_by_id.get(state.endpoint.id, stage)
         return stages.Engine(
             state.endpoint.id,
-            state.endpoint.stage == types.PREFILL,
+            stage == types.PREFILL,
             streams,
             max(1, state.endpoint.slots),
         )
@@ -137,6 +144,7 @@
         if not self._lease.is_held():
             return None
         sequence = calls.orders_accepted(report)
+        self._ordered_by_id.pop(change.id, None)
         order = calls.stage_order(
             state.endpoint,
             types.PREFILL if change.prefill else types.DECODE,
@@ -145,6 +153,10 @@
             sequence,
         )
         status, _body = await self._exchange(state, order)
+        if status in (200, 202):
+            self._ordered_by_id[change.id] = (
+                types.PREFILL if change.prefill else types.DECODE
+            )
         metrics.count("orders", status=status)
         _log.info(
             "stage ordered",
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -40,13 +40,24 @@
 class StreamRelay:
     """Carries streams from the engines of a service to callers."""
 
-    def __init__(self, settings, endpoints, peers, budgets, guard, group, now):
+    def __init__(
+        self,
+        settings,
+        endpoints,
+        peers,
+        membership,
+        budgets,
+        guard,
+        group,
+        now,
+    ):
         """Use the gateway's parts; ``group`` runs what outlives a request."""
-        self._guard = guard
         self._settings = settings
         self._endpoints = endpoints
         self._peers = peers
+        self._membership = membership
         self._budgets = budgets
+        self._guard = guard
         self._group = group
         self._now = now
 
@@ -93,12 +104,14 @@
         :raises Overloaded: the request cannot be served in time.
         """
         demand = self._demand(exchange)
-        states = {
-            state.endpoint.id: state
+        untried = [
+            state
             for state in self._endpoints.of_service(exchange.service.name)
             if state.endpoint.id not in exchange.tried
             and endpoints_module.is_engine(state)
-        }
+        ]
+        close = self._membership.own_engines(untried)
+        states = {state.endpoint.id: state for state in close}
         peers = self._peers.live()
         prompt = exchange.call.prompt or NO_PROMPT
         cached = max(
--- a/clementinewall/gateway/types.py
+++ b/clementinewall/gateway/types.py
@@ -30,6 +30,10 @@
     retry_slack: float = 50.0
     # How long callers keep the addresses that they were told, at most.
     addresses_ttl_ms: clock.Millis = 5_000
+    # A change of the configuration must be in force by then, and a leaving
+    # endpoint get no new work.
+    configuration_ms: clock.Millis = 2_000
+    leaving_ms: clock.Millis = 2_000
     # Orders of two holders to one engine must be so far apart.
     turn_ms: clock.Millis = 3_000
 
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -39,6 +39,8 @@
     budget_slack: float = 50.0
     ttl_max_s: float = 5.0
     lease_ms: float = 3_000.0
+    config_ms: float = 2_000.0
+    drain_ms: float = 2_000.0
 
 
 class _File(typing.NamedTuple):
@@ -109,6 +111,8 @@
             retry_window_ms=int(bounds.budget_window_s * 1_000),
             retry_slack=bounds.budget_slack,
             addresses_ttl_ms=int(bounds.ttl_max_s * 1_000),
+            configuration_ms=int(bounds.config_ms),
+            leaving_ms=int(bounds.drain_ms),
             turn_ms=int(bounds.lease_ms),
         ),
         memory_mb=known.limits.memory_mb,
--- /dev/null
+++ b/tests/policy/test_cells.py
@@ -0,0 +1,57 @@
+"""Dealing gateways and engines into cells."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from clementinewall.policy import cells
+
+
+def fleet(gateways, reading, decoding):
+    """Return names of gateways and engines of both stages."""
+    names = [f"10.0.0.{n}" for n in range(gateways)]
+    engines = [
+        cells.Engine(f"{stage}-{n}", "model", stage)
+        for stage, number in (("prefill", reading), ("decode", decoding))
+        for n in range(number)
+    ]
+    return names, engines
+
+
+class Deal(unittest.TestCase):
+    """``deal`` as each gateway calls it for itself."""
+
+    def test_a_small_deployment_is_one_cell(self):
+        names, engines = fleet(8, 2, 3)
+        cell = cells.deal(names[0], names, engines)
+        self.assertEqual(cell.gateways, set(names))
+        self.assertEqual(len(cell.engines), 5)
+
+    @hypothesis.given(
+        strategies.integers(1, 80),
+        strategies.integers(1, 60),
+        strategies.integers(1, 60),
+    )
+    @hypothesis.settings(derandomize=True, max_examples=200)
+    def test_cells_part_the_fleet_evenly(self, gateways, reading, decoding):
+        names, engines = fleet(gateways, reading, decoding)
+        dealt = [cells.deal(name, names, engines) for name in names]
+        # Whoever I share engines with shares them with me.
+        for name, cell in zip(names, dealt, strict=True):
+            self.assertIn(name, cell.gateways)
+            for other in cell.gateways:
+                self.assertEqual(dealt[names.index(other)], cell)
+        distinct = set(dealt)
+        sizes = [len(cell.engines) for cell in distinct]
+        self.assertEqual(sum(sizes), len(engines))
+        self.assertLessEqual(max(sizes) - min(sizes), 1)
+
+    @hypothesis.given(strategies.integers(8, 400))
+    @hypothesis.settings(derandomize=True)
+    def test_a_cell_stays_small_however_many_gateways(self, gateways):
+        # Its gateways tell each other every prompt: were a cell to grow with
+        # the deployment, so would what each gateway sends.
+        names, engines = fleet(gateways, 3 * gateways, 3 * gateways)
+        cell = cells.deal(names[0], names, engines)
+        self.assertLessEqual(len(cell.gateways), 2 * cells.GATEWAYS)
