--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -126,8 +126,14 @@
         row.update(more)
         self.put(ENDPOINTS_TOPIC, name, row)
 
-    def gateway(self, name="gateway-1", ip="127.0.0.1", **bounds):
+    def gateway(self, name="gateway-1", **bounds):
         """Start a gateway and wait until it is ready."""
+        front = self.start_only(name, **bounds)
+        bringup.wait_until(lambda: self.is_ready(name), what=name)
+        return front
+
+    def start_only(self, name="gateway-1", ip="127.0.0.1", **bounds):
+        """Start a gateway and return where it takes callers."""
         listen = {
             "front": f"{ip}:{bringup.free_port()}",
             "ready_addr": f"{ip}:{bringup.free_port()}",
@@ -153,7 +159,6 @@
         self.dep.start(
             name, "clementinewall.gateway.main", f"--settings={path}"
         )
-        bringup.wait_until(lambda: self.is_ready(name), what=name)
         return listen["front"]
 
     def _peer_port(self):
--- /dev/null
+++ b/tests/integration/test_gateway_life.py
@@ -0,0 +1,139 @@
+"""Starts, stops and outages of gateways under requests."""
+
+import time
+
+import httpx
+
+from standins import bringup
+from standins import scripted
+from tests.integration import base
+from tests.integration import gateway_base
+
+route = gateway_base.route
+
+
+def slow(seconds):
+    """Return a script that answers after so many seconds."""
+
+    def script(_endpoint, request):
+        if seconds:
+            yield seconds
+        yield scripted.answer(request, b"done")
+
+    return script
+
+
+class Life(gateway_base.GatewayCase):
+    """One gateway, and what happens around it."""
+
+    def setUp(self):
+        """Publish a route."""
+        super().setUp()
+        self.publish(route("book", "app", "unsafe"))
+
+    def test_a_stop_cuts_no_request(self):
+        # Operators replace gateways one after the other.  A booking that a
+        # gateway has taken must get its answer although it was told to stop.
+        self.endpoint("one", slow(1.0))
+        front = self.gateway()
+        asked = base.Background(self.ask, [(front, "/book/x", "a1")])
+        time.sleep(0.3)
+        self.terminate()
+        ((_, answer),) = asked.join()
+        self.assertEqual(answer.content, b"done")
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertFalse(self.is_ready("gateway-1"))
+        self.assertEqual(self.dep.wait_end("gateway-1", 4), 0)
+
+    def test_a_stopping_gateway_leaves_the_answers(self):
+        self.endpoint("one", slow(0))
+        self.gateway()
+        self.assertEqual(len(self.addresses()), 1)
+        self.terminate()
+        bringup.wait_until(
+            lambda: not self.is_ready("gateway-1"), what="not ready"
+        )
+        where = self.listen_by_name["gateway-1"]["directory"]
+        answer = self.http.get(f"http://{where}/resolve")
+        self.assertEqual(answer.status_code, 503)
+
+    def test_serving_goes_on_while_the_store_is_away(self):
+        # The store is down for minutes.  What is known stays in force;
+        # callers notice nothing.
+        self.endpoint("one", slow(0))
+        front = self.gateway()
+        for mode in ("busy", "silent"):
+            self.mode(mode)
+            time.sleep(2)
+            self.assertEqual(self.ask(front, "/book/x").status_code, 200)
+            self.assertTrue(self.is_ready("gateway-1"))
+        self.mode("ok")
+        self.publish(route("new", "app", "safe"))
+        bringup.wait_until(
+            lambda: self.ask(front, "/new/x").status_code == 200,
+            what="the new route",
+        )
+
+    def test_a_new_configuration_is_in_force_within_two_seconds(self):
+        self.endpoint("one", slow(0))
+        front = self.gateway()
+        self.publish(route("other", "app", "safe"))
+        start = time.monotonic()
+        bringup.wait_until(
+            lambda: self.ask(front, "/other/x").status_code == 200,
+            what="the new route",
+        )
+        self.assertLess(time.monotonic() - start, 2)
+        self.assertEqual(self.ask(front, "/book/x").status_code, 404)
+
+    def test_history_that_is_gone_is_read_anew(self):
+        # The store drops its history while a gateway was behind.  Only the
+        # newest records say what was missed.
+        self.endpoint("one", slow(0))
+        front = self.gateway()
+        for topic in ("keyed.op", "keyed.servers"):
+            self.http.post(
+                f"http://{self.store}/standin/forget", params={"topic": topic}
+            )
+        self.publish(route("new", "app", "safe"))
+        bringup.wait_until(
+            lambda: self.ask(front, "/new/x").status_code == 200,
+            what="the new route",
+        )
+
+    def test_an_engine_that_leaves_gets_nothing_new(self):
+        leaving = self.endpoint("one", slow(0))
+        staying = self.endpoint("two", slow(0))
+        front = self.gateway()
+        self.register("one", leaving.address, state="draining")
+        time.sleep(1.5)
+        before = len(leaving.requests)
+        for number in range(5):
+            self.ask(front, "/book/x", f"a{number}")
+        self.assertEqual(len(leaving.requests), before)
+        self.assertEqual(len(staying.requests), 5)
+
+    def test_without_a_configuration_requests_get_503(self):
+        # A process that starts while the store is away knows no route.  It
+        # must not say 404 for what operators allow.
+        self.mode("busy")
+        front = self.start_only()
+        answer = self.until_listening(front)
+        self.assertEqual(answer.status_code, 503)
+        self.mode("ok")
+        self.endpoint("one", slow(0))
+        bringup.wait_until(
+            lambda: self.ask(front, "/book/x").status_code == 200,
+            what="service",
+        )
+
+    def until_listening(self, front):
+        """Return the first answer of a gateway that has just started."""
+
+        def ask():
+            try:
+                return self.ask(front, "/book/x")
+            except httpx.HTTPError:
+                return None
+
+        return bringup.wait_until(ask, what="the gateway")
