--- /dev/null
+++ b/tests/integration/test_gateway_peers.py
@@ -0,0 +1,87 @@
+"""Two gateways that know one another."""
+
+import time
+
+from standins import bringup
+from standins import scripted
+from tests.integration import gateway_base
+
+route = gateway_base.route
+
+
+class Peers(gateway_base.GatewayCase):
+    """Gateways on two addresses of the loopback network."""
+
+    def setUp(self):
+        """Publish a route and start both."""
+        super().setUp()
+        self.publish(route("look", "app", "safe"))
+
+    def both(self):
+        """Start two gateways and wait until they have heard each other."""
+        fronts = [
+            self.start_only("gateway-1", "127.0.0.1"),
+            self.start_only("gateway-2", "127.0.0.2"),
+        ]
+        bringup.wait_until(
+            lambda: (
+                self.is_ready("gateway-1")
+                and self.is_ready("gateway-2")
+                and len(self.addresses("gateway-1")) == 2
+                and len(self.addresses("gateway-2")) == 2
+            ),
+            what="acquaintance",
+        )
+        return fronts
+
+    def test_a_dead_gateway_leaves_the_answers(self):
+        # A gateway is killed.  Callers that ask where to connect must not
+        # be sent to it for long.
+        self.endpoint("one", lambda _e, request: [scripted.answer(request)])
+        fronts = self.both()
+        self.dep.kill("gateway-2")
+        start = time.monotonic()
+        bringup.wait_until(
+            lambda: self.addresses("gateway-1") == fronts[:1],
+            what="one address",
+        )
+        self.assertLess(time.monotonic() - start, 2.5)
+
+    def test_a_paused_gateway_comes_back(self):
+        self.endpoint("one", lambda _e, request: [scripted.answer(request)])
+        self.both()
+        self.dep.pause("gateway-2")
+        bringup.wait_until(
+            lambda: len(self.addresses("gateway-1")) == 1, what="one address"
+        )
+        self.dep.resume("gateway-2")
+        bringup.wait_until(
+            lambda: len(self.addresses("gateway-1")) == 2, what="both"
+        )
+
+    def test_a_request_that_crashes_endpoints_is_known_to_all(self):
+        # One request crashes each endpoint that runs it, and its caller
+        # sends it again through every gateway.  Unmarked it would take the
+        # whole service down.
+        def script(_endpoint, request):
+            if request.body == b"poison":
+                yield scripted.RESET
+            else:
+                yield scripted.answer(request)
+
+        endpoints = [
+            self.endpoint(name, script) for name in ("one", "two", "three")
+        ]
+        first, second = self.both()
+        self.ask(first, "/look/x", "a1", content=b"poison")
+        time.sleep(0.6)
+        before = sum(len(e.requests) for e in endpoints)
+        self.assertEqual(before, 2)
+        for number, front in enumerate((first, second, second)):
+            answer = self.ask(
+                front, "/look/x", f"b{number}", content=b"poison"
+            )
+            self.assertEqual(answer.status_code, 502)
+        self.assertEqual(sum(len(e.requests) for e in endpoints), before)
+        sound = self.ask(second, "/look/x", "c1", content=b"pears")
+        self.assertEqual(sound.status_code, 200)
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,105 @@
+"""Decoding what operators and endpoints wrote, and what others wrote."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from clementinewall import errors
+from clementinewall.platform import records
+
+JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                ("service", "address", "zone", "state", "routes", "version")
+            ),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=10,
+)
+
+
+def route(name, prefix, **more):
+    """Return a route as operators write it."""
+    row = {
+        "name": name,
+        "host": "Shop.Example",
+        "path_prefix": prefix,
+        "route_kind": "safe",
+        "service": "app",
+        "max_attempts": 2,
+    }
+    row.update(more)
+    return row
+
+
+class Configuration(unittest.TestCase):
+    """Versions of the configuration."""
+
+    def decode(self, *routes, services=({"name": "app"},)):
+        """Return a decoded configuration."""
+        raw = {"version": 3, "routes": routes, "services": services}
+        return records.configuration(json.dumps(raw).encode())
+
+    def test_longest_prefix_wins(self):
+        found = self.decode(route("short", "/a/"), route("long", "/a/b/"))
+        chosen = found.route_for("shop.example", "/a/b/c")
+        self.assertEqual(chosen.name, "long")
+        self.assertEqual(found.route_for("shop.example", "/a/x").name, "short")
+        self.assertIsNone(found.route_for("shop.example", "/b/"))
+        self.assertIsNone(found.route_for("other.example", "/a/"))
+
+    def test_a_kind_that_is_not_known_may_not_run_twice(self):
+        found = self.decode(route("r", "/a/", route_kind="novel"))
+        chosen = found.route_for("shop.example", "/a/")
+        self.assertFalse(chosen.idempotent)
+
+    def test_split_routes_and_engines(self):
+        split = [{"service": "a", "weight": 9}, {"service": "b", "weight": 1}]
+        engine = {"slot_count": 4, "kv_capacity": 10, "handle_ttl_s": 1.5}
+        found = self.decode(
+            route("r", "/a/", traffic_split=split),
+            services=({"name": "a", "engine": engine}, {"name": "b"}),
+        )
+        chosen = found.route_for("shop.example", "/a/")
+        self.assertEqual([s.service for s in chosen.shares], ["a", "b"])
+        self.assertEqual(found.service_by_name["a"].engine.slots, 4)
+        self.assertEqual(
+            found.service_by_name["a"].engine.handle_ttl_ms, 1_500
+        )
+        self.assertIsNone(found.service_by_name["b"].engine)
+
+
+class Foreign(unittest.TestCase):
+    """Records that other writers left."""
+
+    @hypothesis.given(JSON)
+    @hypothesis.settings(derandomize=True, max_examples=300)
+    def test_any_json_is_decoded_or_refused(self, data):
+        # Any other error would end the task that reads the topic, and the
+        # gateway would learn nothing new from then on.
+        raw = json.dumps(data).encode()
+        for decode in (
+            records.configuration,
+            lambda value: records.endpoint("e", value),
+        ):
+            try:
+                decode(raw)
+            except errors.BadRecord:
+                continue
+
+    @hypothesis.given(strategies.binary(max_size=40))
+    @hypothesis.settings(derandomize=True)
+    def test_any_bytes_are_refused(self, raw):
+        with self.assertRaises(errors.BadRecord):
+            records.endpoint("e", raw)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,62 @@
+"""The settings that the platform writes."""
+
+import pathlib
+import tempfile
+import unittest
+
+from clementinewall import errors
+from clementinewall.platform import settings
+
+GOOD = """
+node_name = "front-a-1"
+ip = "10.1.0.38"
+zone = "a"
+region = "r"
+port_range = [7380, 7395]
+something_new = 3
+[listen]
+front = "10.1.0.38:8149"
+ready_addr = "10.1.0.38:8141"
+directory = "10.1.0.38:8143"
+other = "x"
+[bounds]
+grace_s = 8
+budget_ratio = 0.25
+novel_bound = true
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+
+class Load(unittest.TestCase):
+    """``load`` with files that are good, new or wrong."""
+
+    def load(self, text):
+        """Load a file with this text."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_text(text)
+            return settings.load(str(path))
+
+    def test_good_file_with_keys_that_are_not_known(self):
+        found = self.load(GOOD)
+        self.assertEqual(found.data_centre, "a")
+        self.assertEqual(found.peer_port, 7_380)
+        self.assertEqual(found.bounds.grace_ms, 8_000)
+        self.assertEqual(found.bounds.retry_ratio, 0.25)
+
+    def test_each_mistake_is_named(self):
+        broken = GOOD.replace('zone = "a"', "zone = 7").replace(
+            'front = "10.1.0.38:8149"', ""
+        )
+        with self.assertRaises(errors.SettingsError) as caught:
+            self.load(broken)
+        self.assertIn("zone", caught.exception.message)
+        self.assertIn("listen.front", caught.exception.message)
+        self.assertIn("settings.toml", caught.exception.message)
+
+    def test_no_file_and_no_toml(self):
+        with self.assertRaises(errors.SettingsError):
+            settings.load("/nowhere/settings.toml")
+        with self.assertRaises(errors.SettingsError):
+            self.load("not = = toml")
