--- /dev/null
+++ b/clementinewall/gateway/callers.py
@@ -0,0 +1,194 @@
+"""The connections of callers, and what is answered on them.
+
+Each connection has a task; while a request is served a second one waits for
+the caller to leave, so that nobody works for a caller that has gone.
+"""
+
+import random
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.gateway import exchange as exchanges
+from clementinewall.http1 import server
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.platform import calls
+
+_log = logs.PartLog("gateway")
+
+
+class Callers:
+    """Serves the callers' connections of this gateway."""
+
+    def __init__(self, beliefs, budgets, guard, plain, streams, now):
+        """Hand requests to the relays for plain and for model work."""
+        self._beliefs = beliefs
+        self._budgets = budgets
+        self._guard = guard
+        self._plain = plain
+        self._streams = streams
+        self._now = now
+        self._connections = set()
+        self._is_leaving = False
+        self.open = 0
+
+    def leave(self):
+        """End each connection after its next answer."""
+        self._is_leaving = True
+        for connection in self._connections:
+            connection.close_after_answer()
+
+    async def serve(self, stream):
+        """Serve one connection until its end."""
+        limits = server.Limits()
+        if self._beliefs.configuration is not None:
+            limits = self._beliefs.configuration.limits
+        connection = server.Connection(stream, limits)
+        self._connections.add(connection)
+        if self._is_leaving:
+            connection.close_after_answer()
+        try:
+            await self._serve_caller(connection)
+        finally:
+            self._connections.discard(connection)
+            with anyio.CancelScope(shield=True):
+                await server.close(stream)
+
+    async def _serve_caller(self, connection):
+        while True:
+            try:
+                request = await connection.read_request()
+            except server.Refused as exc:
+                await self._refuse_bytes(connection, exc)
+                return
+            if request is None:
+                return
+            self.open += 1
+            try:
+                await self._serve_request(connection, request)
+            except server.CallerGone:
+                return
+            finally:
+                self.open -= 1
+            if not connection.next_request():
+                return
+
+    async def _refuse_bytes(self, connection, refused):
+        error = errors.BadRequest(refused.why)
+        error.status = refused.status
+        connection.close_after_answer()
+        _log.info("bytes refused", status=refused.status, why=refused.why)
+        try:
+            await connection.answer(*exchanges.problem(error))
+        except server.CallerGone:
+            _log.debug("caller gone before the refusal")
+        except server.h11.LocalProtocolError as exc:
+            _log.debug("refusal not sent", why=str(exc))
+
+    async def _serve_request(self, connection, request):
+        """Answer one request, but stop when its caller has gone."""
+        gone = []
+        async with anyio.create_task_group() as group:
+
+            async def watch():
+                await connection.wait_gone()
+                gone.append(True)
+                group.cancel_scope.cancel()
+
+            group.start_soon(watch)
+            await self._answer(connection, request)
+            group.cancel_scope.cancel()
+        if gone:
+            _log.info(
+                "caller gone",
+                request=(request.header(calls.ATTEMPT) or b"").decode(
+                    "latin-1"
+                ),
+            )
+            raise server.CallerGone
+
+    async def _answer(self, connection, request):
+        exchange = None
+        try:
+            call = calls.decode(request)
+            exchange = self._exchange(connection, call)
+            await self._run_in_time(exchange)
+        except errors.ClementinewallError as exc:
+            await self._fail(connection, request, exchange, exc)
+        except server.CallerGone:
+            connection.close_after_answer()
+        except Exception as exc:
+            _log.error("defect", why=repr(exc))
+            logs.traceback(_log)
+            error = errors.ClementinewallError("internal error")
+            await self._fail(connection, request, exchange, error)
+
+    def _exchange(self, connection, call):
+        configuration = self._beliefs.configuration
+        if configuration is None:
+            raise errors.NotReady("no configuration is known yet")
+        route = configuration.route_for(call.host, call.path)
+        if route is None:
+            raise errors.NoRoute("no route leads there")
+        service = configuration.service_by_name.get(_pick(route.shares))
+        if service is None:
+            raise errors.NoEndpoint(f"route {route.name} has no service")
+        self._budgets.count_request(service)
+        self._guard.check(call)
+        exchange = exchanges.Exchange(
+            connection, call, route, service, self._now
+        )
+        _log.info(
+            "accepted",
+            request=call.attempt,
+            route=route.name,
+            version=configuration.version,
+            left_ms=exchange.left_ms,
+        )
+        return exchange
+
+    async def _run_in_time(self, exchange):
+        with anyio.move_on_after(clock.seconds(exchange.left_ms)) as scope:
+            if exchange.service.engine is not None:
+                await self._streams.run(exchange)
+            else:
+                await self._plain.run(exchange)
+        if scope.cancelled_caught:
+            raise errors.DeadlineExceeded("no answer within the timeout")
+        took = exchange.waited_ms
+        metrics.observe_ms("answered", took, route=exchange.route.name)
+        _log.info("answered", request=exchange.call.attempt, took_ms=took)
+
+    async def _fail(self, connection, request, exchange, error):
+        attempt = request.header(calls.ATTEMPT) or b""
+        metrics.count("failed", code=error.code)
+        _log.info(
+            "failed",
+            request=attempt.decode("latin-1"),
+            code=error.code,
+            status=error.status,
+            verdict=error.verdict.value,
+            why=error.message,
+        )
+        if connection.answered:
+            # Closing without the end of the body shows that it is cut off.
+            connection.close_after_answer()
+            return
+        left_ms = exchange.left_ms if exchange else None
+        head, body = exchanges.problem(error, left_ms)
+        try:
+            await connection.answer(head, body)
+        except server.CallerGone:
+            connection.close_after_answer()
+
+
+def _pick(shares):
+    """Return the service of one request, by the weights of the route."""
+    if len(shares) == 1:
+        return shares[0].service
+    weights = [max(0.0, share.weight) for share in shares]
+    if not any(weights):
+        return shares[0].service
+    return random.choices(shares, weights)[0].service
--- /dev/null
+++ b/clementinewall/gateway/placing.py
@@ -0,0 +1,143 @@
+"""Choosing the engines for a request, from what this gateway knows now."""
+
+import random
+import typing
+
+from clementinewall import errors
+from clementinewall.gateway import endpoints as endpoints_module
+from clementinewall.gateway import exchange as exchanges
+from clementinewall.gateway import types
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.policy import placement
+from clementinewall.policy import reading_queue
+
+_log = logs.PartLog("stream")
+
+NO_PROMPT = types.Prompt("", 0, 0, ())
+# Returning callers are spread over half as much time again.
+RETRY_SPREAD = 0.5
+# An engine that failed or fell silent is used only if all others are worse.
+UNUSABLE_SLOWNESS = 10.0
+
+
+class Plan(typing.NamedTuple):
+    """The engines chosen for one send; ``reader`` is set for a split."""
+
+    reader: endpoints_module.State | None
+    decoder: endpoints_module.State
+    way: placement.Way
+    urgency: int
+
+
+class Placer:
+    """Places requests for models."""
+
+    def __init__(self, settings, endpoints, peers, membership, now):
+        """Use what is known of the engines and of the peers' work there."""
+        self._settings = settings
+        self._endpoints = endpoints
+        self._peers = peers
+        self._membership = membership
+        self._now = now
+
+    def place(self, exchange, last):
+        """Choose the engines.
+
+        :raises Overloaded: the request cannot be served in time.
+        """
+        demand = self._demand(exchange)
+        untried = [
+            state
+            for state in self._endpoints.of_service(exchange.service.name)
+            if state.endpoint.id not in exchange.tried
+            and endpoints_module.is_engine(state)
+        ]
+        close = self._membership.own_engines(untried)
+        states = {state.endpoint.id: state for state in close}
+        peers = self._peers.live()
+        prompt = exchange.call.prompt or NO_PROMPT
+        cached = max(
+            (s.cached_tokens(prompt.parts[:-1]) for s in states.values()),
+            default=0,
+        )
+        urgency = placement.urgency(demand, cached)
+        engines = [
+            self._engine(state, prompt, urgency, peers)
+            for state in states.values()
+        ]
+        chosen = placement.choose(engines, demand)
+        if isinstance(chosen, placement.Refusal):
+            self._refuse(exchange, demand, chosen, last)
+        _log.info(
+            "placed",
+            request=exchange.call.attempt,
+            route=exchange.route.name,
+            prefill=chosen.prefill,
+            decode=chosen.decode,
+            urgency=urgency,
+            first_ms=round(chosen.first_ms),
+            wait_ms=round(chosen.wait_ms),
+            prompt_ms=round(chosen.prompt_ms),
+            cached=chosen.cached,
+            tokens=demand.tokens,
+            left_ms=round(demand.left_ms),
+        )
+        reader = states.get(chosen.prefill)
+        return Plan(reader, states[chosen.decode], chosen, urgency)
+
+    def _demand(self, exchange):
+        prompt = exchange.call.prompt or NO_PROMPT
+        limits = exchange.service.engine
+        return placement.Demand(
+            tokens=prompt.tokens_in,
+            left_ms=exchange.route.goal_ms - exchange.waited_ms,
+            goal_ms=exchange.route.goal_ms,
+            token_bytes=limits.kv_token_bytes,
+            link_mbps=limits.link_mbps,
+        )
+
+    def _engine(self, state, prompt, urgency, peers):
+        endpoint = state.endpoint
+        jobs = list(state.jobs)
+        streams = state.streams
+        last_end = state.last_end
+        for peer in peers:
+            work = peer.work_by_endpoint.get(endpoint.id)
+            if work is not None:
+                jobs.extend(work.jobs)
+                streams += work.streams
+                last_end = max(last_end, work.last_end)
+        waiting = reading_queue.wait_ms(jobs, last_end, self._now(), urgency)
+        return placement.Engine(
+            id=endpoint.id,
+            prefill=endpoint.stage == types.PREFILL,
+            wait_ms=waiting,
+            streams=streams,
+            slots=max(1, endpoint.slots),
+            cached=state.cached_tokens(prompt.parts[:-1]),
+            near=endpoint.data_centre == self._settings.data_centre,
+            slowness=state.health.slowness
+            if state.is_usable()
+            else UNUSABLE_SLOWNESS,
+        )
+
+    def _refuse(self, exchange, demand, refusal, last):
+        best = refusal.best
+        _log.info(
+            "refused",
+            request=exchange.call.attempt,
+            route=exchange.route.name,
+            why=refusal.why,
+            first_ms=round(best.first_ms) if best else None,
+            wait_ms=round(best.wait_ms) if best else None,
+            left_ms=round(demand.left_ms),
+            tokens=demand.tokens,
+        )
+        metrics.count("refused", route=exchange.route.name)
+        if last is not None:
+            raise exchanges.final_error(exchange, last.why)
+        spread = 1 + RETRY_SPREAD * random.random()
+        raise errors.Overloaded(
+            refusal.why, retry_after_ms=refusal.retry_ms * spread
+        )
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -1,32 +1,21 @@
 """Work for model engines: placing, prefill, streams and their resumption."""
 
-import random
-import typing
-
 import anyio
 
 from clementinewall import clock
 from clementinewall import errors
-from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import sending
-from clementinewall.gateway import sse
+from clementinewall.gateway import stream_answer
 from clementinewall.gateway import types
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import calls
-from clementinewall.policy import placement
-from clementinewall.policy import reading_queue
 from clementinewall import verdicts
 
 _log = logs.PartLog("stream")
 
 FREE_TIMEOUT_MS = 1_000
-NO_PROMPT = types.Prompt("", 0, 0, ())
-# Returning callers are spread over half as much time again.
-RETRY_SPREAD = 0.5
-# An engine that failed or fell silent is used only if all others are worse.
-UNUSABLE_SLOWNESS = 10.0
 # A prompt that takes this many times as long as predicted, and half a second
 # more, is read elsewhere: reading is no run, so this is always allowed.
 PREFILL_PATIENCE = 3.0
@@ -40,22 +29,15 @@
 class StreamRelay:
     """Carries streams from the engines of a service to callers."""
 
-    def __init__(
-        self,
-        settings,
-        endpoints,
-        peers,
-        membership,
-        budgets,
-        guard,
-        group,
-        now,
-    ):
-        """Use the gateway's parts; ``group`` runs what outlives a request."""
-        self._settings = settings
+    def __init__(self, endpoints, placer, tell, budgets, guard, group, now):
+        """Use the gateway's parts.
+
+        ``tell`` lets the peers know of new work; ``group`` runs what outlives
+        a request.
+        """
         self._endpoints = endpoints
-        self._peers = peers
-        self._membership = membership
+        self._placer = placer
+        self._tell = tell
         self._budgets = budgets
         self._guard = guard
         self._group = group
@@ -66,10 +48,10 @@
 
         :raises ClementinewallError: it could not be answered.
         """
-        stream = _Stream(exchange)
+        stream = stream_answer.StreamAnswer(exchange)
         last = None
         while True:
-            plan = self._place(exchange, last)
+            plan = self._placer.place(exchange, last)
             if exchange.sends and not self._spend(exchange, plan):
                 _log.info("no budget", request=exchange.call.attempt)
                 break
@@ -98,107 +80,6 @@
         sends = 1 if plan.reader is None else 2
         return self._budgets.spend(exchange.service, sends)
 
-    def _place(self, exchange, last):
-        """Choose the engines.
-
-        :raises Overloaded: the request cannot be served in time.
-        """
-        demand = self._demand(exchange)
-        untried = [
-            state
-            for state in self._endpoints.of_service(exchange.service.name)
-            if state.endpoint.id not in exchange.tried
-            and endpoints_module.is_engine(state)
-        ]
-        close = self._membership.own_engines(untried)
-        states = {state.endpoint.id: state for state in close}
-        peers = self._peers.live()
-        prompt = exchange.call.prompt or NO_PROMPT
-        cached = max(
-            (s.cached_tokens(prompt.parts[:-1]) for s in states.values()),
-            default=0,
-        )
-        urgency = placement.urgency(demand, cached)
-        engines = [
-            self._engine(state, prompt, urgency, peers)
-            for state in states.values()
-        ]
-        chosen = placement.choose(engines, demand)
-        if isinstance(chosen, placement.Refusal):
-            self._refuse(exchange, demand, chosen, last)
-        _log.info(
-            "placed",
-            request=exchange.call.attempt,
-            route=exchange.route.name,
-            prefill=chosen.prefill,
-            decode=chosen.decode,
-            urgency=urgency,
-            first_ms=round(chosen.first_ms),
-            wait_ms=round(chosen.wait_ms),
-            prompt_ms=round(chosen.prompt_ms),
-            cached=chosen.cached,
-            tokens=demand.tokens,
-            left_ms=round(demand.left_ms),
-        )
-        reader = states.get(chosen.prefill)
-        return _Plan(reader, states[chosen.decode], chosen, urgency)
-
-    def _demand(self, exchange):
-        prompt = exchange.call.prompt or NO_PROMPT
-        limits = exchange.service.engine
-        return placement.Demand(
-            tokens=prompt.tokens_in,
-            left_ms=exchange.route.goal_ms - exchange.waited_ms,
-            goal_ms=exchange.route.goal_ms,
-            token_bytes=limits.kv_token_bytes,
-            link_mbps=limits.link_mbps,
-        )
-
-    def _engine(self, state, prompt, urgency, peers):
-        endpoint = state.endpoint
-        jobs = list(state.jobs)
-        streams = state.streams
-        last_end = state.last_end
-        for peer in peers:
-            work = peer.work_by_endpoint.get(endpoint.id)
-            if work is not None:
-                jobs.extend(work.jobs)
-                streams += work.streams
-                last_end = max(last_end, work.last_end)
-        waiting = reading_queue.wait_ms(jobs, last_end, self._now(), urgency)
-        return placement.Engine(
-            id=endpoint.id,
-            prefill=endpoint.stage == types.PREFILL,
-            wait_ms=waiting,
-            streams=streams,
-            slots=max(1, endpoint.slots),
-            cached=state.cached_tokens(prompt.parts[:-1]),
-            near=endpoint.data_centre == self._settings.data_centre,
-            slowness=state.health.slowness
-            if state.is_usable()
-            else UNUSABLE_SLOWNESS,
-        )
-
-    def _refuse(self, exchange, demand, refusal, last):
-        best = refusal.best
-        _log.info(
-            "refused",
-            request=exchange.call.attempt,
-            route=exchange.route.name,
-            why=refusal.why,
-            first_ms=round(best.first_ms) if best else None,
-            wait_ms=round(best.wait_ms) if best else None,
-            left_ms=round(demand.left_ms),
-            tokens=demand.tokens,
-        )
-        metrics.count("refused", route=exchange.route.name)
-        if last is not None:
-            raise exchanges.final_error(exchange, last.why)
-        spread = 1 + RETRY_SPREAD * random.random()
-        raise errors.Overloaded(
-            refusal.why, retry_after_ms=refusal.retry_ms * spread
-        )
-
     async def _run_plan(self, exchange, stream, plan):
         prefilled = None
         if plan.reader is not None:
@@ -218,7 +99,7 @@
         job = None
         if not prefilled:
             job = decoder.begin_prompt(plan.urgency, plan.way.prompt_ms)
-        self._peers.tell()
+        self._tell()
         stream.begin(lambda: self._first(exchange, plan, job))
         taken = False
         silence_ms = self._silence_ms(exchange, plan)
@@ -280,7 +161,7 @@
         started = self._now()
         job = reader.begin_prompt(plan.urgency, prompt_ms)
         was_read = False
-        self._peers.tell()
+        self._tell()
         expected = plan.way.wait_ms + prompt_ms
         silence_ms = PREFILL_PATIENCE * expected + PREFILL_SLACK_MS
         try:
@@ -345,77 +226,3 @@
             verdict=exc.verdict.value,
             why=exc.why,
         )
-
-
-class _Plan(typing.NamedTuple):
-    """The engines chosen for one send; ``reader`` is set for a split."""
-
-    reader: endpoints_module.State | None
-    decoder: endpoints_module.State
-    way: placement.Way
-    urgency: int
-
-
-class _Stream:
-    """The answer as the caller gets it, from one engine or several."""
-
-    def __init__(self, exchange):
-        self._exchange = exchange
-        self.events = sse.Events(exchange.call.resume_after)
-        self.started = False
-        self.had_first = False
-        self._on_first = None
-
-    def begin(self, on_first):
-        """Expect the answer of one more engine."""
-        self.had_first = False
-        self._on_first = on_first
-
-    async def carry(self, sent, silence_ms):
-        """Hand on the events of one engine until the whole end.
-
-        :raises AttemptFailed: the stream broke off, or the engine said
-            nothing for ``silence_ms``.
-        """
-        head = sent.head
-        if head.status >= 300:
-            await self._carry_failure(sent)
-            return
-        if not calls.is_whole_success(head):
-            raise sent.failed("a success without the engine's stamp")
-        self.events.restart()
-        part = await sent.read_part(silence_ms)
-        while part is not None:
-            try:
-                fresh = self.events.feed(part)
-            except sse.BadEvent as exc:
-                raise sent.failed(str(exc)) from exc
-            if fresh:
-                await self._pass_on(head, fresh)
-            part = await sent.read_part(silence_ms)
-        if not self.events.is_whole:
-            raise sent.failed("the answer ends within an event")
-        await self._pass_on(head, b"")
-        await self._exchange.connection.finish()
-
-    async def _pass_on(self, head, data):
-        if not self.had_first:
-            self.had_first = True
-            self._on_first()
-        connection = self._exchange.connection
-        if not self.started:
-            self.started = True
-            await connection.send_head(calls.forwarded(head))
-        if data:
-            await connection.send_body(data)
-
-    async def _carry_failure(self, sent):
-        body = await sent.read_all()
-        answer = sent.head, body
-        if sent.head.status >= 500 or self.started:
-            raise sent.failed(
-                f"status {sent.head.status}", verdicts.Verdict.RAN, answer
-            )
-        await self._exchange.connection.answer(
-            calls.forwarded(sent.head), body
-        )
--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -226,3 +226,11 @@
     return h11.Connection(
         h11.SERVER, max_incomplete_event_size=limits.header_bytes
     )
+
+
+async def close(stream):
+    """Close a connection that may be broken already."""
+    try:
+        await stream.aclose()
+    except (anyio.BrokenResourceError, OSError) as exc:
+        _log.debug("close failed", why=repr(exc))
--- a/clementinewall/operator/main.py
+++ b/clementinewall/operator/main.py
@@ -37,7 +37,6 @@
 import functools
 import json
 import sys
-import tomllib
 
 import anyio
 import docopt
@@ -64,12 +63,12 @@
 
 
 async def _check(options, _session):
-    by_key = configuration.flatten(_read(options["FILE"]))
+    by_key = configuration.flatten(settings.read_toml(options["FILE"]))
     return {"good": True, "keys": sorted(by_key)}, 0
 
 
 async def _publish(options, live):
-    document = _read(options["FILE"])
+    document = settings.read_toml(options["FILE"])
     configuration.flatten(document)
     if options["--anew"]:
         offset = await live.publish_anew(document)
@@ -83,7 +82,7 @@
 
 async def _diff(options, live):
     state = await live.read_state()
-    differences = session.compare(state, _read(options["FILE"]))
+    differences = session.compare(state, settings.read_toml(options["FILE"]))
     return [difference._asdict() for difference in differences], 0
 
 
@@ -216,16 +215,6 @@
     return code
 
 
-def _read(path):
-    try:
-        with open(path, "rb") as file:
-            return tomllib.load(file)
-    except OSError as exc:
-        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
-
-
 def _number(text, name):
     if not text.isdigit():
         raise errors.BadRequest(f"{name}: found {text!r}, give a number")
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -5,12 +5,12 @@
 """
 
 import os
-import tomllib
 import typing
 
 from clementinewall import _schema
 from clementinewall import errors
 from clementinewall.gateway import types
+from clementinewall import settings as project_settings
 
 PATH_VARIABLE = "CLEMENTINEWALL_SETTINGS"
 # Descriptors that the platform keeps for files, out of ``max_fds``.
@@ -63,19 +63,11 @@
     path = path or os.environ.get(PATH_VARIABLE)
     if not path:
         raise errors.SettingsError(f"{PATH_VARIABLE} is not set")
-    try:
-        with open(path, "rb") as file:
-            data = tomllib.load(file)
-    except OSError as exc:
-        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
-        raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
+    data = project_settings.read_toml(path)
     known, mistakes = _schema.build(_File, _only_known(_File, data))
     if known is not None and not known.port_range:
         mistakes += (_schema.Mistake("port_range", "[]", "one port or more"),)
-    if mistakes:
-        lines = "\n".join(f"{path}: {mistake}" for mistake in mistakes)
-        raise errors.SettingsError(lines)
+    project_settings.refuse(path, mistakes)
     return _translate(known)
 
 
--- a/clementinewall/settings.py
+++ b/clementinewall/settings.py
@@ -150,19 +150,33 @@
 
     :raises SettingsError: naming the file, and each mistake in it.
     """
+    value, mistakes = _schema.build(shape, read_toml(path))
+    refuse(path, list(mistakes) + _cross_checks(value))
+    return value
+
+
+def read_toml(path):
+    """Return the content of a TOML file.
+
+    :raises SettingsError: it can't be read.
+    """
     try:
         with open(path, "rb") as file:
-            data = tomllib.load(file)
+            return tomllib.load(file)
     except OSError as exc:
         raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
         raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
-    value, mistakes = _schema.build(shape, data)
-    mistakes = list(mistakes) + _cross_checks(value)
+
+
+def refuse(path, mistakes):
+    """Refuse a file with mistakes.
+
+    :raises SettingsError: naming the file, and each of the mistakes.
+    """
     if mistakes:
         lines = "\n".join(f"{path}: {mistake}" for mistake in mistakes)
         raise errors.SettingsError(lines)
-    return value
 
 
 def _cross_checks(value):
