Finish what was taken late in a stop

Change: accepting has a scope of its own.

Before: the new test failed, the connection was closed without an answer; after: passes.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -122,10 +122,15 @@
             data_centre=settings.data_centre,
             store=settings.store,
         )
-        async with anyio.create_task_group() as accepting:
-            accepting.start_soon(front.serve, self._callers.serve, self._group)
-            await self._wait_term()
-            await self._drain(accepting.cancel_scope)
+        accepting = anyio.CancelScope()
+        start(self._accept, front, accepting)
+        await self._wait_term()
+        await self._drain(accepting)
+
+    async def _accept(self, listener, scope):
+        """Accept callers until ``scope`` ends; what was accepted goes on."""
+        with scope:
+            await listener.serve(self._callers.serve, self._group)
 
     def _known(self):
         return self._settings, self._now, self._beliefs
--- a/tests/integration/test_gateway_life.py
+++ b/tests/integration/test_gateway_life.py
@@ -45,6 +45,18 @@
         self.assertFalse(self.is_ready("gateway-1"))
         self.assertEqual(self.dep.wait_end("gateway-1", 4), 0)
 
+    def test_a_request_taken_late_in_a_stop_is_finished(self):
+        # Callers keep an address for seconds and come to a gateway that is
+        # about to stop.  It takes their requests for a while; the moment at
+        # which it takes no more must not cut those that it has taken.
+        self.endpoint("one", slow(0.7))
+        front = self.gateway()
+        self.terminate()
+        time.sleep(1.5)
+        answer = self.ask(front, "/book/x")
+        self.assertEqual(answer.content, b"done")
+        self.assertEqual(self.dep.wait_end("gateway-1", 4), 0)
+
     def test_a_stopping_gateway_leaves_the_answers(self):
         self.endpoint("one", slow(0))
         self.gateway()
