--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -7,6 +7,7 @@
 import random
 
 import anyio
+import h11
 
 from clementinewall import clock
 from clementinewall import errors
@@ -84,7 +85,7 @@
             await connection.answer(*exchanges.problem(error))
         except server.CallerGone:
             _log.debug("caller gone before the refusal")
-        except server.h11.LocalProtocolError as exc:
+        except h11.LocalProtocolError as exc:
             _log.debug("refusal not sent", why=str(exc))
 
     async def _serve_request(self, connection, request):
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -9,6 +9,8 @@
 # Where a refusal doesn't know better: about the time in which a burst of
 # the callers' clumps passes.
 RETRY_MS = 300
+# For a request that names no deadline on a route that has no timeout.
+DEFAULT_WAIT_MS = 30_000
 # Callers wait no longer than this part of the time that they have left.
 RETRY_PART = 1 / 3
 _REASONS = {
@@ -86,10 +88,6 @@
     return min(limits) if limits else DEFAULT_WAIT_MS
 
 
-# For a request that names no deadline on a route that has no timeout.
-DEFAULT_WAIT_MS = 30_000
-
-
 def problem(error, left_ms=None):
     """Return head and body of the answer to a request that failed."""
     body = json.dumps(
--- a/clementinewall/gateway/following.py
+++ b/clementinewall/gateway/following.py
@@ -129,9 +129,5 @@
             take(record)
 
     return Follower(
-        settings, now, PEERS_TOPIC, take_all, take, PEERS_WAIT_MS, 0
+        settings, now, records.GATEWAYS_TOPIC, take_all, take, PEERS_WAIT_MS, 0
     )
-
-
-# Our own topic: one key for each gateway, its address for other gateways.
-PEERS_TOPIC = "keyed.gateways"
--- a/clementinewall/gateway/lease.py
+++ b/clementinewall/gateway/lease.py
@@ -15,11 +15,11 @@
 
 from clementinewall import clock
 from clementinewall import logs
+from clementinewall.platform import records
 from clementinewall.platform import store
 
 _log = logs.PartLog("lease")
 
-TOPIC = "keyed.leases"
 KEY = "stages"
 # Long enough for a report and an order to several engines in turn.
 LEASE_MS = 4_000
@@ -70,7 +70,7 @@
 
         :raises LogUnavailable: the store doesn't answer.
         """
-        batch = await self._store.newest(TOPIC)
+        batch = await self._store.newest(records.LEASES_TOPIC)
         newest = _newest(batch.records)
         self._look(newest)
         if not self._may_claim():
@@ -78,7 +78,7 @@
         started = self._clock.now_with_suspend()
         value = json.dumps({"holder": self._holder, "boot": self._boot})
         offset = await self._store.append(
-            TOPIC, KEY, value.encode(), at=batch.end
+            records.LEASES_TOPIC, KEY, value.encode(), at=batch.end
         )
         if offset is None:
             _log.info("lease claimed by another gateway first", at=batch.end)
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -14,8 +14,8 @@
 
 from clementinewall import clock
 from clementinewall import errors
-from clementinewall.gateway import following
 from clementinewall import logs
+from clementinewall.platform import records
 from clementinewall.platform import store
 from clementinewall.policy import reading_queue
 
@@ -107,7 +107,7 @@
         while True:
             try:
                 await client.append(
-                    following.PEERS_TOPIC, self._settings.ip, b"1"
+                    records.GATEWAYS_TOPIC, self._settings.ip, b"1"
                 )
                 break
             except errors.LogUnavailable as exc:
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -8,6 +8,7 @@
 from clementinewall.gateway import sending
 from clementinewall.gateway import stream_answer
 from clementinewall.gateway import types
+from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import calls
@@ -216,7 +217,7 @@
                 await link.send(request)
                 await link.read_head()
                 await link.read_rest(sending.ANSWER_LIMIT)
-            except sending.client.LinkBroken as exc:
+            except client.LinkBroken as exc:
                 _log.info("handle not freed", why=exc.why)
                 return
             reader.pool.give_back(link)
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -198,9 +198,13 @@
         return not poll.poll(0)
 
     def close(self):
-        """Close at once; the endpoint then drops the request."""
-        transport = self._stream._transport
-        transport.abort()
+        """Close at once; the endpoint then drops the request.
+
+        ``aclose`` would wait for bytes that the peer hasn't taken yet, and
+        those of an order or a request must not arrive after it was given up.
+        anyio offers no way to abort, so its transport is reached for.
+        """
+        self._stream._transport.abort()
 
 
 class Pool:
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -10,6 +10,10 @@
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 ENDPOINTS_TOPIC = "keyed.servers"
+# Our own topics.  The prefix makes the store keep the newest record of each
+# key for good.
+GATEWAYS_TOPIC = "keyed.gateways"
+LEASES_TOPIC = "keyed.leases"
 _STATES = ("ready", "draining")
 
 
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -5,6 +5,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import errors
 from clementinewall.gateway import lease
 from clementinewall.gateway import types
 from clementinewall.platform import store
@@ -29,7 +30,7 @@
             return None
         self.records.append(store.Record(key, value, at))
         if self.lose_answer:
-            raise lease.store.errors.LogUnavailable("no answer")
+            raise errors.LogUnavailable("no answer")
         return at
 
 
@@ -94,7 +95,7 @@
         # The answer of the store is lost.  The claim may have been written
         # or may be written seconds later, so nothing is ordered on it.
         self.store.lose_answer = True
-        with self.assertRaises(lease.store.errors.LogUnavailable):
+        with self.assertRaises(errors.LogUnavailable):
             self.claim(self.first)
         self.assertFalse(self.first.is_held())
         self.store.lose_answer = False
