--- a/clementinewall/operator/main.py
+++ b/clementinewall/operator/main.py
@@ -12,7 +12,7 @@
   clementinewall [options] serve ENDPOINT
   clementinewall [options] replace ENDPOINT ADDRESS
   clementinewall [options] explain ABOUT
-  clementinewall [--json] story REQUEST FILE...
+  clementinewall [options] story REQUEST LOG...
   clementinewall --help
 
 Options:
@@ -159,7 +159,7 @@
         try:
             files = [
                 stack.enter_context(open(path, errors="replace"))
-                for path in options["FILE"]
+                for path in options["LOG"]
             ]
         except OSError as exc:
             raise errors.SettingsError(
--- a/tests/operator/test_story.py
+++ b/tests/operator/test_story.py
@@ -61,7 +61,7 @@
         self.assertIn("no line", story.text(found, decider))
 
     def test_missing_file_is_named(self):
-        options = {"FILE": ["/nowhere/x.log"], "REQUEST": "r", "--json": None}
+        options = {"LOG": ["/nowhere/x.log"], "REQUEST": "r", "--json": None}
         with self.assertRaisesRegex(main.errors.SettingsError, "/nowhere"):
             main.anyio.run(main._story, options, None)
 
@@ -70,7 +70,7 @@
             path = pathlib.Path(folder) / "g1.log"
             path.write_text(self.one)
             options = {
-                "FILE": [str(path)],
+                "LOG": [str(path)],
                 "REQUEST": "r1",
                 "--json": None,
             }
