--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -85,6 +85,19 @@
         way = placement.choose(fleet, demand(54_000))
         self.assertIsInstance(way, placement.Way)
 
+    def test_an_engine_that_failed_is_not_where_a_split_leads(self):
+        # An engine crashed.  It has no streams, so of all it seems the least
+        # loaded: prompts are read for it, one after the other, and the calls
+        # to it refused.  Callers wait for answers that another engine would
+        # have given them.
+        fleet = [
+            engine("p", True),
+            engine("crashed", streams=0, slowness=10.0),
+            engine("sound", streams=40),
+        ]
+        way = placement.choose(fleet, demand(12_000))
+        self.assertEqual((way.prefill, way.decode), ("p", "sound"))
+
     def test_no_slot_is_no_way(self):
         fleet = [engine("p", True), engine("d", streams=96)]
         refused = placement.choose(fleet, demand(600))
