Let the refusing test server read the whole call

Cause: the server read one byte, answered and closed; closing with unread bytes resets the connection, and the reset may overtake the answer, so the client rightly says 'may have run'.

The check itself is unchanged.

--- a/tests/endpoints/test_attempt.py
+++ b/tests/endpoints/test_attempt.py
@@ -15,6 +15,8 @@
     b"HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n"
     b"Connection: close\r\n\r\n"
 )
+# More than any call here: the server reads until nothing more comes.
+WHOLE_CALL = 100_000
 
 
 class OneShotServer:
@@ -96,11 +98,13 @@
 
     def test_a_refusal_needs_the_endpoints_own_mark(self):
         """Only the mark proves it: anything between may answer 503."""
-        server = OneShotServer(1, REFUSAL)
+        # The server reads the whole call: closing with unread bytes resets
+        # the connection, and the reset may overtake the answer.
+        server = OneShotServer(WHOLE_CALL, REFUSAL)
         self.assertIs(verdicts.Verdict.NOT_RUN, call(server.port).verdict)
         server.join()
         plain = REFUSAL.replace(b"Not-Run: 1\r\n", b"")
-        server = OneShotServer(1, plain)
+        server = OneShotServer(WHOLE_CALL, plain)
         self.assertEqual(503, call(server.port))
         server.join()
 
