Don't lead prompts to a crashed engine; reserve ports among all suites

Change: sound engines first.

Cause 2: two suites side by side could give out the same port before either listened.

--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -139,7 +139,11 @@
     reading = [e for e in engines if e.prefill]
     if not reading or not decoding:
         return
-    target = min(decoding, key=lambda e: (e.streams / e.slots, e.id))
+    # A crashed engine has no streams.  Taken for the least loaded, it had 355
+    # prompts read for it in eight seconds, by seven gateways, for nothing.
+    target = min(
+        decoding, key=lambda e: (e.slowness, e.streams / e.slots, e.id)
+    )
     for engine in reading:
         yield _split(engine, target, demand)
 
@@ -167,7 +171,7 @@
         prompt * reader.slowness
         + transfer
         + engine_time.HOP_MS
-        + 2 * engine_time.FIRST_EVENT_MS
+        + engine_time.FIRST_EVENT_MS * (1 + target.slowness)
     )
     wait = reader.wait_ms * reader.slowness
     return Way(reader.id, target.id, wait + own, wait, prompt, reader.cached)
--- a/standins/bringup.py
+++ b/standins/bringup.py
@@ -5,6 +5,7 @@
 the processes that it started itself.
 """
 
+import fcntl
 import json
 import os
 import pathlib
@@ -24,7 +25,14 @@
 POLL_SECONDS = 0.05
 PORTS = (15_000, 32_000)
 
-_given = set()
+# One file for each port that any process on this machine has given out.
+PORTS_FOLDER = pathlib.Path(tempfile.gettempdir()) / "clementinewall-ports"
+
+# A process that was given a port listens on it long before so many more were
+# drawn; then the system keeps it from others, and the lock's descriptor ends.
+RESERVED_PORTS = 300
+
+_lock_by_port = {}
 MODEL = "route-writer"
 SERVICE = "orders"
 
@@ -43,11 +51,33 @@
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in _given:
-            _given.add(port)
+        if _reserve(port):
             return port
 
 
+def _reserve(port):
+    """Reserve a port among all processes; return whether it was free.
+
+    Two suites that run side by side draw from the same ports.  One that was
+    given out but isn't listened on yet looks free to the other, whose process
+    then can't start.  The lock is the process's own and ends with it.
+    """
+    if port in _lock_by_port:
+        return False
+    PORTS_FOLDER.mkdir(exist_ok=True)
+    lock = open(PORTS_FOLDER / str(port), "wb")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return False
+    _lock_by_port[port] = lock
+    if len(_lock_by_port) > RESERVED_PORTS:
+        oldest = next(iter(_lock_by_port))
+        _lock_by_port.pop(oldest).close()
+    return True
+
+
 def address():
     """Return a free loopback address."""
     return f"127.0.0.1:{free_port()}"
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``standins``."""
