--- a/bench/policy.py
+++ b/bench/policy.py
@@ -21,6 +21,7 @@
 import docopt
 
 from bench import replay
+from bench import strategies
 from bench import traces
 from clementinewall.records import configuration
 
@@ -42,7 +43,7 @@
     else:
         plan = traces.make(name, seed, count, load)
     result = replay.Replay(plan, count, strategy, policy, seed).run()
-    bound = replay.capacity_bound(plan, count)
+    bound = strategies.capacity_bound(plan, count)
     return job, result, bound
 
 
@@ -53,7 +54,7 @@
         for deployment in deployments
         for name in names
         for seed in seeds
-        for strategy in replay.strategies(DEPLOYMENTS[deployment][0])
+        for strategy in strategies.strategies(DEPLOYMENTS[deployment][0])
         if not quick or _is_quick(strategy)
     ]
     table = {}
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -13,25 +13,21 @@
 import typing
 
 from bench import engines
+from bench import role_changes
 
 from clementinewall.entry import shares
 from clementinewall.membership import members
 from clementinewall.policy import admission
-from clementinewall.policy import roles
 from clementinewall.policy import routing
 from clementinewall.policy import tracking
 from clementinewall.records import configuration
-from clementinewall.steward import planner
 
 ENTRIES = 8
 POLL_MS = 1_000.0
 REPORT_LAG_MS = 150.0
-PLAN_MS = 2_000.0
 DISTANCE_MS = 1.0
 SPLIT_TOKENS = 512
 MOVE_MS_PER_TOKEN = 0.005
-THRESHOLD_QUEUE_MS = 1_500.0
-THRESHOLD_CROWD = 1.2
 CLASSES = {
     "summary": configuration.WorkClass(
         "model", first_ms=2_500, deadline_ms=60_000, gap_ms=33, priority=7
@@ -42,17 +38,6 @@
 }
 
 
-class Strategy(typing.NamedTuple):
-    """How a replay decides; ``roles`` are those of the start."""
-
-    name: str
-    roles: tuple[str, ...] = ()
-    router: str = "policy"
-    planner: str = "none"
-    admits: bool = True
-    affinity: bool = True
-
-
 class Result(typing.NamedTuple):
     """What came out of a replay."""
 
@@ -86,7 +71,6 @@
         """Prepare ``count`` engines in the strategy's roles."""
         self.plan = plan
         self.strategy = strategy
-        self.policy = policy
         self.rng = random.Random(seed)
         self.clock = _Clock()
         self.engines = {}
@@ -99,7 +83,6 @@
                 engine.role = strategy.roles[index]
             self.engines[engine.name] = engine
         self.drained = set()
-        self.pending = {}
         self.trackers = [
             {name: tracking.Tracker() for name in self.engines}
             for _ in range(ENTRIES)
@@ -108,14 +91,13 @@
         self.shares = [
             shares.Shares(lambda: int(self.clock.now)) for _ in range(ENTRIES)
         ]
-        self.model_plan = roles.ModelPlan(0.0)
-        self._window = collections.Counter()
-        self.last_reports = {}
+        self._roles = role_changes.RoleChanges(
+            self.clock, self.engines, policy, strategy
+        )
         self._events = []
         self._serial = itertools.count()
         self._ended = []
         self._counts = collections.Counter()
-        self._lost_ms = 0.0
         self._version = collections.Counter()
 
     def run(self):
@@ -125,7 +107,7 @@
         for entry in range(ENTRIES):
             offset = POLL_MS * entry / ENTRIES
             self._at(offset, self._poll, entry)
-        self._at(PLAN_MS, self._plan_roles)
+        self._at(role_changes.PLAN_MS, self._plan_roles)
         if self.plan.drained is not None:
             index, begin, end = self.plan.drained
             self._at(begin, self.drained.add, f"e{index}")
@@ -173,7 +155,7 @@
         plan = self._choose(entry, request)
         if plan is None:
             self._counts["refused"] += 1
-            self._window["offered"] += 1
+            self._roles.window["offered"] += 1
             return
         now = self.clock.now
         target = self.engines[plan.prefill_id or plan.decode.id]
@@ -227,8 +209,8 @@
             self.trackers[entry][name].worked(gap)
             first_ms = first + gap - request.at
             self._ended.append((request, first_ms, gap))
-            self._window["offered"] += 1
-            self._window["good"] += _is_good(request, first_ms, gap)
+            self._roles.window["offered"] += 1
+            self._roles.window["good"] += _is_good(request, first_ms, gap)
         self._reschedule(engine)
 
     def _choose(self, entry, request):
@@ -282,80 +264,11 @@
             name, int(self.clock.now), DISTANCE_MS, cached
         )
 
-    # Roles.
-
     def _plan_roles(self):
         now = self.clock.now
         if now < self.plan.length:
-            self._at(now + PLAN_MS, self._plan_roles)
-        self._carry_on_changes()
-        reports = {}
-        for name, engine in self.engines.items():
-            engine.advance(now)
-            if name not in self.drained:
-                reports[name] = engine.report()
-        if self.strategy.planner == "policy":
-            self._propose(reports)
-        elif self.strategy.planner == "threshold":
-            self._react(reports)
-        self.last_reports = reports
-
-    def _propose(self, reports):
-        if not self.last_reports:
-            return
-        demand = planner.demand_of(reports, self.last_reports, PLAN_MS)
-        seen, self._window = self._window, collections.Counter()
-        self.model_plan.add(demand, seen["offered"], seen["good"], PLAN_MS)
-        views = [
-            roles.EngineView(
-                name,
-                report.role,
-                is_away=name in self.pending,
-                running=report.running,
-            )
-            for name, report in reports.items()
-        ]
-        proposal = self.model_plan.consider(views, self.policy, self.clock.now)
-        if proposal is not None:
-            self._begin_change(proposal.engine, proposal.role)
-            self.model_plan.changed(self.clock.now)
-
-    def _react(self, reports):
-        """Change a role whenever one kind of work piles up, the baseline."""
-        if self.pending:
-            return
-        counts = collections.Counter(r.role for r in reports.values())
-        queue = max(
-            r.queued_tokens * r.prefill_us / 1e3 for r in reports.values()
-        )
-        crowd = max(r.running / r.slots for r in reports.values())
-        if queue > THRESHOLD_QUEUE_MS and counts["decode"] > 1:
-            self._begin_first("decode", "prefill", reports)
-        elif crowd > THRESHOLD_CROWD and counts["prefill"] > 1:
-            self._begin_first("prefill", "decode", reports)
-
-    def _begin_first(self, old, new, reports):
-        names = [n for n, report in reports.items() if report.role == old]
-        self._begin_change(min(names, key=lambda n: reports[n].running), new)
-
-    def _begin_change(self, name, role):
-        self.engines[name].is_quiesced = True
-        self.pending[name] = (role, self.clock.now)
-
-    def _carry_on_changes(self):
-        now = self.clock.now
-        for name, (role, since) in list(self.pending.items()):
-            engine = self.engines[name]
-            if engine.role != role:
-                if engine.running == 0:
-                    engine.role = role
-                    engine.away_until = now + self.policy.change_ms
-                    self._counts["changes"] += 1
-            elif now >= engine.away_until:
-                engine.is_quiesced = False
-                self._lost_ms += now - since
-                self.model_plan.changed(now)
-                del self.pending[name]
+            self._at(now + role_changes.PLAN_MS, self._plan_roles)
+        self._roles.plan(self.drained)
 
     def _result(self):
         good = collections.Counter()
@@ -373,8 +286,8 @@
                 name: self._counts["offered", name] for name in CLASSES
             },
             refused=self._counts["refused"],
-            role_changes=self._counts["changes"],
-            lost_engine_ms=self._lost_ms,
+            role_changes=self._roles.changes,
+            lost_engine_ms=self._roles.lost_ms,
             cache_hits=self._counts["hits"],
             firsts=tuple(first for _, first, _ in self._ended),
             gaps=tuple(gap for _, _, gap in self._ended),
@@ -389,38 +302,3 @@
 
 def _plain(name):
     return routing.Split("", routing.Choice(name, 0.0, 0.0, 0.0, "plain"))
-
-
-def capacity_bound(plan, count):
-    """Return the part of the offered work that the engines could do.
-
-    Every engine works all the time at the cost of its best role.
-    """
-    work = sum(
-        r.prompt * 0.2 * routing.PREFILL_FACTOR["prefill"]
-        + r.output * 20.0 / 16 * routing.DECODE_FACTOR["decode"]
-        for r in plan.requests
-    )
-    return min(1.0, count * plan.length / work)
-
-
-def strategies(count):
-    """Return the strategies that are compared for ``count`` engines."""
-    mixed = ("mixed",) * count
-    fixed = [
-        Strategy(
-            f"static {prefill}p{count - prefill}d",
-            ("prefill",) * prefill + ("decode",) * (count - prefill),
-        )
-        for prefill in range(1, count)
-    ]
-    half = ("prefill",) * (count // 2) + ("decode",) * (count - count // 2)
-    return [
-        Strategy("policy", mixed, planner="policy"),
-        Strategy("no changes", mixed),
-        *fixed,
-        Strategy("threshold", half, planner="threshold"),
-        Strategy("random", mixed, router="random", admits=False),
-        Strategy("least open", mixed, router="least", admits=False),
-        Strategy("no affinity", mixed, planner="policy", affinity=False),
-    ]
--- a/tests/policy/test_replay.py
+++ b/tests/policy/test_replay.py
@@ -4,6 +4,7 @@
 
 from bench import policy
 from bench import replay
+from bench import strategies
 from bench import traces
 
 
@@ -19,7 +20,7 @@
 
     def setUp(self):
         """Find the strategies by name."""
-        self.by_name = {s.name: s for s in replay.strategies(6)}
+        self.by_name = {s.name: s for s in strategies.strategies(6)}
 
     def test_it_does_no_harm(self):
         """On a swing the policy is within 2% of changing nothing."""
