Lead copies of crashing work to the same two endpoints

Copies sent at once begin at one of the two engines that equal work prefers. An entry that knew of one crash only took its next engine from a second order (by the digest), which led to a third engine while the mark of the other crash was still on its way. The entries' logs show it: engine-3 and engine-1 go down as "preferred of 2" within 84 ms, engine-2 70 ms later as "suspect work".

Change: suspect work goes on in the same order of preference, so the copies only ever meet the other of the two.

Ruled out: marks that arrive late.

--- a/clementinewall/entry/calls.py
+++ b/clementinewall/entry/calls.py
@@ -15,6 +15,7 @@
 from clementinewall import _schema
 from clementinewall import _web
 from clementinewall.endpoints import attempt
+from clementinewall.entry import crash_guard
 from clementinewall.entry import partition
 from clementinewall import errors
 from clementinewall import logs
@@ -233,8 +234,8 @@
         )
 
     def _choose(self, call, digest, failed, verdict):
-        ids = self._loads.serving("service", call.service)
-        only = self._guard.only_choice(digest, ids, failed, verdict)
+        work = crash_guard.Work(digest, "service", call.service, digest)
+        only = self._guard.only_choice(work, failed, verdict)
         return only or self._loads.least_busy(call.service, digest, failed)
 
     async def _attempt(self, call, name, timeout_ms):
--- a/clementinewall/entry/crash_guard.py
+++ b/clementinewall/entry/crash_guard.py
@@ -4,6 +4,8 @@
 off, mark the work if it went down, and tell the other entries first.
 """
 
+import typing
+
 import anyio
 
 from clementinewall import _http
@@ -11,7 +13,6 @@
 from clementinewall.endpoints import reports
 from clementinewall import errors
 from clementinewall import logs
-from clementinewall.membership import members
 from clementinewall import verdicts
 
 _log = logs.PartLog("crash")
@@ -23,6 +24,19 @@
 SETTLE_MS = 200
 
 
+class Work(typing.NamedTuple):
+    """Work as marks know it, and what its order of endpoints comes from.
+
+    ``kind`` and ``name`` say what serves it, ``text`` is the prompt, or the
+    digest of a call.
+    """
+
+    digest: str
+    kind: str
+    name: str
+    text: str
+
+
 class CrashGuard:
     """Checks and marks work by its digest."""
 
@@ -42,25 +56,28 @@
                 "this request crashed two endpoints", verdict
             )
 
-    def only_choice(self, digest, ids, failed, verdict):
+    def only_choice(self, work, failed, verdict):
         """Return the one endpoint that may still try suspect work.
 
-        ``None`` means that the work is not suspect.  All entries find the
-        same endpoint from the published configuration, so that copies sent
-        through every entry crash one more endpoint together, not one each.
+        ``None`` means that the work is not suspect.  The endpoint is the
+        first of the order in which equal work finds endpoints anyway, but
+        for those that it crashed.  Copies that all entries send at once
+        begin at one of the first two of that order.  Each copy that goes
+        on then meets the other one of the two.  In any other order copies
+        that know of different crashes crash a third and a fourth endpoint.
 
         :raises NoEndpoint: there is none, or it failed already.
         """
-        suspect = self._node.crashes.endpoints(digest)
+        suspect = self._node.crashes.endpoints(work.digest)
         if not suspect:
             return None
-        left = [name for name in ids if name not in suspect]
-        order = members.rendezvous(digest, left)
-        if not order or order[0] in failed:
+        order = self._loads.by_preference(work.kind, work.name, work.text)
+        left = [name for name in order if name not in suspect]
+        if not left or left[0] in failed:
             raise errors.NoEndpoint(
                 "no endpoint is left to try this request", verdict
             )
-        return order[0]
+        return left[0]
 
     async def after_failure(self, digest, request_id, name, strong):
         """Mark the work if its endpoint is gone, and tell the peers."""
--- a/clementinewall/entry/loads.py
+++ b/clementinewall/entry/loads.py
@@ -107,16 +107,19 @@
         hints = self._hints(prompt)
         return [self._candidate(name, hints) for name in ids]
 
-    def preferred(self, kind, name, text):
-        """Return the endpoints that equal texts find at every entry.
+    def by_preference(self, kind, name, text):
+        """Return the endpoints in the order that equal texts find.
 
-        They are taken from the published configuration, on which all
-        entries agree, and by the first part of the text only, so that
+        The order comes from the published configuration, on which all
+        entries agree, and from the first part of the text only, so that
         prompts with a common beginning share the caches.
         """
         key = f"{name}|{text[:AFFINITY_CHARS]}"
-        order = members.rendezvous(key, self.serving(kind, name))
-        return tuple(order[:PREFERRED])
+        return members.rendezvous(key, self.serving(kind, name))
+
+    def preferred(self, kind, name, text):
+        """Return the endpoints that equal texts find at every entry."""
+        return tuple(self.by_preference(kind, name, text)[:PREFERRED])
 
     def least_busy(self, service, digest, without=()):
         """Return the service endpoint with the least open calls.
--- a/clementinewall/entry/model.py
+++ b/clementinewall/entry/model.py
@@ -15,6 +15,7 @@
 from clementinewall.endpoints import attempt
 from clementinewall.endpoints import reports
 from clementinewall.endpoints import sse
+from clementinewall.entry import crash_guard
 from clementinewall.entry import outcomes
 from clementinewall.entry import progress
 from clementinewall.entry import watchdog
@@ -113,8 +114,7 @@
         work = run.work
         self._guard.check(work.digest, run.verdict)
         only = self._guard.only_choice(
-            work.digest,
-            self._loads.serving("engine", work.model),
+            crash_guard.Work(work.digest, "engine", work.model, work.prompt),
             run.failed,
             run.verdict,
         )
