Tell signs of life through others, and work only when it changed

Each gateway sent a sign of life to 53 others twice a second and its state to its cell 20 times a second, worked out at 18,000 datagrams a second.

Change: outside the cell each gateway hears from a quarter of the others in turn, which tell what they heard; states go out when work changed, every 100 ms at most, and at once only for a new prompt; cells are dealt among those registered or heard in the last 5 s; the topic of the gateways is read after the own registration and then every 30 s, not at each registration.

--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,167 @@
+"""What a gateway costs: processor time per request, event and datagram.
+
+Usage:
+  gateway [--requests=N] [--profile=FILE]
+
+Options:
+  --requests=N    Requests of each kind [default: 300].
+  --profile=FILE  Run the gateway under cProfile and write FILE.
+
+One real gateway on loopback, with scripted endpoints.  Prints microseconds
+of processor time (user and system) of the gateway's process.
+"""
+
+import os
+import pathlib
+import socket
+import time
+
+import docopt
+
+from clementinewall.gateway import peer_messages
+from clementinewall.policy import reading_queue
+from standins import scripted
+from tests.integration import gateway_base
+from tests.integration import test_gateway_streams as streams
+
+EVENTS = 40
+PAUSE_SECONDS = 0.004
+REST_SECONDS = 5.0
+DATAGRAMS = 3_000
+DATAGRAM_GAP_SECONDS = 0.0005
+PEER_IP = "127.0.0.9"
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class _Case(gateway_base.GatewayCase):
+    """Brings up a store, a gateway and endpoints outside of a test."""
+
+    profile = None
+
+    def runTest(self):
+        """Nothing is tested here."""
+
+    def begin(self):
+        """Start everything; return where callers connect."""
+        self.setUp()
+        self.publish(
+            gateway_base.route("look", "app", "safe"),
+            gateway_base.route("chat", "model", "stream", resumable=True),
+        )
+        self.endpoint("app", lambda _e, request: [scripted.answer(request)])
+        self.endpoint("engine", _stream, "model", stage="decode")
+        start = self.dep.start
+        if self.profile:
+            self.dep.start = lambda name, *words: start(
+                name, "cProfile", "-o", self.profile, "-m", *words
+            )
+        front = self.gateway()
+        self.dep.start = start
+        return front
+
+    def cpu_us(self):
+        """Return the processor time of the gateway so far."""
+        pid = self.dep.process_by_name["gateway-1"].pid
+        fields = pathlib.Path(f"/proc/{pid}/stat").read_text().split()
+        return (int(fields[13]) + int(fields[14])) / TICKS * 1e6
+
+
+def _stream(_endpoint, request):
+    """Answer with as many events as the request asks for."""
+    yield scripted.stream_head(request)
+    for number in range(1, int(request.body or 1) + 1):
+        yield scripted.chunk(scripted.event(number, "x" * 80))
+        yield PAUSE_SECONDS
+    yield scripted.chunk(b"")
+
+
+class _Meter:
+    """Measures what one piece of work adds to the cost at rest."""
+
+    def __init__(self, case):
+        self._case = case
+        start = case.cpu_us()
+        time.sleep(REST_SECONDS)
+        self.rest_us = (case.cpu_us() - start) / REST_SECONDS
+
+    def each(self, work, count):
+        """Return the microseconds that each of ``count`` pieces adds."""
+        start = self._case.cpu_us()
+        began = time.monotonic()
+        work(count)
+        rest = (time.monotonic() - began) * self.rest_us
+        return (self._case.cpu_us() - start - rest) / count
+
+
+def _datagrams(port):
+    """Return work that sends a peer's state, with new work each time."""
+    now = time.monotonic_ns() // 1_000_000
+    jobs = (reading_queue.Job(1, 33.0, now),) * 2
+    work = {f"i-{n:08x}": peer_messages.Work(jobs, 4, now) for n in range(4)}
+    sign = peer_messages.Sign(PEER_IP, f"{PEER_IP}:1", "a", True, now)
+    state = peer_messages.State(sign, work, {})
+    raw = peer_messages.dump(
+        {
+            "state": peer_messages.state(state, now),
+            "read": [],
+            "marks": [],
+        }
+    )
+
+    def send(count):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.bind((PEER_IP, 0))
+            for _ in range(count):
+                sender.sendto(raw, ("127.0.0.1", port))
+                time.sleep(DATAGRAM_GAP_SECONDS)
+
+    return send
+
+
+def _requests(case, front, path, body):
+    headers = dict(streams.MODEL_HEADERS, content=body)
+
+    def send(count):
+        for number in range(count):
+            answer = case.ask(front, path, f"{path}{number}", **headers)
+            answer.raise_for_status()
+
+    return send
+
+
+def measure(requests, profile=None):
+    """Return microseconds by what they are spent on."""
+    case = _Case()
+    case.profile = profile
+    try:
+        front = case.begin()
+        meter = _Meter(case)
+        plain = _requests(case, front, "/look/x", b"")
+        short = _requests(case, front, "/chat/x", b"1")
+        long = _requests(case, front, "/chat/x", b"%d" % EVENTS)
+        short_us = meter.each(short, requests)
+        long_us = meter.each(long, requests // 5)
+        found = {
+            "a second at rest": meter.rest_us,
+            "a plain call": meter.each(plain, requests),
+            "a stream of one event": short_us,
+            "a further event": (long_us - short_us) / (EVENTS - 1),
+            "a datagram": meter.each(_datagrams(case._peer_port()), DATAGRAMS),
+        }
+        case.terminate()
+        case.dep.process_by_name["gateway-1"].wait(20)
+        return found
+    finally:
+        case.doCleanups()
+
+
+def main():
+    """Measure and print."""
+    options = docopt.docopt(__doc__)
+    found = measure(int(options["--requests"]), options["--profile"])
+    for name, micros in found.items():
+        print(f"{name:24} {micros:10.0f} us")
+
+
+if __name__ == "__main__":
+    main()
--- a/clementinewall/gateway/budgets.py
+++ b/clementinewall/gateway/budgets.py
@@ -28,5 +28,5 @@
     def spend(self, service, sends=1):
         """Take further sends; return whether so many were left."""
         # A gateway that isn't heard may be cut off and still send.
-        self._most = max(self._most, 1 + len(self._peers.live()))
+        self._most = max(self._most, 1 + len(self._peers.table.live()))
         return self._budget(service).spend(self._most, sends)
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from clementinewall.gateway import peers
+from clementinewall.gateway import peer_messages
 from clementinewall.gateway import types
 from clementinewall.http1 import client
 from clementinewall import logs
@@ -97,7 +97,9 @@
 
     def own_work(self):
         """Return this gateway's unfinished work."""
-        return peers.Work(tuple(self.jobs), self.streams, self.last_end)
+        return peer_messages.Work(
+            tuple(self.jobs), self.streams, self.last_end
+        )
 
 
 class Endpoints:
--- a/clementinewall/gateway/following.py
+++ b/clementinewall/gateway/following.py
@@ -28,9 +28,9 @@
 # at once each time.  A leaving endpoint must be known within a bound; a
 # quarter of it leaves room for the last in line and one lost read.
 FLEET_PART = 0.25
-# Gateways also hear of each other by datagram; the topic is for those that
-# start.
-PEERS_WAIT_MS = 30_000
+# Gateways hear of each other by datagram; the topic is for those that start.
+# A read that waited for it would come back for each of 61 that start.
+PEERS_GAP_MS = 30_000
 RETRY_MS = 200
 
 
@@ -215,5 +215,5 @@
         records.GATEWAYS_TOPIC,
         take_all,
         take,
-        reading_turns.Pace(PEERS_WAIT_MS, 0),
+        reading_turns.Pace(0, PEERS_GAP_MS),
     )
--- /dev/null
+++ b/clementinewall/gateway/peer_messages.py
@@ -0,0 +1,109 @@
+"""What gateways tell one another: types, and their form in a datagram.
+
+A datagram is a JSON object with any of these keys: ``state`` (the sender's
+unfinished work), ``read`` (shared parts of prompts that engines read for
+it), ``marks`` (requests that crashed endpoints), ``signs`` (which gateways
+live) and ``news`` (what was read of the store).  Times travel as ages, since
+clocks of two machines are never compared.
+"""
+
+import json
+import typing
+
+from clementinewall import clock
+from clementinewall.policy import reading_queue
+
+
+class Work(typing.NamedTuple):
+    """One gateway's unfinished work at one engine.
+
+    ``jobs`` are the prompts that wait or are read, ``streams`` the answers
+    that are being made, ``last_end`` is when a prompt was last answered.
+    """
+
+    jobs: tuple[reading_queue.Job, ...]
+    streams: int
+    last_end: float
+
+
+class Sign(typing.NamedTuple):
+    """That a gateway lived at ``heard_at``, and how callers reach it."""
+
+    ip: str
+    callers: str
+    data_centre: str
+    ready: bool
+    heard_at: clock.Millis
+
+
+class State(typing.NamedTuple):
+    """A gateway's sign of life, with its work and the engines it changes.
+
+    ``away_by_endpoint`` tells for how many ms engines that change their
+    stage take no work.
+    """
+
+    sign: Sign
+    work_by_endpoint: dict[str, Work]
+    away_by_endpoint: dict[str, float]
+
+
+def dump(message):
+    """Return the bytes of a message."""
+    return json.dumps(message, separators=(",", ":")).encode()
+
+
+def sign(value, now):
+    """Return a sign of life as plain data."""
+    return [*value[:4], now - value.heard_at]
+
+
+def state(value, now):
+    """Return a gateway's state as plain data."""
+    return {
+        "sign": sign(value.sign, now),
+        "away": value.away_by_endpoint,
+        "work": {
+            name: [
+                work.streams,
+                now - work.last_end,
+                [
+                    [job.urgency, round(job.cost_ms), now - job.sent_at]
+                    for job in work.jobs
+                ],
+            ]
+            for name, work in value.work_by_endpoint.items()
+        },
+    }
+
+
+def decode_sign(row, now):
+    """Return the sign of life in a message.
+
+    :raises TypeError, ValueError: it is none.
+    """
+    ip, callers, data_centre, ready, age = row
+    heard_at = now - max(0, age)
+    return Sign(
+        str(ip), str(callers), str(data_centre), ready is True, heard_at
+    )
+
+
+def decode_state(data, now):
+    """Return the state in a message.
+
+    :raises AttributeError, KeyError, TypeError, ValueError: it is none.
+    """
+    work = {
+        name: Work(
+            tuple(
+                reading_queue.Job(urgency, cost_ms, now - age)
+                for urgency, cost_ms, age in jobs
+            ),
+            streams,
+            now - end_age,
+        )
+        for name, (streams, end_age, jobs) in data["work"].items()
+    }
+    away = {str(name): ms + 0 for name, ms in data["away"].items()}
+    return State(decode_sign(data["sign"], now), work, away)
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -1,44 +1,43 @@
-"""What gateways tell one another, in datagrams, several times a second.
+"""The socket on which gateways talk with one another.
 
-Each gateway sends its state to all it knows: that it serves, and how much
-work it has at each engine.  Datagrams may be lost or late and peers may be
-cut off; a peer that isn't heard for a while counts as gone, and its work
-with it.  Nothing that must hold depends on this.
+Gateways of a cell tell each other their work several times a second; the
+others get signs of life.  Datagrams may be lost or late and peers may be
+cut off.  Nothing that must hold depends on this.
 """
 
 import collections
+import itertools
 import json
 import socket
-import typing
 
 import anyio
 
 from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import news as news_module
+from clementinewall.gateway import peer_messages
+from clementinewall.gateway import peer_table
 from clementinewall import logs
 from clementinewall.platform import records
 from clementinewall.platform import store
-from clementinewall.policy import reading_queue
 from clementinewall.policy import reading_turns
 
 _log = logs.PartLog("peers")
 
-# New work is told at once: with 7 gateways and 100 prompts a second, five or
-# more prompts of 20 to 60 ms each are placed within 50 ms, all on the engine
-# that then seems the least loaded.  The gap between two sends grows with the
-# number of peers, so that a gateway never sends more than 500 datagrams a
-# second.
+# New prompts are told at once: with 7 gateways and 100 prompts a second,
+# five or more prompts of 20 to 60 ms each are placed within 50 ms, all on
+# the engine that then seems the least loaded.  The gap between two sends
+# grows with the number of peers, so that a gateway never sends more than 500
+# datagrams a second.
 GAP_MS_A_PEER = 2
-# Ends of work are told in the same datagrams, at the latest after this time.
-EVERY_MS = 50
-# Without work a state is sent this seldom, as a sign of life.
+# Ends of work, and new streams, are told at the latest after this time.
+CHANGED_MS = 100
+# Without a change a state is sent this seldom, as a sign of life.
 UNCHANGED_MS = 300
-# Gateways outside the cell need to know only that this one serves.
+# A gateway outside the cell hears from this one once in so many rounds, and
+# in each of them from others of this cell, who tell the same.
 FAR_MS = 500
-# Two signs of life and one lost: callers that ask are not sent to a gateway
-# that died longer ago than that.
-SILENT_MS = 1_200
+FAR_ROUNDS = 4
 REGISTER_RETRY_MS = 1_000
 MAX_BYTES = 60_000
 # Datagrams get lost.  News with a change is sent so many times at once; the
@@ -46,75 +45,47 @@
 CHANGE_COPIES = 2
 
 
-class Work(typing.NamedTuple):
-    """One gateway's unfinished work at one engine.
-
-    ``jobs`` are the prompts that wait or are read, ``streams`` the answers
-    that are being made, ``last_end`` is when a prompt was last answered.
-    """
-
-    jobs: tuple[reading_queue.Job, ...]
-    streams: int
-    last_end: float
-
-
-class Peer(typing.NamedTuple):
-    """A gateway as it was last heard."""
-
-    ip: str
-    callers: str
-    data_centre: str
-    ready: bool
-    work_by_endpoint: dict[str, Work]
-    heard_at: clock.Millis
-
-
 class Peers:
-    """The other gateways, and the socket to talk with them."""
+    """Sends and receives; what is heard is in the table."""
 
-    def __init__(self, settings, now, report, endpoints, guard, membership):
-        """Send what ``report`` returns; ``endpoints`` learn from others.
+    def __init__(self, settings, now, is_ready, endpoints, guard, membership):
+        """Tell the work at ``endpoints``, who learn from others.
 
-        The marks of ``guard`` go with each state.  Gateways outside the cell
-        get a sign of life only.
+        The marks of ``guard`` go with each message, and ``is_ready`` says
+        whether callers may come.
         """
-        self._membership = membership
-        self._guard = guard
         self._settings = settings
         self._now = now
-        self._report = report
+        self._is_ready = is_ready
         self._endpoints = endpoints
-        self._ips = set()
-        self._peer_by_ip = {}
-        self._had_work = True
+        self._guard = guard
+        self._membership = membership
+        self.table = peer_table.PeerTable(settings.ip, now)
+        self._last_work = {}
         self._last_at = -UNCHANGED_MS
         self._last_far_at = -FAR_MS
+        self._rounds = itertools.count()
         self._wake = anyio.Event()
         self._outbox = collections.deque()
         self._take_news_by_topic = {}
 
-    def live(self):
-        """Return the peers heard lately."""
-        limit = self._now() - SILENT_MS
-        return [p for p in self._peer_by_ip.values() if p.heard_at >= limit]
-
     def tell(self):
-        """Let the others know soon that there is new work."""
+        """Let the others know soon that there is a new prompt."""
         self._wake.set()
 
     def place_in_line(self):
-        """Return this gateway's place among those that are heard and serve.
+        """Return this gateway's place among those that live and serve.
 
         By address, so that all that hear one another agree.
         """
-        ready = [peer.ip for peer in self.live() if peer.ready]
+        ready = [sign.ip for sign in self.table.live() if sign.ready]
         return reading_turns.place(self._settings.ip, ready)
 
     def tell_news(self, news):
         """Tell the others what was read of the store."""
-        raw = json.dumps(news_module.encode(news), separators=(",", ":"))
+        raw = peer_messages.dump({"news": news_module.encode(news)})
         copies = CHANGE_COPIES if news.records or not news.whole else 1
-        self._outbox.extend([raw.encode()] * copies)
+        self._outbox.extend([raw] * copies)
         self._wake.set()
 
     def on_news(self, topic, take):
@@ -124,9 +95,9 @@
     def take(self, record):
         """Take in a record of the gateways' topic."""
         if record.value is None:
-            self._ips.discard(record.key)
-        elif record.key != self._settings.ip:
-            self._ips.add(record.key)
+            self.table.remove(record.key)
+        else:
+            self.table.register(record.key)
 
     async def register(self):
         """Put this gateway's address into the store, once."""
@@ -155,49 +126,77 @@
                 while True:
                     await self._send(udp)
                     await anyio.sleep(clock.seconds(self._gap_ms()))
-                    with anyio.move_on_after(clock.seconds(EVERY_MS)):
+                    with anyio.move_on_after(clock.seconds(CHANGED_MS)):
                         await self._wake.wait()
                     self._wake = anyio.Event()
 
     def _gap_ms(self):
-        close = sum(map(self._membership.is_close, self._peer_by_ip))
-        return GAP_MS_A_PEER * max(1, close)
+        return GAP_MS_A_PEER * max(1, len(self._close()))
+
+    def _close(self):
+        return [ip for ip in self.table.ips if self._membership.is_close(ip)]
 
     async def _send(self, udp):
         if self._outbox:
             raw = self._outbox.popleft()
-            await self._send_raw(udp, self._group(), raw)
-        state, read = self._report()
+            await self._send_to(udp, self._group(), raw)
         now = self._now()
-        idle = not state["work"] and not self._had_work and not read
-        if idle and now - self._last_at < UNCHANGED_MS:
-            return
-        self._had_work = bool(state["work"])
-        self._last_at = now
-        ips = [ip for ip in self._ips if self._membership.is_close(ip)]
-        await self._send_to(udp, ips, state, read)
+        work = self._endpoints.work_by_endpoint()
+        changed = work != self._last_work
+        if changed or now - self._last_at >= UNCHANGED_MS:
+            self._last_work = work
+            self._last_at = now
+            await self._send_state(udp, work, now)
         if now - self._last_far_at >= FAR_MS:
             self._last_far_at = now
-            await self._send_to(udp, self._far(ips), {**state, "work": {}}, [])
-
-    def _group(self):
-        ips = [peer.ip for peer in self.live()]
-        own = self._settings.ip
-        return [ip for ip in reading_turns.group(own, ips) if ip != own]
-
-    def _far(self, close):
-        """Return the addresses outside the cell; until dealt, all others."""
-        return self._ips.difference(close)
+            await self._send_signs(udp, now)
 
-    async def _send_to(self, udp, ips, state, read):
-        marks = self._guard.message()
-        raw = json.dumps([state, read, marks], separators=(",", ":")).encode()
+    async def _send_state(self, udp, work, now):
+        state = peer_messages.State(
+            self._own_sign(now), work, self._endpoints.away_by_endpoint()
+        )
+        message = {
+            "state": peer_messages.state(state, now),
+            "read": self._endpoints.drain_read(),
+            "marks": self._guard.message(),
+        }
+        raw = peer_messages.dump(message)
         if len(raw) > MAX_BYTES:
             _log.warning("state too large to tell", size=len(raw))
             return
-        await self._send_raw(udp, ips, raw)
+        await self._send_to(udp, self._close(), raw)
+
+    async def _send_signs(self, udp, now):
+        """Tell part of those outside the cell who lives in it."""
+        close = set(self._close())
+        far = sorted(ip for ip in self.table.ips if ip not in close)
+        turn = next(self._rounds) % FAR_ROUNDS
+        if not far[turn::FAR_ROUNDS]:
+            return
+        own = [self._own_sign(now)]
+        heard = [state.sign for state in self.table.states()]
+        rows = [peer_messages.sign(sign, now) for sign in own + heard]
+        message = {"signs": rows, "marks": self._guard.message()}
+        raw = peer_messages.dump(message)
+        await self._send_to(udp, far[turn::FAR_ROUNDS], raw)
+
+    def _own_sign(self, now):
+        settings = self._settings
+        return peer_messages.Sign(
+            settings.ip,
+            settings.callers,
+            settings.data_centre,
+            self._is_ready(),
+            now,
+        )
+
+    def _group(self):
+        """Return those that are told what this gateway reads."""
+        own = self._settings.ip
+        ips = [sign.ip for sign in self.table.live()]
+        return [ip for ip in reading_turns.group(own, ips) if ip != own]
 
-    async def _send_raw(self, udp, ips, raw):
+    async def _send_to(self, udp, ips, raw):
         port = self._settings.peer_port
         for ip in ips:
             try:
@@ -208,7 +207,7 @@
     async def _receive(self, udp):
         async for raw, (ip, _port) in udp:
             try:
-                self._take_datagram(raw, ip)
+                self._take_datagram(json.loads(raw), ip)
             except (
                 ValueError,
                 TypeError,
@@ -220,70 +219,27 @@
                 # whole process.
                 _log.warning("unreadable datagram", ip=ip, why=repr(exc))
 
-    def _take_datagram(self, raw, ip):
-        data = json.loads(raw)
-        if isinstance(data, dict):
-            self._take_news(data, ip)
-            return
-        state, read, marks = data
-        peer = _decode(state, ip, self._now())
-        self._guard.merge(marks)
-        if ip not in self._peer_by_ip:
-            _log.info("peer heard", ip=ip, ready=peer.ready)
-        self._peer_by_ip[ip] = peer
-        self._ips.add(ip)
-        for endpoint_id, parts in read:
+    def _take_datagram(self, message, ip):
+        now = self._now()
+        if "state" in message:
+            self._take_state(message, ip, now)
+        for row in message.get("signs", ()):
+            self.table.take_sign(peer_messages.decode_sign(row, now))
+        self._guard.merge(message.get("marks", ()))
+        # News decides which endpoints get work, so only gateways are
+        # believed, not whoever sends to this port.
+        if "news" in message and self.table.is_known(ip):
+            self._take_news(news_module.decode(message["news"]))
+
+    def _take_state(self, message, ip, now):
+        state = peer_messages.decode_state(message["state"], now)
+        for endpoint_id, parts in message["read"]:
             self._endpoints.learn_read(endpoint_id, parts)
-        for endpoint_id, ms in state["away"].items():
+        for endpoint_id, ms in state.away_by_endpoint.items():
             self._endpoints.learn_away(endpoint_id, ms)
+        self.table.take_state(ip, state)
 
-    def _take_news(self, data, ip):
-        news = news_module.decode(data)
+    def _take_news(self, news):
         take = self._take_news_by_topic.get(news.topic)
-        # News decides which endpoints get work, so only gateways are
-        # believed, not whoever sends to this port.
-        if take is not None and ip in self._peer_by_ip:
+        if take is not None:
             take(news)
-
-
-def encode(settings, ready, work_by_endpoint, away_by_endpoint, now):
-    """Return a gateway's state as plain data; times become ages."""
-    return {
-        "callers": settings.callers,
-        "data_centre": settings.data_centre,
-        "ready": ready,
-        "away": away_by_endpoint,
-        "work": {
-            name: [
-                work.streams,
-                now - work.last_end,
-                [
-                    [job.urgency, round(job.cost_ms), now - job.sent_at]
-                    for job in work.jobs
-                ],
-            ]
-            for name, work in work_by_endpoint.items()
-        },
-    }
-
-
-def _decode(state, ip, now):
-    work = {
-        name: Work(
-            tuple(
-                reading_queue.Job(urgency, cost_ms, now - age)
-                for urgency, cost_ms, age in jobs
-            ),
-            streams,
-            now - end_age,
-        )
-        for name, (streams, end_age, jobs) in state["work"].items()
-    }
-    return Peer(
-        ip,
-        state["callers"],
-        state["data_centre"],
-        state["ready"] is True,
-        work,
-        now,
-    )
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -54,7 +54,7 @@
         ]
         close = self._membership.own_engines(untried)
         states = {state.endpoint.id: state for state in close}
-        peers = self._peers.live()
+        peers = self._peers.table.states()
         prompt = exchange.call.prompt or NO_PROMPT
         cached = max(
             (s.cached_tokens(prompt.parts[:-1]) for s in states.values()),
--- a/clementinewall/gateway/ports.py
+++ b/clementinewall/gateway/ports.py
@@ -55,7 +55,7 @@
         near = addresses.asked_data_centre(request.target)
         rows = [
             (peer.data_centre != near, random.random(), peer.callers)
-            for peer in self._peers.live()
+            for peer in self._peers.table.live()
             if peer.ready
         ]
         if self._is_ready():
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -42,6 +42,7 @@
         ticker = clock.Clock()
         now = ticker.now
         self._settings = settings
+        self._stopping = anyio.Event()
         self._now = now
         self._group = group
         self._beliefs = beliefs.Beliefs(now)
@@ -51,7 +52,7 @@
         self._peers = peers.Peers(
             settings,
             now,
-            self._report,
+            self.is_ready,
             self._endpoints,
             self._guard,
             self._membership,
@@ -83,22 +84,11 @@
             now,
         )
         self._ports = ports.Ports(settings, self._peers, self.is_ready)
-        self._stopping = anyio.Event()
 
     def is_ready(self):
         """Tell whether callers should come here."""
         return self._beliefs.is_ready and not self._stopping.is_set()
 
-    def _report(self):
-        state = peers.encode(
-            self._settings,
-            self.is_ready(),
-            self._endpoints.work_by_endpoint(),
-            self._endpoints.away_by_endpoint(),
-            self._now(),
-        )
-        return state, self._endpoints.drain_read()
-
     async def run(self):
         """Serve until SIGTERM and the end of what is open."""
         settings = self._settings
@@ -109,10 +99,7 @@
         ):
             follower.share(self._peers)
             start(follower.run)
-        start(
-            following.peers_follower(settings, self._now, self._peers.take).run
-        )
-        start(self._peers.register)
+        start(self._meet_peers)
         start(self._peers.run)
         start(self._stages.run)
         start(self._sweep)
@@ -131,6 +118,17 @@
         await self._wait_term()
         await self._drain(accepting)
 
+    async def _meet_peers(self):
+        """Register, then learn who else did.
+
+        In this order, of two gateways that start at once one at least finds
+        the other, who learns of it by its first datagram.
+        """
+        await self._peers.register()
+        await following.peers_follower(
+            self._settings, self._now, self._peers.take
+        ).run()
+
     async def _accept(self, listener, scope):
         """Accept callers until ``scope`` ends; what was accepted goes on."""
         with scope:
@@ -175,7 +173,7 @@
         while True:
             self._log_writer.flush()
             self._beliefs.expire()
-            self._membership.update([p.ip for p in self._peers.live()])
+            self._membership.update(self._peers.table.members())
             self._endpoints.sweep()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -95,7 +95,7 @@
     def _engine(self, state):
         streams = state.streams + sum(
             peer.work_by_endpoint[state.endpoint.id].streams
-            for peer in self._peers.live()
+            for peer in self._peers.table.states()
             if state.endpoint.id in peer.work_by_endpoint
         )
         stage = state.endpoint.stage
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -110,7 +110,7 @@
         job = None
         if not prefilled:
             job = decoder.begin_prompt(plan.urgency, plan.way.prompt_ms)
-        self._tell()
+            self._tell()
         stream.begin(lambda: self._first(exchange, plan, job))
         taken = False
         silence_ms = self._silence_ms(exchange, plan)
--- /dev/null
+++ b/tests/gateway/test_peer_table.py
@@ -0,0 +1,107 @@
+"""Which gateways live, from what each hears and what others tell."""
+
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from clementinewall import clock
+from clementinewall.gateway import peer_messages
+from clementinewall.gateway import peer_table
+from clementinewall.policy import reading_queue
+
+OWN = "10.0.0.1"
+
+
+def sign(ip, heard_at, ready=True):
+    """Return a sign of life."""
+    return peer_messages.Sign(ip, f"{ip}:80", "a", ready, heard_at)
+
+
+class Table(unittest.TestCase):
+    """Signs of life in any order."""
+
+    def setUp(self):
+        """Know nobody."""
+        self.clock = clock.ManualClock()
+        self.table = peer_table.PeerTable(OWN, self.clock.now)
+
+    def live(self):
+        """Return the addresses of the gateways that are taken to live."""
+        return sorted(sign.ip for sign in self.table.live())
+
+    @hypothesis.given(strategies.lists(strategies.integers(0, 9), min_size=1))
+    @hypothesis.settings(derandomize=True)
+    def test_the_latest_sign_counts_whoever_tells_it(self, moments):
+        # Several gateways tell when they heard a third one.  An old sign
+        # that comes late must not bring a dead gateway back to life.
+        self.setUp()
+        for moment in moments:
+            self.table.take_sign(sign("10.0.0.2", moment))
+        self.clock.advance(max(moments) + peer_table.SILENT_MS)
+        self.assertEqual(self.live(), ["10.0.0.2"])
+        self.clock.advance(1)
+        self.assertEqual(self.live(), [])
+
+    def test_signs_passed_on_for_ever_don_t_keep_a_dead_one(self):
+        # Gateways tell each other what they were told.  Only the age of the
+        # first hearing counts, or the dead would live as long as anybody
+        # talks of them.
+        self.table.take_sign(sign("10.0.0.2", 0))
+        for _ in range(20):
+            self.clock.advance(200)
+            for known in self.table.live():
+                self.table.take_sign(known)
+        self.assertEqual(self.live(), [])
+
+    def test_a_process_that_comes_back_stays_a_member(self):
+        # A gateway is killed and is back after three seconds.  Callers must
+        # not be sent there meanwhile, but the cells stay as they are.
+        self.table.take_sign(sign("10.0.0.2", 0))
+        self.clock.advance(3_000)
+        self.assertEqual(self.live(), [])
+        self.assertEqual(self.table.members(), ["10.0.0.2"])
+        self.clock.advance(peer_table.MEMBER_SILENT_MS)
+        self.assertEqual(self.table.members(), [])
+
+    def test_registered_gateways_are_members_before_they_are_heard(self):
+        self.table.register("10.0.0.2")
+        self.table.register(OWN)
+        self.assertEqual(self.table.members(), ["10.0.0.2"])
+        self.assertEqual(self.live(), [])
+
+    def test_own_sign_from_others_is_no_peer(self):
+        self.table.take_sign(sign(OWN, 0))
+        self.assertEqual(self.live(), [])
+
+
+class Messages(unittest.TestCase):
+    """States as they travel between machines with clocks of their own."""
+
+    @hypothesis.given(
+        strategies.integers(0, 10**9),
+        strategies.integers(0, 10**9),
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 9), strategies.integers(0, 500)
+            ),
+            max_size=4,
+        ),
+    )
+    @hypothesis.settings(derandomize=True)
+    def test_times_are_ages_on_the_way(self, here, there, jobs):
+        rows = tuple(
+            reading_queue.Job(urgency, 30, here - age) for urgency, age in jobs
+        )
+        work = {"e1": peer_messages.Work(rows, 3, here - 7)}
+        sent = peer_messages.State(sign("10.0.0.2", here), work, {"e2": 40})
+        raw = json.dumps(peer_messages.state(sent, here))
+        got = peer_messages.decode_state(json.loads(raw), there)
+        self.assertEqual(got.sign, sign("10.0.0.2", there))
+        self.assertEqual(got.away_by_endpoint, {"e2": 40})
+        for old, new in zip(
+            rows, got.work_by_endpoint["e1"].jobs, strict=True
+        ):
+            self.assertEqual(here - old.sent_at, there - new.sent_at)
+            self.assertEqual(old[:2], new[:2])
--- a/tests/integration/test_gateway_peers.py
+++ b/tests/integration/test_gateway_peers.py
@@ -54,15 +54,24 @@
         # end the task that reads them, the process would end with it.
         self.endpoint("one", lambda _e, request: [scripted.answer(request)])
         first, _ = self.both()
-        state = {"callers": "x", "data_centre": "a", "ready": 1, "work": {}}
+        sign = ["127.0.0.8", "x", "a", 1, 0]
+        state = {"sign": sign, "away": {}, "work": {}}
+        sound = {"state": state, "read": [], "marks": []}
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             for raw in (
                 b"\xff",
                 b"[" * 5_000,
                 b"[1, 2, 3]",
-                json.dumps([state, [], []]).encode(),
-                json.dumps([{**state, "away": 7}, [], []]).encode(),
-                json.dumps([{**state, "away": {}}, [["one", 7]], []]).encode(),
+                b"7",
+                b"{}",
+                json.dumps({"state": state}).encode(),
+                json.dumps({**sound, "read": [["one", 7]]}).encode(),
+                json.dumps({**sound, "marks": 7}).encode(),
+                json.dumps({"state": {**state, "away": 7}}).encode(),
+                json.dumps({"state": {**state, "sign": []}}).encode(),
+                json.dumps({"signs": [[1, 2]]}).encode(),
+                json.dumps({"signs": [["", "", "", 1, "late"]]}).encode(),
+                json.dumps({"news": {"topic": "keyed.servers"}}).encode(),
             ):
                 sender.sendto(raw, ("127.0.0.1", self._peer_port()))
         time.sleep(0.3)
