A soak of the gateways: random faults, promises checked from outside

Judged from what was seen: unsafe requests run at most once, "not run" is true, answers and events are whole and in order, nothing unasked runs, leaving endpoints get nothing late, configurations are in force in time and don't go back, orders of two holders don't meet, no process ends by itself.

--- /dev/null
+++ b/bench/soak/__main__.py
@@ -0,0 +1,48 @@
+"""Random faults over running gateways, then the checks.
+
+Usage:
+  soak [--seed=N] [--minutes=M] [--gateways=G] [--only=KIND]...
+
+Options:
+  --seed=N      Seed of the faults [default: 1].
+  --minutes=M   How long to run [default: 1].
+  --gateways=G  How many gateways [default: 3].
+  --only=KIND   Only faults of this kind.
+
+Exit codes: 0 no promise broken, 1 some were.
+"""
+
+import sys
+
+import docopt
+
+from bench.soak import faults
+
+
+def main():
+    """Run one seed and print what was broken."""
+    options = docopt.docopt(__doc__)
+    run = faults.Soak(
+        int(options["--seed"]),
+        float(options["--minutes"]) * 60,
+        int(options["--gateways"]),
+        tuple(options["--only"]),
+    )
+    broken = run.go()
+    ledger = run.ledger
+    told = [sent.status for sent in ledger.sent]
+    print(
+        f"seed {options['--seed']}: {len(ledger.faults)} faults, "
+        f"{len(told)} requests, {told.count(200)} answered whole, "
+        f"{told.count(None)} broken off, {len(ledger.orders)} orders, "
+        f"{len(broken)} promises broken"
+    )
+    for at, what in ledger.faults if broken else ():
+        print(f"  {at:7.2f} s {what}")
+    for sentence in broken:
+        print(f"BROKEN {sentence}")
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
