Read configurations that come in quick succession in one go

Change: a gap of a tenth of the bound between two reads, within the same cycle; of the configurations that one read brings only the newest readable one is decoded; a gateway tells of ended work every 200 instead of 100 ms.

Test: of 25 configurations two are decoded, the last being unreadable.

Ruled out: uvloop (a stream of one event 4.0 instead of 4.2 ms, an event 0.33 instead of 0.44 ms): a tenth, for one more dependency.

--- a/clementinewall/gateway/following.py
+++ b/clementinewall/gateway/following.py
@@ -22,8 +22,12 @@
 # Operators' changes are rare: a read waits for the next one.  A change has
 # to be in force within a bound of its confirmation, also at a gateway that
 # is not told of it: the last in line reads 1.8 cycles after the last news,
-# so a cycle takes less than half of the bound.
-CONFIGURATION_PART = 0.45
+# so wait and gap together take less than half of the bound.
+CONFIGURATION_PART = 0.35
+# Changes also come in quick succession, 25 in two seconds.  Each was read
+# by each of 61 gateways, 3,900 calls to the store in a day; with a gap
+# between two reads one read brings several of them.
+CONFIGURATION_GAP_PART = 0.1
 # Endpoints write several times a second, so a waiting read would come back
 # at once each time.  A leaving endpoint must be known within a bound; a
 # quarter of it leaves room for the last in line and one lost read.
@@ -37,10 +41,14 @@
 class Follower:
     """Follows one topic for as long as it runs."""
 
-    def __init__(self, settings, now, topic, take_all, take, pace):
+    def __init__(
+        self, settings, now, topic, take_all, take, pace, newest_first=False
+    ):
         """Hand whole states to ``take_all`` and single records to ``take``.
 
-        ``take`` returns whether others must be told of the record.
+        ``take`` returns whether others must be told of the record.  With
+        ``newest_first`` it gets the records of a read in that order, which
+        is for topics where the newest one overtakes all others.
         """
         self._store = store.Store(settings.store, now)
         self._now = now
@@ -55,6 +63,7 @@
         self._told = anyio.Event()
         self._is_reader = True
         self._peers = None
+        self._newest_first = newest_first
         self.on_return = None
 
     def share(self, peers):
@@ -107,6 +116,8 @@
         if batch.end < start:
             return
         fresh = [r for r in batch.records if r.offset >= start]
+        if self._newest_first:
+            fresh.reverse()
         changed = [record for record in fresh if self._take(record)]
         self._next = batch.end
         if self._peers is not None:
@@ -183,8 +194,11 @@
         take_all,
         take,
         reading_turns.Pace(
-            int(settings.bounds.configuration_ms * CONFIGURATION_PART), 0
+            int(settings.bounds.configuration_ms * CONFIGURATION_PART),
+            int(settings.bounds.configuration_ms * CONFIGURATION_GAP_PART),
         ),
+        # Of 25 configurations that one read brings, 24 need not be decoded.
+        newest_first=True,
     )
 
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -30,8 +30,9 @@
 # grows with the number of peers, so that a gateway never sends more than 500
 # datagrams a second.
 GAP_MS_A_PEER = 2
-# Ends of work, and new streams, are told at the latest after this time.
-CHANGED_MS = 100
+# Ends of work, and new streams, are told at the latest after this time.  The
+# others work out for themselves when a prompt has been read.
+CHANGED_MS = 200
 # Without a change a state is sent this seldom, as a sign of life.
 UNCHANGED_MS = 300
 # A gateway outside the cell hears from this one once in so many rounds, and
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 import anyio
 import hypothesis
@@ -252,6 +253,28 @@
             raw = json.dumps(news_module.encode(news))
             self.assertLess(len(raw), 2_000)
 
+    def test_of_many_configurations_only_the_newest_is_decoded(self):
+        # A configuration of 1,400 routes takes milliseconds to decode, and
+        # operators may write 25 of them within two seconds.  Meanwhile
+        # callers of this gateway would wait.
+        known = beliefs.Beliefs(self.clock.now)
+        follower = following.configuration_follower(
+            SETTINGS, self.clock.now, known
+        )
+        follower._store = self.log
+        anyio.run(follower._step)
+        for version in range(1, 26):
+            row = {"version": version, "routes": [], "services": []}
+            raw = json.dumps(row).encode() if version < 25 else b"{"
+            self.log.records.append(store.Record("config", raw, version - 1))
+        with mock.patch.object(
+            records, "configuration", wraps=records.configuration
+        ) as decode:
+            anyio.run(follower._step)
+        # The newest can't be read, so the one before it is in force.
+        self.assertEqual(known.configuration.version, 24)
+        self.assertEqual(decode.call_count, 2)
+
     def test_what_lapsed_in_an_outage_stays_for_the_listener_too(self):
         # Only the reader sees that the store was away.  A listener that
         # isn't told of it drops each engine whose record lapsed, and
