Add a lab: engines in virtual time under the gateways' own placing

There was no model of these engines and no upper bound.

Change: clementinewall/lab: engines (reading order, batch steps, slots, kept parts, moves of memory), a load generator (classes, sizes, shared parts, clumps, bursts), and gateways whose table, cells, caches and placing are the product's own code. clementinewall-lab plays policies and thresholds side by side, with seeds, as table, JSON or PNG, beside a bound from the engines' capacity. samples/lab has both deployments, before and after they grew.

Ruled out: an engine model that steps each batch (as exact here, many times slower). bench/replay.py stays: it models the program's own engines, whose roles and reports differ.

--- /dev/null
+++ b/clementinewall/lab/deployment.py
@@ -0,0 +1,111 @@
+"""What a lab run plays: a deployment and its load, from a TOML file."""
+
+import pathlib
+import tomllib
+import typing
+
+from clementinewall import _schema
+from clementinewall import errors
+
+_Part = typing.Annotated[float, _schema.Range(0.0, 1.0)]
+_Positive = typing.Annotated[float, _schema.Range(1e-9, 1e9)]
+_Count = typing.Annotated[int, _schema.Range(1, 10**9)]
+
+
+class SharedPart(typing.NamedTuple):
+    """A part at the beginning of prompts that several requests share.
+
+    There are ``things`` of them; thing number *n* is asked for in
+    proportion to ``n ** -skew``.  ``spread`` is the deviation of the
+    logarithm of ``tokens``, as in all sizes here.
+    """
+
+    tokens: _Positive
+    things: _Count = 1
+    skew: float = 0.0
+    spread: float = 0.0
+    most: _Positive = 1e9
+
+
+class RequestClass(typing.NamedTuple):
+    """A kind of request; ``worth`` in time, ``late_worth`` afterwards."""
+
+    per_s: _Positive
+    goal_ms: _Positive
+    deadline_ms: _Positive
+    tokens_in: _Positive
+    tokens_out: _Positive
+    worth: _Positive = 1.0
+    late_worth: float = 0.0
+    spread_in: float = 0.0
+    spread_out: float = 0.0
+    most_in: _Positive = 1e9
+    most_out: _Positive = 1e9
+    retries: typing.Annotated[int, _schema.Range(0, 10)] = 1
+    shared: tuple[SharedPart, ...] = ()
+
+
+class Burst(typing.NamedTuple):
+    """A time during which a class comes ``factor`` times as often."""
+
+    work_class: str
+    at_s: typing.Annotated[float, _schema.Range(0.0, 1e6)]
+    for_s: _Positive
+    factor: typing.Annotated[float, _schema.Range(0.0, 100.0)]
+
+
+class Engines(typing.NamedTuple):
+    """The engines; what they have in common stands in ``engine_time``."""
+
+    count: _Count
+    slots: _Count
+    kv_tokens: _Count
+    kv_token_bytes: _Count = 18_432
+    link_mbps: _Positive = 370_000.0
+    reading_part: _Part = 0.5
+
+
+class Gateways(typing.NamedTuple):
+    """The gateways and the network between them."""
+
+    count: _Count
+    one_way_ms: _Positive = 1.4
+    lost_part: _Part = 0.001
+
+
+class Deployment(typing.NamedTuple):
+    """A deployment with its load.
+
+    ``clump`` requests come at the same moment on the mean.
+    """
+
+    name: str
+    gateways: Gateways
+    engines: Engines
+    classes: dict[str, RequestClass]
+    bursts: tuple[Burst, ...] = ()
+    clump: typing.Annotated[float, _schema.Range(1.0, 100.0)] = 1.0
+
+
+def load(path):
+    """Read a deployment file.
+
+    :raises SettingsError: it cannot be read; every mistake is named.
+    """
+    try:
+        data = tomllib.loads(pathlib.Path(path).read_text())
+    except OSError as exc:
+        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise errors.SettingsError(f"{path}: {exc}") from exc
+    found, mistakes = _schema.build(Deployment, data)
+    mistakes = [str(mistake) for mistake in mistakes]
+    if found is not None:
+        mistakes = [
+            f"bursts: {burst.work_class!r} is no class"
+            for burst in found.bursts
+            if burst.work_class not in found.classes
+        ]
+    if mistakes:
+        raise errors.SettingsError(f"{path}: " + "; ".join(mistakes))
+    return found
--- /dev/null
+++ b/clementinewall/lab/gateway.py
@@ -0,0 +1,110 @@
+"""Gateways in virtual time: the real ones' decisions, without sockets.
+
+What a gateway knows and decides is the product's own code: its table of
+peers, its cell, its view of the engines' queues and caches, its placing.
+Only the tasks that carry messages and requests are written anew here, for
+virtual time.
+"""
+
+from clementinewall.gateway import beliefs
+from clementinewall.gateway import endpoints
+from clementinewall.gateway import membership
+from clementinewall.gateway import peer_messages
+from clementinewall.gateway import peer_table
+from clementinewall.gateway import peers
+from clementinewall.gateway import placing
+from clementinewall.gateway import types
+
+# What a gateway itself takes for a step: a wake-up, parsing and deciding.
+STEP_MS = 1.5
+
+
+class Gateway:
+    """What one gateway knows, and how it tells its peers."""
+
+    def __init__(self, ip, configuration, endpoint_by_id, network, loop):
+        """Know all engines and, after the first messages, the peers.
+
+        ``network`` is a function that delivers a state to a peer.
+        """
+        self.ip = ip
+        self._loop = loop
+        self._network = network
+        known = beliefs.Beliefs(loop.read)
+        known.configuration = configuration
+        known.endpoint_by_id = endpoint_by_id
+        self.endpoints = endpoints.Endpoints(known, loop.read)
+        self.table = peer_table.PeerTable(ip, loop.read)
+        self._membership = membership.Membership(_settings(ip), known)
+        self.placer = placing.Placer(
+            self.endpoints, self, self._membership, loop.read
+        )
+        self._last_work = {}
+        self._sent_at = -peers.UNCHANGED_MS
+        self._is_planned = False
+
+    def start(self, ips):
+        """Learn who the others are and begin to tell them.
+
+        No gateway comes or goes in the lab, so cells are dealt once.
+        """
+        for ip in ips:
+            self.table.register(ip)
+        self._membership.update([ip for ip in ips if ip != self.ip])
+        self._plan(peers.CHANGED_MS)
+
+    def close_ips(self):
+        """Return the peers that share this gateway's engines."""
+        return [ip for ip in self.table.ips if self._membership.is_close(ip)]
+
+    def tell(self):
+        """Let the others know of a new prompt as soon as that is due."""
+        if not self._is_planned:
+            gap = peers.GAP_MS_A_PEER * max(1, len(self.close_ips()))
+            self._is_planned = True
+            self._loop.after(
+                self._sent_at + gap - self._loop.now, self._send_new
+            )
+
+    def _plan(self, ms):
+        self._loop.after(ms, self._send_changes)
+
+    def _send_new(self):
+        self._is_planned = False
+        self._send(self.endpoints.work_by_endpoint())
+
+    def _send_changes(self):
+        work = self.endpoints.work_by_endpoint()
+        old = self._loop.now - self._sent_at >= peers.UNCHANGED_MS
+        if work != self._last_work or old:
+            self._send(work)
+        self._plan(peers.CHANGED_MS)
+
+    def _send(self, work):
+        self._last_work = work
+        self._sent_at = self._loop.now
+        sign = peer_messages.Sign(self.ip, "", "", True, self._loop.now)
+        state = peer_messages.State(sign, work, {})
+        read = self.endpoints.drain_read()
+        for ip in self.close_ips():
+            self._network(ip, self.ip, state, read)
+
+    def hear(self, ip, state, read):
+        """Take in what a peer told."""
+        for endpoint_id, parts in read:
+            self.endpoints.learn_read(endpoint_id, parts)
+        self.table.take_state(ip, state)
+
+
+def _settings(ip):
+    return types.Settings(
+        instance=ip,
+        ip=ip,
+        data_centre="",
+        callers="",
+        ready="",
+        directory="",
+        peer_port=0,
+        store="",
+        bounds=types.Bounds(),
+    )
--- /dev/null
+++ b/clementinewall/lab/load.py
@@ -0,0 +1,106 @@
+"""The requests of a lab run, drawn from a deployment's figures and a seed."""
+
+import itertools
+import math
+import random
+import typing
+
+from clementinewall.gateway import types
+
+
+class Arrival(typing.NamedTuple):
+    """A caller's request for a model."""
+
+    at_ms: float
+    work_class: str
+    prompt: types.Prompt
+
+
+def draw(deployment, seconds, seed):
+    """Return the arrivals of a run in the order of their times."""
+    rng = random.Random(seed)
+    serial = itertools.count()
+    arrivals = []
+    for name, row in deployment.classes.items():
+        prompts = _Prompts(name, row, rng, serial)
+        for at_s in _times(deployment, name, row, seconds, rng):
+            prompt = prompts.draw()
+            arrivals.append(Arrival(at_s * 1_000, name, prompt))
+    return sorted(arrivals, key=lambda arrival: arrival.at_ms)
+
+
+def _times(deployment, name, row, seconds, rng):
+    """Yield the times of a class: a Poisson process of clumps, thinned."""
+    bursts = [b for b in deployment.bursts if b.work_class == name]
+    highest = math.prod([1.0, *(max(1.0, b.factor) for b in bursts)])
+    clumps_a_s = row.per_s * highest / deployment.clump
+    at = rng.expovariate(clumps_a_s)
+    while at < seconds:
+        if rng.random() < _factor(bursts, at) / highest:
+            for _ in range(_clump(deployment.clump, rng)):
+                yield at
+        at += rng.expovariate(clumps_a_s)
+
+
+def _factor(bursts, at):
+    now = (b.factor for b in bursts if b.at_s <= at < b.at_s + b.for_s)
+    return math.prod(now)
+
+
+def _clump(mean, rng):
+    """Return the size of a clump, geometric with the ``mean``."""
+    size = 1
+    while rng.random() > 1 / mean:
+        size += 1
+    return size
+
+
+class _Prompts:
+    """Draws the prompts of one class."""
+
+    def __init__(self, name, row, rng, serial):
+        self._name = name
+        self._row = row
+        self._rng = rng
+        self._serial = serial
+        self._sizes = {}
+        self._weights = [
+            list(
+                itertools.accumulate(
+                    (n + 1) ** -part.skew for n in range(part.things)
+                )
+            )
+            for part in row.shared
+        ]
+
+    def draw(self):
+        """Return a prompt: its shared parts and one of its own."""
+        row = self._row
+        parts = [
+            self._shared(depth, part) for depth, part in enumerate(row.shared)
+        ]
+        own = _size(row.tokens_in, row.spread_in, row.most_in, self._rng)
+        parts.append(types.PromptPart(f"o{next(self._serial):x}", own))
+        tokens_out = _size(
+            row.tokens_out, row.spread_out, row.most_out, self._rng
+        )
+        total = sum(part.tokens for part in parts)
+        return types.Prompt("m", total, tokens_out, tuple(parts))
+
+    def _shared(self, depth, part):
+        weights = self._weights[depth]
+        thing = self._rng.choices(range(part.things), cum_weights=weights)[0]
+        name = f"{self._name}-{depth}-{thing}"
+        if name not in self._sizes:
+            self._sizes[name] = _size(
+                part.tokens, part.spread, part.most, self._rng
+            )
+        return types.PromptPart(name, self._sizes[name])
+
+
+def _size(mean, spread, most, rng):
+    """Return a log-normal size with about the ``mean``."""
+    if not spread:
+        return max(1, round(mean))
+    middle = math.log(mean) - spread * spread / 2
+    return max(1, round(min(most, rng.lognormvariate(middle, spread))))
--- /dev/null
+++ b/clementinewall/lab/main.py
@@ -0,0 +1,140 @@
+"""Play policies against a model of the engines, side by side.
+
+Usage:
+  clementinewall-lab DEPLOYMENT [options] [--policy=POLICY]...
+  clementinewall-lab --help
+
+Options:
+  --policy=POLICY  gateway, random or random-split; for other thresholds
+                   NAME:module.CONSTANT=VALUE,... with modules of
+                   clementinewall.policy.  All three by default.
+  --load=X         Multiply the requests of all classes [default: 1.0].
+  --reading=PART   Part of the engines that read, instead of the file's.
+  --seconds=S      Seconds of load [default: 20].
+  --seeds=LIST     Seeds of the load and all chances [default: 1,2,3].
+  --jobs=N         Processes to use [default: 2].
+  --json           Print JSON instead of a table.
+  --plot=FILE      Draw credit and bound as a PNG too (needs matplotlib).
+
+Exit codes: 0 played, 2 bad command line or deployment file.
+"""
+
+import multiprocessing
+import random
+import sys
+import typing
+
+import docopt
+import loguru
+
+from clementinewall import errors
+from clementinewall.lab import deployment as deployments
+from clementinewall.lab import load
+from clementinewall.lab import policies
+from clementinewall.lab import report
+from clementinewall.lab import simulation
+
+LOGS = "clementinewall.logs"
+DEFAULT_POLICIES = ("gateway", "random", "random-split")
+
+
+class Job(typing.NamedTuple):
+    """One run to play."""
+
+    deployment: deployments.Deployment
+    policy: policies.Policy
+    seed: int
+    seconds: float
+
+
+def play(job):
+    """Play one run and return its :class:`report.Summary`.
+
+    The gateways' code spreads the times at which callers come back by the
+    module's own random numbers, and logs each decision.
+    """
+    arrivals = load.draw(job.deployment, job.seconds, job.seed)
+    random.seed(job.seed)
+    loguru.logger.disable(LOGS)
+    try:
+        simulated = simulation.Simulation(job.deployment, job.policy, job.seed)
+        run = simulated.run(arrivals)
+    finally:
+        loguru.logger.enable(LOGS)
+    return report.summarize(job.deployment, arrivals, run, job.seconds)
+
+
+def experiment(jobs, processes):
+    """Play all runs; return the mean of each policy's by its text."""
+    with multiprocessing.Pool(processes) as pool:
+        found = pool.map(play, jobs, chunksize=1)
+    by_policy = {}
+    for job, summary in zip(jobs, found, strict=True):
+        by_policy.setdefault(job.policy.text, []).append(summary)
+    return {name: report.mean(rows) for name, rows in by_policy.items()}
+
+
+def jobs_of(options):
+    """Return the runs that a command line asks for.
+
+    :raises SettingsError: something in it is wrong.
+    """
+    deployment = deployments.load(options["DEPLOYMENT"])
+    factor = _number(options, "--load")
+    classes = {
+        name: row._replace(per_s=row.per_s * factor)
+        for name, row in deployment.classes.items()
+    }
+    deployment = deployment._replace(classes=classes)
+    if options["--reading"] is not None:
+        part = _number(options, "--reading")
+        engines = deployment.engines._replace(reading_part=part)
+        deployment = deployment._replace(engines=engines)
+    seconds = _number(options, "--seconds")
+    return [
+        Job(deployment, policies.parse(text), seed, seconds)
+        for text in options["--policy"] or DEFAULT_POLICIES
+        for seed in _seeds(options["--seeds"])
+    ]
+
+
+def _number(options, name):
+    try:
+        number = float(options[name])
+    except ValueError:
+        number = 0.0
+    if not 0 < number < 1e6:
+        found = options[name]
+        raise errors.SettingsError(
+            f"{name}: found {found!r}, give a number above 0"
+        )
+    return number
+
+
+def _seeds(text):
+    try:
+        return [int(seed) for seed in text.split(",")]
+    except ValueError as exc:
+        raise errors.SettingsError(f"--seeds: {exc}") from exc
+
+
+def main():
+    """Read the command line, play and print."""
+    options = docopt.docopt(__doc__)
+    try:
+        jobs = jobs_of(options)
+        processes = max(1, int(_number(options, "--jobs")))
+        found = experiment(jobs, processes)
+        if options["--plot"]:
+            report.plot(found, options["--plot"])
+    except errors.SettingsError as exc:
+        sys.stderr.write(f"{exc.message}\n")
+        raise SystemExit(2) from None
+    except ImportError as exc:
+        sys.stderr.write(f"--plot: {exc}; install clementinewall[plots]\n")
+        raise SystemExit(2) from None
+    print(report.to_json(found) if options["--json"] else report.table(found))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/clementinewall/lab/report.py
@@ -0,0 +1,287 @@
+"""What a run earned, and what it could have earned at most."""
+
+import collections
+import json
+import typing
+
+from clementinewall.policy import engine_time
+
+# A request's worth grows with its size against the mean of its class.
+SIZE_BASE = 0.3
+SIZE_PART = 0.7
+SIZE_MOST = 4.0
+# The largest part of each class is judged by itself, too.
+LARGEST_PART = 0.1
+WINDOW_MS = 2_000.0
+
+
+class ClassRow(typing.NamedTuple):
+    """One class: parts of its requests, and credit earned of that owed."""
+
+    asked: int
+    in_time: float
+    late: float
+    unserved: float
+    credit: float
+    largest: float
+
+
+class Summary(typing.NamedTuple):
+    """One run: all credits are parts of what was owed.
+
+    ``worst`` is the worst window of 2 s, ``bound`` what no policy can
+    exceed, ``read_again`` the part of the tokens read that another engine
+    kept, ``busy`` the part of the engines' time spent on reading, ``error``
+    the median and the 90th percentile of how wrong predictions were, in ms.
+    """
+
+    credit: float
+    worst: float
+    bound: float
+    by_class: dict[str, ClassRow]
+    read_again: float
+    busy: float
+    error: tuple[float, float]
+
+
+def summarize(deployment, arrivals, run, seconds):
+    """Return the :class:`Summary` of a run."""
+    worth = _Worth(deployment, arrivals)
+    earned = collections.Counter()
+    owed = collections.Counter()
+    for outcome in run.outcomes:
+        window = int(outcome.at_ms // WINDOW_MS)
+        owed[window] += worth.owed(outcome)
+        earned[window] += worth.earned(outcome)
+    by_class = {
+        name: _class_row(
+            [o for o in run.outcomes if o.work_class == name], row, worth
+        )
+        for name, row in deployment.classes.items()
+    }
+    return Summary(
+        credit=_share(sum(earned.values()), sum(owed.values())),
+        worst=min((_share(earned[w], owed[w]) for w in owed), default=0.0),
+        bound=bound(deployment, arrivals, worth),
+        by_class=by_class,
+        read_again=_share(run.kept_elsewhere, run.read_tokens),
+        busy=run.read_ms / (seconds * 1_000 * deployment.engines.count),
+        error=_errors(run.outcomes),
+    )
+
+
+class _Worth:
+    """What requests are worth, by class and size."""
+
+    def __init__(self, deployment, arrivals):
+        self._classes = deployment.classes
+        sizes = collections.defaultdict(list)
+        for arrival in arrivals:
+            sizes[arrival.work_class].append(arrival.prompt.tokens_in)
+        self._mean = {
+            name: sum(values) / len(values) for name, values in sizes.items()
+        }
+
+    def owed(self, request):
+        """Return the credit of a request that is served in time."""
+        return self._scale(request) * self._classes[request.work_class].worth
+
+    def late(self, request):
+        """Return the credit of a request that is served late."""
+        row = self._classes[request.work_class]
+        return self._scale(request) * row.late_worth
+
+    def earned(self, outcome):
+        """Return the credit that a request earned."""
+        if outcome.first_ms is None:
+            return 0.0
+        if is_in_time(outcome, self._classes[outcome.work_class]):
+            return self.owed(outcome)
+        return self.late(outcome)
+
+    def _scale(self, request):
+        size = request.tokens / self._mean[request.work_class]
+        return min(SIZE_MOST, SIZE_BASE + SIZE_PART * size)
+
+
+def is_in_time(outcome, row):
+    """Tell whether the first event came within the class's target."""
+    return outcome.first_ms is not None and outcome.first_ms <= row.goal_ms
+
+
+def _class_row(outcomes, row, worth):
+    asked = len(outcomes)
+    in_time = sum(is_in_time(o, row) for o in outcomes)
+    served = sum(o.first_ms is not None for o in outcomes)
+    by_size = sorted(outcomes, key=lambda o: o.tokens)
+    largest = by_size[round(asked * (1 - LARGEST_PART)) :]
+    return ClassRow(
+        asked=asked,
+        in_time=_share(in_time, asked),
+        late=_share(served - in_time, asked),
+        unserved=_share(asked - served, asked),
+        credit=_credit(outcomes, worth),
+        largest=_credit(largest, worth),
+    )
+
+
+def _credit(outcomes, worth):
+    earned = sum(worth.earned(o) for o in outcomes)
+    return _share(earned, sum(worth.owed(o) for o in outcomes))
+
+
+def _share(part, whole):
+    return part / whole if whole else 0.0
+
+
+def _errors(outcomes):
+    found = sorted(
+        abs(o.first_ms - o.predicted_ms)
+        for o in outcomes
+        if o.first_ms is not None and o.predicted_ms
+    )
+    if not found:
+        return 0.0, 0.0
+    return found[len(found) // 2], found[int(len(found) * 0.9)]
+
+
+class _Need(typing.NamedTuple):
+    """A request's engine time at the least, and what it is worth."""
+
+    work_class: str
+    tokens: int
+    engine_ms: float
+
+
+def bound(deployment, arrivals, worth=None):
+    """Return the credit that no policy can exceed, as a part of that owed.
+
+    In each window the engines have their time and that of the longest
+    target besides.  Each request takes what it takes at the least: reading
+    at a reading engine that keeps all shared parts, and its part of a full
+    batch.  Whoever is worth most for its engine time comes first, and all
+    others are served late at no cost.
+    """
+    worth = worth or _Worth(deployment, arrivals)
+    needs_by_window = collections.defaultdict(list)
+    for arrival in arrivals:
+        window = int(arrival.at_ms // WINDOW_MS)
+        needs_by_window[window].append(_need(deployment, arrival))
+    slack = max(row.goal_ms for row in deployment.classes.values())
+    room = deployment.engines.count * (WINDOW_MS + slack)
+    earned = owed = 0.0
+    for needs in needs_by_window.values():
+        owed += sum(worth.owed(need) for need in needs)
+        earned += _fill(needs, room, worth)
+    return _share(earned, owed)
+
+
+def _need(deployment, arrival):
+    prompt = arrival.prompt
+    slots = deployment.engines.slots
+    own = prompt.parts[-1].tokens
+    reading = engine_time.prompt_ms(prompt.tokens_in, prompt.tokens_in - own)
+    decoding = prompt.tokens_out * engine_time.step_ms(slots) / slots
+    return _Need(arrival.work_class, prompt.tokens_in, reading + decoding)
+
+
+def _fill(needs, room, worth):
+    def gain(need):
+        return (worth.owed(need) - worth.late(need)) / need.engine_ms
+
+    earned = sum(worth.late(need) for need in needs)
+    for need in sorted(needs, key=gain, reverse=True):
+        part = min(1.0, room / need.engine_ms)
+        earned += part * (worth.owed(need) - worth.late(need))
+        room -= part * need.engine_ms
+        if room <= 0:
+            break
+    return earned
+
+
+def mean(summaries):
+    """Return the mean of runs of the same classes."""
+    first = summaries[0]
+    rows = {
+        name: ClassRow(
+            *(
+                _mean(s.by_class[name][field] for s in summaries)
+                for field in range(len(ClassRow._fields))
+            )
+        )
+        for name in first.by_class
+    }
+    return Summary(
+        credit=_mean(s.credit for s in summaries),
+        worst=_mean(s.worst for s in summaries),
+        bound=_mean(s.bound for s in summaries),
+        by_class=rows,
+        read_again=_mean(s.read_again for s in summaries),
+        busy=_mean(s.busy for s in summaries),
+        error=(
+            _mean(s.error[0] for s in summaries),
+            _mean(s.error[1] for s in summaries),
+        ),
+    )
+
+
+def _mean(values):
+    found = list(values)
+    return sum(found) / len(found)
+
+
+def table(summary_by_policy):
+    """Return the runs side by side as text."""
+    lines = []
+    for policy, found in summary_by_policy.items():
+        lines.append(
+            f"{policy}: credit {found.credit:.3f} of at most "
+            f"{found.bound:.3f}, worst 2 s {found.worst:.3f}, "
+            f"read again {found.read_again:.3f}, busy {found.busy:.2f}, "
+            f"error {found.error[0]:.0f} / {found.error[1]:.0f} ms"
+        )
+        lines.append(
+            f"  {'class':18}{'asked':>8}{'in time':>9}{'late':>7}"
+            f"{'unserved':>10}{'credit':>8}{'largest':>9}"
+        )
+        lines.extend(
+            f"  {name:18}{row.asked:8.0f}{row.in_time:9.3f}{row.late:7.3f}"
+            f"{row.unserved:10.3f}{row.credit:8.3f}{row.largest:9.3f}"
+            for name, row in found.by_class.items()
+        )
+    return "\n".join(lines)
+
+
+def to_json(summary_by_policy):
+    """Return the runs as JSON."""
+    data = {
+        policy: {
+            **found._asdict(),
+            "by_class": {n: r._asdict() for n, r in found.by_class.items()},
+        }
+        for policy, found in summary_by_policy.items()
+    }
+    return json.dumps(data, indent=2)
+
+
+def plot(summary_by_policy, path):
+    """Draw credit and bound of each policy into a PNG file.
+
+    :raises ImportError: matplotlib isn't installed.
+    """
+    import matplotlib  # noqa: PLC0415 (an optional library)
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    names = list(summary_by_policy)
+    figure, axes = pyplot.subplots(figsize=(8, 0.6 * len(names) + 1.5))
+    found = [summary_by_policy[name] for name in names]
+    axes.barh(names, [s.bound for s in found], color="0.85", label="bound")
+    axes.barh(names, [s.credit for s in found], height=0.5, label="credit")
+    axes.set_xlim(0, 1)
+    axes.set_xlabel("part of the credit owed")
+    axes.invert_yaxis()
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
--- /dev/null
+++ b/tests/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lab."""
--- /dev/null
+++ b/tests/lab/test_engine.py
@@ -0,0 +1,129 @@
+"""The model of an engine."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from clementinewall.gateway import types
+from clementinewall.lab import deployment
+from clementinewall.lab import engine as engines
+from clementinewall.lab import loop as loops
+from clementinewall.policy import engine_time
+
+ROW = deployment.Engines(count=1, slots=2, kv_tokens=10_000)
+
+
+def prompt(*parts, out=10):
+    """Return a prompt of parts given as names and tokens."""
+    found = tuple(types.PromptPart(name, tokens) for name, tokens in parts)
+    return types.Prompt("m", sum(p.tokens for p in found), out, found)
+
+
+class Reading(unittest.TestCase):
+    """An engine that reads prompts."""
+
+    def setUp(self):
+        """Begin with an idle engine."""
+        self.loop = loops.Loop()
+        self.engine = engines.Engine("e", ROW, True, self.loop)
+        self.ends = []
+
+    def read(self, name, tokens, urgency=1):
+        """Have a prompt read; its end is noted by name."""
+
+        def done():
+            self.ends.append((name, self.loop.now))
+
+        self.engine.read(prompt((name, tokens)), urgency, done)
+
+    def test_one_prompt_takes_what_the_figures_say(self):
+        self.read("a", 4_000)
+        self.loop.run(10_000)
+        expected = engine_time.prompt_ms(4_000, 0)
+        self.assertEqual(self.ends, [("a", expected)])
+
+    def test_urgent_prompts_go_first_but_interrupt_nothing(self):
+        self.read("begun", 4_000, 2)
+        self.read("patient", 1_000, 2)
+        self.read("urgent", 1_000, 0)
+        self.loop.run(10_000)
+        names = [name for name, _ in self.ends]
+        self.assertEqual(names, ["begun", "urgent", "patient"])
+
+    def test_what_is_kept_is_not_read_again(self):
+        self.read("a", 4_000)
+        self.loop.run(10_000)
+        self.assertEqual(self.engine.cached(prompt(("a", 4_000))), 4_000)
+        self.read("a", 4_000)
+        self.loop.run(20_000)
+        self.assertEqual(self.engine.read_tokens, 4_000)
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 9), strategies.integers(1, 9_000)
+            ),
+            max_size=30,
+        )
+    )
+    @hypothesis.settings(derandomize=True)
+    def test_memory_holds_no_more_than_there_is(self, rows):
+        loop = loops.Loop()
+        engine = engines.Engine("e", ROW, True, loop)
+        size_by_name = {}
+        for number, tokens in rows:
+            size = size_by_name.setdefault(f"p{number}", tokens)
+            engine.keep(prompt((f"p{number}", size)))
+            kept = [n for n in size_by_name if engine.keeps(n)]
+            total = sum(size_by_name[name] for name in kept)
+            self.assertLessEqual(total, ROW.kv_tokens)
+
+
+class Decoding(unittest.TestCase):
+    """An engine that runs streams."""
+
+    def setUp(self):
+        """Begin with an idle engine."""
+        self.loop = loops.Loop()
+        self.engine = engines.Engine("e", ROW, False, self.loop)
+        self.ends = []
+
+    def run_stream(self, name, tokens_out):
+        """Begin a stream; its end is noted by name."""
+        self.engine.run(
+            prompt((name, 100), out=tokens_out),
+            1,
+            lambda: None,
+            lambda: self.ends.append((name, self.loop.now)),
+        )
+
+    def test_one_stream_takes_its_steps(self):
+        self.run_stream("a", 50)
+        self.loop.run(10_000)
+        name, at = self.ends[0]
+        self.assertAlmostEqual(at, 50 * engine_time.step_ms(1))
+
+    def test_streams_beyond_the_slots_wait(self):
+        for name in "abc":
+            self.run_stream(name, 100)
+        self.loop.run(10_000)
+        both = 100 * engine_time.step_ms(2)
+        at = dict(self.ends)
+        self.assertAlmostEqual(at["a"], both)
+        self.assertAlmostEqual(at["b"], both)
+        self.assertAlmostEqual(at["c"], both + 100 * engine_time.step_ms(1))
+
+    def test_reading_slows_the_streams(self):
+        self.run_stream("a", 100)
+        self.engine.read(prompt(("p", 3_000)), 1, lambda: None)
+        self.loop.run(10_000)
+        _, at = self.ends[0]
+        self.assertGreater(at, 100 * engine_time.step_ms(1) + 20)
+
+    def test_moves_of_memory_go_one_after_another(self):
+        ends = []
+        for _ in range(2):
+            self.engine.fetch(10_000, lambda: ends.append(self.loop.now))
+        self.loop.run(10_000)
+        self.assertAlmostEqual(ends[1], 2 * ends[0])
--- /dev/null
+++ b/tests/lab/test_simulation.py
@@ -0,0 +1,152 @@
+"""Whole runs of the lab."""
+
+import unittest
+
+from clementinewall.lab import deployment
+from clementinewall.lab import load
+from clementinewall.lab import main
+from clementinewall.lab import policies
+from clementinewall.lab import report
+
+SHARED = deployment.SharedPart(tokens=4_000, things=20, skew=0.3)
+LONG = deployment.RequestClass(
+    per_s=20,
+    goal_ms=400,
+    deadline_ms=8_000,
+    tokens_in=6_000,
+    tokens_out=300,
+    late_worth=0.3,
+    spread_in=1.0,
+    shared=(SHARED,),
+)
+SHORT = deployment.RequestClass(
+    per_s=40,
+    goal_ms=200,
+    deadline_ms=2_500,
+    tokens_in=700,
+    tokens_out=50,
+    late_worth=0.3,
+)
+SMALL = deployment.Deployment(
+    "small",
+    deployment.Gateways(count=7),
+    deployment.Engines(count=6, slots=96, kv_tokens=900_000),
+    {"long": LONG, "short": SHORT},
+    clump=3.0,
+)
+SECONDS = 6.0
+
+
+def times(factor):
+    """Return the small deployment with so many times its load."""
+    classes = {
+        name: row._replace(per_s=row.per_s * factor)
+        for name, row in SMALL.classes.items()
+    }
+    return SMALL._replace(classes=classes)
+
+
+def play(text, where=SMALL, seed=1):
+    """Return the summary of one run."""
+    policy = policies.parse(text)
+    return main.play(main.Job(where, policy, seed, SECONDS))
+
+
+class Load(unittest.TestCase):
+    """The requests that are drawn."""
+
+    def test_the_same_seed_draws_the_same(self):
+        self.assertEqual(
+            load.draw(SMALL, SECONDS, 3), load.draw(SMALL, SECONDS, 3)
+        )
+
+    def test_rates_and_sizes_are_those_of_the_deployment(self):
+        arrivals = load.draw(SMALL, 200.0, 3)
+        rows = [a for a in arrivals if a.work_class == "long"]
+        own = [a.prompt.parts[-1].tokens for a in rows]
+        self.assertAlmostEqual(len(rows) / 200, LONG.per_s, delta=2)
+        mean = sum(own) / len(own)
+        self.assertAlmostEqual(mean, LONG.tokens_in, delta=600)
+
+    def test_a_burst_raises_one_class_only(self):
+        burst = deployment.Burst("long", at_s=50, for_s=50, factor=2.0)
+        arrivals = load.draw(SMALL._replace(bursts=(burst,)), 100.0, 3)
+        found = {
+            (name, half): sum(
+                a.work_class == name and (a.at_ms >= 50_000) == half
+                for a in arrivals
+            )
+            for name in SMALL.classes
+            for half in (False, True)
+        }
+        long_ratio = found["long", True] / found["long", False]
+        short_ratio = found["short", True] / found["short", False]
+        self.assertAlmostEqual(long_ratio, 2.0, delta=0.4)
+        self.assertAlmostEqual(short_ratio, 1.0, delta=0.2)
+
+
+class Runs(unittest.TestCase):
+    """Policies side by side."""
+
+    def test_the_same_seed_plays_the_same(self):
+        self.assertEqual(play("gateway"), play("gateway"))
+
+    def test_every_request_ends(self):
+        found = play("gateway")
+        asked = sum(row.asked for row in found.by_class.values())
+        self.assertEqual(asked, len(load.draw(SMALL, SECONDS, 1)))
+
+    def test_a_calm_load_is_served_in_time(self):
+        self.assertGreater(play("gateway", times(0.3)).credit, 0.9)
+
+    def test_nothing_earns_more_than_the_bound(self):
+        for factor in (0.3, 1.0, 3.0):
+            for text in policies.PLACERS:
+                found = play(text, times(factor))
+                self.assertLessEqual(found.credit, found.bound + 1e-9)
+
+    def test_placing_by_what_is_known_earns_more(self):
+        # With the load near what the engines can read, callers of a random
+        # engine wait behind whoever is there.
+        known = play("gateway").credit
+        self.assertGreater(known, play("random").credit + 0.1)
+        self.assertGreater(known, play("random-split").credit + 0.02)
+
+    def test_under_overload_the_large_requests_are_served_too(self):
+        # Refusing whatever is large would earn as much credit with less
+        # engine time, and its callers would never be served.
+        found = play("gateway", times(1.5))
+        row = found.by_class["long"]
+        self.assertGreater(row.largest, row.credit / 2)
+
+
+class Policies(unittest.TestCase):
+    """Policies as they are named on the command line."""
+
+    def test_other_thresholds_hold_for_their_run_only(self):
+        before = play("gateway")
+        other = play("gateway:placement.ROOM=0.1")
+        self.assertNotEqual(other.credit, before.credit)
+        self.assertEqual(play("gateway"), before)
+
+    def test_mistakes_are_named(self):
+        for text, part in (
+            ("best", "no policy 'best'"),
+            ("gateway:placement.NOTHING=1", "placement.NOTHING"),
+            ("gateway:placement.ROOM=much", "much"),
+            ("gateway:nowhere.ROOM=1", "nowhere.ROOM"),
+            ("gateway:placement.choose=1", "is no number"),
+        ):
+            with self.assertRaises(policies.errors.SettingsError) as caught:
+                policies.parse(text)
+            self.assertIn(part, caught.exception.message)
+
+
+class Report(unittest.TestCase):
+    """What is printed."""
+
+    def test_table_and_json_name_policies_and_classes(self):
+        found = {"gateway": report.mean([play("gateway"), play("gateway")])}
+        for text in (report.table(found), report.to_json(found)):
+            for name in ("gateway", *SMALL.classes):
+                self.assertIn(name, text)
