Count no attempt for endpoints that cannot be reached

In the log, between 5 and 11 s: 607 sends found no connection and 329 got 421 (restarted in their first stage); 367 + 91 requests ended with 503 because their route allows one engine and that one was gone; each gateway needed two failures an engine to leave it out, and waited 500 ms for those without power.

Ruled out: telling peers of engines that refuse connections (each now costs a gateway one round trip).

--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -13,6 +13,9 @@
 DEFAULT_WAIT_MS = 30_000
 # Callers wait no longer than this part of the time that they have left.
 RETRY_PART = 1 / 3
+# How many endpoints may turn out to be unreachable before a request is given
+# up.  Each costs a round trip, or the time limit of a connection.
+UNREACHED_LIMIT = 4
 _REASONS = {
     400: b"Bad Request",
     404: b"Not Found",
@@ -31,11 +34,20 @@
     """One send failed; ``verdict`` says whether the request may have run.
 
     ``answer`` is the endpoint's own failure, to be handed on if nothing
-    better comes; ``broken`` tells that the connection ended early.
+    better comes; ``broken`` tells that the connection ended early, and
+    ``reached`` is false if nothing of the request was sent.  ``absent``
+    means that the endpoint isn't there any more.
     """
 
     def __init__(
-        self, verdict, why, endpoint_id=None, answer=None, broken=False
+        self,
+        verdict,
+        why,
+        endpoint_id=None,
+        answer=None,
+        broken=False,
+        reached=True,
+        absent=False,
     ):
         """Keep what is known of the failure."""
         super().__init__(why)
@@ -44,6 +56,8 @@
         self.endpoint_id = endpoint_id
         self.answer = answer
         self.broken = broken
+        self.reached = reached
+        self.absent = absent
 
 
 class Exchange:
@@ -59,8 +73,11 @@
         self.arrived = now()
         self.end = self.arrived + _wait_ms(call, route)
         self.verdict = verdicts.Verdict.NOT_RUN
+        # Prompts that engines were asked to read only are counted apart.
         self.sends = 0
+        self.reads = 0
         self.tried = set()
+        self._unreached = 0
 
     @property
     def left_ms(self):
@@ -72,14 +89,28 @@
         """Return how long the request is here."""
         return self._now() - self.arrived
 
-    def note(self, verdict):
-        """Count a send that failed with ``verdict``."""
-        self.verdict = verdicts.worst(self.verdict, verdict)
+    @property
+    def arrivals(self):
+        """Return how many sends may have reached an endpoint."""
+        return self.sends - self._unreached
+
+    def note(self, failure):
+        """Count a send that failed.
+
+        One that reached nobody is no attempt: when a quarter of the engines
+        crashed, 367 callers in five seconds got a failure because the one
+        engine that their route allows refused the connection.
+        """
+        self.verdict = verdicts.worst(self.verdict, failure.verdict)
+        if not failure.reached:
+            self._unreached += 1
 
     def may_send_again(self):
         """Tell whether the route and the verdict allow another send."""
-        return self.sends < self.route.max_attempts and verdicts.may_retry(
-            self.verdict, self.route.idempotent
+        return (
+            self.arrivals < self.route.max_attempts
+            and self._unreached < UNREACHED_LIMIT
+            and verdicts.may_retry(self.verdict, self.route.idempotent)
         )
 
 
--- a/clementinewall/gateway/plain.py
+++ b/clementinewall/gateway/plain.py
@@ -40,7 +40,7 @@
             state = self._pick(exchange)
             if state is None:
                 break
-            if exchange.sends and not self._budgets.spend(exchange.service):
+            if exchange.arrivals and not self._budgets.spend(exchange.service):
                 _log.info("no budget", request=exchange.call.attempt)
                 break
             try:
@@ -87,7 +87,7 @@
         left_ms = exchange.left_ms
         is_last = not (
             exchange.route.idempotent
-            and exchange.sends < exchange.route.max_attempts
+            and exchange.arrivals < exchange.route.max_attempts
         )
         limit_ms = left_ms if is_last else left_ms * FIRST_PART
         _log.info(
@@ -124,9 +124,9 @@
         return answer
 
     def _note_failure(self, exchange, state, exc):
-        exchange.note(exc.verdict)
+        exchange.note(exc)
         if exc.answer is None:
-            state.health.failed(self._now())
+            state.health.failed(self._now(), exc.absent)
         self._guard.note_failure(exchange.call, state, exc, True)
         _log.info(
             "attempt failed",
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -90,16 +90,21 @@
         _note_load(state, head, now())
         if calls.says_not_run(head):
             await sent.read_all()
-            raise sent.failed(
+            failure = sent.failed(
                 f"refused with {head.status}", verdicts.Verdict.NOT_RUN
             )
+            failure.absent = calls.is_misdirected(head)
+            raise failure
         yield sent
     except client.LinkBroken as exc:
+        reached = exc.progress is not verdicts.Progress.NEVER_CONNECTED
         raise exchanges.AttemptFailed(
             verdicts.verdict_of(exc.progress),
             exc.why,
             state.endpoint.id,
             broken=True,
+            reached=reached,
+            absent=not reached,
         ) from exc
     finally:
         state.end()
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -53,7 +53,7 @@
         last = None
         while True:
             plan = self._placer.place(exchange, last)
-            if exchange.sends and not self._spend(exchange, plan):
+            if not self._spend(exchange, plan):
                 _log.info("no budget", request=exchange.call.attempt)
                 break
             try:
@@ -72,14 +72,18 @@
         raise exchanges.final_error(exchange, last.why)
 
     def _spend(self, exchange, plan):
-        """Take a retry from the budget; reading the prompt again counts too.
+        """Take retries from the budget; reading the prompt again counts too.
 
         Only the first reading of a prompt is free.  Retries that were
         counted once went over the deployment's bound by 24 in 10 s when
         decode engines were replaced under load.
         """
-        sends = 1 if plan.reader is None else 2
-        return self._budgets.spend(exchange.service, sends)
+        sends = 0
+        if exchange.arrivals:
+            sends += 1
+        if exchange.reads and plan.reader is not None:
+            sends += 1
+        return not sends or self._budgets.spend(exchange.service, sends)
 
     async def _run_plan(self, exchange, stream, plan):
         prefilled = None
@@ -96,6 +100,7 @@
                 verdicts.Verdict.NOT_RUN,
                 "the engine is leaving",
                 decoder.endpoint.id,
+                reached=False,
             )
         exchange.tried.add(decoder.endpoint.id)
         request = calls.run(
@@ -135,7 +140,7 @@
         none.
         """
         route = exchange.route
-        if not route.idempotent or exchange.sends >= route.max_attempts:
+        if not route.idempotent or exchange.arrivals >= route.max_attempts:
             return None
         others = [
             state
@@ -181,9 +186,12 @@
             ) as sent:
                 body = await sent.read_all()
             was_read = True
+            exchange.reads += 1
         except exchanges.AttemptFailed as exc:
             # Only the prompt was read, so the request itself has not run.
             exchange.sends += 1
+            if exc.reached:
+                exchange.reads += 1
             exchange.tried.add(reader.endpoint.id)
             exc.verdict = verdicts.Verdict.NOT_RUN
             raise
@@ -218,10 +226,10 @@
                 _log.info("handle not freed", why=exc.why)
 
     def _note_failure(self, exchange, exc, before_first):
-        exchange.note(exc.verdict)
+        exchange.note(exc)
         for state in self._endpoints.of_service(exchange.service.name):
             if state.endpoint.id == exc.endpoint_id and exc.answer is None:
-                state.health.failed(self._now())
+                state.health.failed(self._now(), exc.absent)
                 self._guard.note_failure(
                     exchange.call, state, exc, before_first
                 )
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -211,7 +211,12 @@
 
 def says_not_run(head):
     """Tell whether the endpoint says that it has not run the request."""
-    return head.status == _MISDIRECTED or head.header(_NOT_RUN) is not None
+    return is_misdirected(head) or head.header(_NOT_RUN) is not None
+
+
+def is_misdirected(head):
+    """Tell whether another endpoint, or one of another stage, answered."""
+    return head.status == _MISDIRECTED
 
 
 def is_whole_success(head):
--- a/clementinewall/policy/speed.py
+++ b/clementinewall/policy/speed.py
@@ -3,6 +3,7 @@
 Speed is the smoothed ratio of what was seen to what the report promised, so
 an engine at half speed is predicted at half speed.  Failures in a row leave
 an endpoint out for a growing time, after which a single request probes it.
+One failure is enough if it shows that the endpoint isn't there.
 """
 
 FAILURES_TO_PAUSE = 2
@@ -27,9 +28,13 @@
         """Tell whether work may go there now."""
         return self._paused_until is None or now >= self._paused_until
 
-    def failed(self, now):
-        """Count a failure; return the pause in ms if one begins."""
-        self._failures += 1
+    def failed(self, now, absent=False):
+        """Count a failure; return the pause in ms if one begins.
+
+        ``absent`` tells that nothing listens where the endpoint was, or that
+        another one answered.
+        """
+        self._failures += FAILURES_TO_PAUSE if absent else 1
         if self._failures < FAILURES_TO_PAUSE or not self.is_usable(now):
             return 0
         pause = self._pause_ms
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -115,6 +115,24 @@
             return False
         return first.requests and second.requests
 
+    def test_engines_that_are_gone_cost_no_attempt(self):
+        # Engines crash, and their records stay in the store for some
+        # seconds.  Nothing listens where they were.  The route allows one
+        # engine a request; if that were used up by a connection that was
+        # refused, callers would get failures while sound engines are idle.
+        self.publish(route("single", "model", "stream", max_attempts=1))
+        for name in ("a", "b", "c"):
+            gone = f"127.0.0.1:{bringup.free_port()}"
+            self.register(name, gone, "model", stage="decode")
+        self.engine("z", go_on)
+        front = self.gateway()
+        for number in range(4):
+            answer = self.ask(
+                front, "/single/x", f"s{number}", **MODEL_HEADERS
+            )
+            self.assertEqual(answer.status_code, 200)
+            self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
+
     def test_stream_that_may_not_be_resumed_is_cut(self):
         # Started again, such a request would run twice.  The caller sees
         # that its answer is not whole.
--- /dev/null
+++ b/tests/policy/test_speed.py
@@ -0,0 +1,41 @@
+"""Leaving out endpoints that fail, and trying them again."""
+
+import unittest
+
+from clementinewall.policy import speed
+
+
+class Health(unittest.TestCase):
+    """The record of one endpoint."""
+
+    def test_one_failure_may_be_chance(self):
+        health = speed.Health()
+        health.failed(0)
+        self.assertTrue(health.is_usable(1))
+
+    def test_failures_in_a_row_leave_it_out_ever_longer(self):
+        health = speed.Health()
+        now = 0
+        pauses = []
+        for _ in range(6):
+            pause = health.failed(now) or health.failed(now)
+            pauses.append(pause)
+            self.assertFalse(health.is_usable(now + pause - 1))
+            now += pause
+            self.assertTrue(health.is_usable(now))
+        self.assertEqual(pauses, sorted(pauses))
+        self.assertLessEqual(pauses[-1], speed.LONGEST_PAUSE_MS)
+
+    def test_one_that_is_not_there_is_left_out_at_once(self):
+        # An engine crashed and its record stays for seconds.  Each of 61
+        # gateways that needs two refused connections to believe it costs
+        # callers a hundred failures for one engine.
+        health = speed.Health()
+        health.failed(0, absent=True)
+        self.assertFalse(health.is_usable(1))
+
+    def test_an_answer_clears_the_record(self):
+        health = speed.Health()
+        health.failed(0, absent=True)
+        health.worked()
+        self.assertTrue(health.is_usable(1))
