Fetch the beginnings of prompts that another engine keeps

Change: placement lets an engine fetch what it lacks from one that keeps it, where that takes under 0.6 of the reading saved; gateways tell those outside of their cell which long beginnings engines read for them (gateway/keepers.py), with the signs of life.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from clementinewall.gateway import keepers
 from clementinewall.gateway import peer_messages
 from clementinewall.gateway import types
 from clementinewall.http1 import client
@@ -114,6 +115,7 @@
         self._now = now
         self._state_by_life = {}
         self._read = []
+        self.keepers = keepers.Keepers(now)
 
     def state(self, endpoint):
         """Return the state of this life of an endpoint."""
@@ -132,6 +134,13 @@
             if endpoint.service == service and not endpoint.leaving
         ]
 
+    def find(self, endpoint_id):
+        """Return the state of an endpoint that takes new work, or ``None``."""
+        endpoint = self._beliefs.endpoint_by_id.get(endpoint_id)
+        if endpoint is None or endpoint.leaving:
+            return None
+        return self.state(endpoint)
+
     def is_current(self, state):
         """Tell whether the endpoint still takes new work."""
         known = self._beliefs.endpoint_by_id.get(state.endpoint.id)
@@ -146,13 +155,16 @@
         endpoint = self._beliefs.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
             self.state(endpoint).read(parts, self._capacity(endpoint))
+            self.keepers.hear(endpoint_id, parts)
 
     def note_read(self, state, prompt):
         """Note a prompt that was read for this gateway, to tell others."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
         state.read(parts, self._capacity(state.endpoint))
         # The last part belongs to this request alone.
-        self._read.append((state.endpoint.id, parts[:-1]))
+        shared = parts[:-1]
+        self._read.append((state.endpoint.id, shared))
+        self.keepers.note(state.endpoint.id, shared)
 
     def _capacity(self, endpoint):
         configuration = self._beliefs.configuration
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -3,7 +3,8 @@
 A datagram is a JSON object with any of these keys: ``state`` (the sender's
 unfinished work), ``read`` (shared parts of prompts that engines read for
 it), ``marks`` (requests that crashed endpoints), ``signs`` (which gateways
-live) and ``news`` (what was read of the store).  Times travel as ages, since
+live), ``kept`` (long beginnings of prompts that engines read for the sender)
+and ``news`` (what was read of the store).  Times travel as ages, since
 clocks of two machines are never compared.
 """
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -176,7 +176,11 @@
         own = [self._own_sign(now)]
         heard = [state.sign for state in self.table.states()]
         rows = [peer_messages.sign(sign, now) for sign in own + heard]
-        message = {"signs": rows, "marks": self._guard.message()}
+        message = {
+            "signs": rows,
+            "marks": self._guard.message(),
+            "kept": self._endpoints.keepers.message(FAR_MS * FAR_ROUNDS),
+        }
         raw = peer_messages.dump(message)
         datagrams.send(raw, far[turn::FAR_ROUNDS])
 
@@ -217,6 +221,7 @@
         for row in message.get("signs", ()):
             self.table.take_sign(peer_messages.decode_sign(row, now))
         self._guard.merge(message.get("marks", ()))
+        self._endpoints.keepers.learn(message.get("kept", ()))
         # News decides which endpoints get work, so only gateways are
         # believed, not whoever sends to this port.
         if "news" in message and self.table.is_known(ip):
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -28,6 +28,7 @@
     decoder: endpoints_module.State
     way: placement.Way
     urgency: int
+    source: endpoints_module.State | None = None
 
 
 class Placer:
@@ -65,7 +66,8 @@
             self._engine(state, prompt, urgency, peers)
             for state in states.values()
         ]
-        chosen = placement.choose(engines, demand)
+        keeper = self._keeper(prompt, states)
+        chosen = placement.choose(engines, demand, keeper)
         if isinstance(chosen, placement.Refusal):
             if last is None or not _may_come_late(chosen, exchange):
                 self._refuse(exchange, demand, chosen, last)
@@ -81,11 +83,23 @@
             wait_ms=round(chosen.wait_ms),
             prompt_ms=round(chosen.prompt_ms),
             cached=chosen.cached,
+            fetch=chosen.fetch,
             tokens=demand.tokens,
             left_ms=round(demand.left_ms),
         )
         reader = states.get(chosen.prefill)
-        return Plan(reader, states[chosen.decode], chosen, urgency)
+        source = chosen.fetch and self._endpoints.find(chosen.fetch)
+        return Plan(reader, states[chosen.decode], chosen, urgency, source)
+
+    def _keeper(self, prompt, states):
+        """Return an engine outside the cell that keeps the beginning."""
+        keeper = self._endpoints.keepers.find(prompt.parts[:-1])
+        if keeper is None or keeper.endpoint_id in states:
+            return None
+        state = self._endpoints.find(keeper.endpoint_id)
+        if state is None or not state.is_usable():
+            return None
+        return placement.Source(keeper.endpoint_id, keeper.tokens)
 
     def _demand(self, exchange):
         prompt = exchange.call.prompt or NO_PROMPT
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -110,6 +110,7 @@
             stream.events.last,
             prefilled,
             plan.urgency,
+            None if prefilled else _source(plan),
         )
         decoder.streams += 1
         job = None
@@ -172,7 +173,11 @@
         reader = plan.reader
         prompt_ms = plan.way.prompt_ms
         request = calls.prefill(
-            exchange.call, reader.endpoint, exchange.left_ms, plan.urgency
+            exchange.call,
+            reader.endpoint,
+            exchange.left_ms,
+            plan.urgency,
+            _source(plan),
         )
         started = self._now()
         job = reader.begin_prompt(plan.urgency, prompt_ms)
@@ -240,3 +245,7 @@
             verdict=exc.verdict.value,
             why=exc.why,
         )
+
+
+def _source(plan):
+    return plan.source and plan.source.endpoint
--- a/clementinewall/lab/engine.py
+++ b/clementinewall/lab/engine.py
@@ -110,6 +110,15 @@
             _, tokens = self._cache.popitem(last=False)
             self._cached_tokens -= tokens
 
+    def keep_as(self, source, prompt):
+        """Keep what another engine keeps of a prompt's beginning."""
+        count = 0
+        for part in prompt.parts:
+            if not source.keeps(part.id):
+                break
+            count += 1
+        self.keep(prompt._replace(parts=prompt.parts[:count]))
+
     # Memory that moves.
 
     def fetch(self, tokens, done):
--- a/clementinewall/lab/gateway.py
+++ b/clementinewall/lab/gateway.py
@@ -52,6 +52,16 @@
             self.table.register(ip)
         self._membership.update([ip for ip in ips if ip != self.ip])
         self._plan(peers.CHANGED_MS)
+        self._tell_far(ips)
+
+    def _tell_far(self, ips):
+        """Tell those outside of the cell, all at once, what engines keep."""
+        period = peers.FAR_MS * peers.FAR_ROUNDS
+        rows = self.endpoints.keepers.message(period)
+        for ip in ips:
+            if ip != self.ip and not self._membership.is_close(ip):
+                self._network(ip, self.ip, None, rows)
+        self._loop.after(period, self._tell_far, ips)
 
     def close_ips(self):
         """Return the peers that share this gateway's engines."""
@@ -90,7 +100,10 @@
             self._network(ip, self.ip, state, read)
 
     def hear(self, ip, state, read):
-        """Take in what a peer told."""
+        """Take in what a peer told; no state comes from other cells."""
+        if state is None:
+            self.endpoints.keepers.learn(read)
+            return
         for endpoint_id, parts in read:
             self.endpoints.learn_read(endpoint_id, parts)
         self.table.take_state(ip, state)
--- a/clementinewall/lab/simulation.py
+++ b/clementinewall/lab/simulation.py
@@ -239,6 +239,17 @@
 
     def _read(self):
         reader = self._sim.engine(self._plan.reader or self._plan.decoder)
+        if self._plan.source is not None:
+            source = self._sim.engine(self._plan.source)
+            kept = source.cached(self._prompt) - reader.cached(self._prompt)
+            if kept > 0:
+                reader.fetch(kept, lambda: self._read_rest(reader, source))
+                return
+        self._read_rest(reader)
+
+    def _read_rest(self, reader, source=None):
+        if source is not None:
+            reader.keep_as(source, self._prompt)
         self._sim.note_read(reader, self._prompt)
         after = self._run if self._plan.reader is None else self._answer_read
         reader.read(self._prompt, self._plan.urgency, after)
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -99,14 +99,23 @@
     return tuple(parts)
 
 
-def run(call, endpoint, left_ms, after=None, prefilled=None, urgency=None):
+def run(
+    call,
+    endpoint,
+    left_ms,
+    after=None,
+    prefilled=None,
+    urgency=None,
+    source=None,
+):
     """Return the request that has ``endpoint`` run the call.
 
     ``after`` is the last event that the caller has, ``prefilled`` where the
     engine gets the memory of the prompt, ``urgency`` its place among the
-    engine's waiting requests, 0 first.
+    engine's waiting requests, 0 first; ``source`` is an endpoint from whose
+    cache it fetches what it lacks of the prompt's beginning.
     """
-    extra = []
+    extra = _fetched(source)
     if prefilled is not None:
         extra.append((b"Kv-Source", prefilled.source.encode()))
     if urgency is not None:
@@ -118,14 +127,20 @@
     return _request(call, headers, endpoint, left_ms, extra)
 
 
-def prefill(call, endpoint, left_ms, urgency=None):
+def prefill(call, endpoint, left_ms, urgency=None, source=None):
     """Return the request that has an engine only read the prompt."""
-    extra = [(b"Stage", b"prefill")]
+    extra = [(b"Stage", b"prefill"), *_fetched(source)]
     if urgency is not None:
         extra.append((b"Request-Priority", str(urgency).encode()))
     return _request(call, call.headers, endpoint, left_ms, extra)
 
 
+def _fetched(source):
+    if source is None:
+        return []
+    return [(b"Kv-Fetch", source.address.encode())]
+
+
 def _request(call, headers, endpoint, left_ms, extra):
     # Without the id another process that got the address of an endpoint
     # that has left would run the request.
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -35,6 +35,8 @@
 # How much a millisecond of engine time weighs against one of the caller's:
 # it keeps prompts where their first parts are in the cache.
 WORK_WEIGHT = 3.0
+# From this slowness on an engine counts as failed.
+FAILED_SLOWNESS = 5.0
 # What a decode engine full of streams weighs against the reading that blocks
 # a new one there: its steps take up to 6 ms longer than those of an idle one,
 # 13 of them between two events.
@@ -49,6 +51,13 @@
 LONG_STREAMS_PART = 0.88
 LONG_TOKENS = 100
 MIN_RETRY_MS = 50
+# A fetch takes this long before the first byte (operators' figure for moves),
+# and is worth it up to this part of the reading that it saves: what a source
+# keeps is known from what was sent there, and at times is gone.
+FETCH_SETUP_MS = 5.0
+FETCH_PART = 0.6
+# Fetching keeps no engine from its work, but sends memory around.
+FETCH_WEIGHT = 1.0
 
 
 class Engine(typing.NamedTuple):
@@ -82,7 +91,11 @@
 
 
 class Way(typing.NamedTuple):
-    """A way to serve a request: ``prefill`` is ``None`` without a split."""
+    """A way to serve a request: ``prefill`` is ``None`` without a split.
+
+    ``fetch`` is the engine from whose cache the one that reads the prompt
+    gets its beginning first, of which ``cached`` tokens need no reading.
+    """
 
     prefill: str | None
     decode: str
@@ -90,6 +103,8 @@
     wait_ms: float
     prompt_ms: float
     cached: int
+    fetch: str | None = None
+    fetch_ms: float = 0.0
 
 
 class Refusal(typing.NamedTuple):
@@ -100,9 +115,19 @@
     best: Way | None
 
 
-def choose(engines, demand):
-    """Return the best :class:`Way`, or a :class:`Refusal`."""
-    ways = list(_ways(engines, demand))
+class Source(typing.NamedTuple):
+    """An engine that keeps so many leading tokens of the prompt."""
+
+    id: str
+    cached: int
+
+
+def choose(engines, demand, keeper=None):
+    """Return the best :class:`Way`, or a :class:`Refusal`.
+
+    ``keeper`` is a :class:`Source` that is none of ``engines``.
+    """
+    ways = list(_ways(engines, demand, keeper))
     if not ways:
         return Refusal("no engine takes work", MIN_RETRY_MS, None)
     best = min(ways, key=_price)
@@ -118,7 +143,8 @@
 
 
 def _price(way):
-    return way.first_ms + WORK_WEIGHT * way.prompt_ms, way.decode
+    work = WORK_WEIGHT * way.prompt_ms + FETCH_WEIGHT * way.fetch_ms
+    return way.first_ms + work, way.decode
 
 
 def _is_in_time(way, demand):
@@ -147,15 +173,46 @@
     return PATIENT
 
 
-def _ways(engines, demand):
+def _ways(engines, demand, keeper):
     decoding = [e for e in engines if not e.prefill and _has_slot(e, demand)]
+    sources = _sources(engines, keeper)
     for engine in decoding:
-        yield _direct(engine, demand)
+        yield _direct(engine, sources, demand)
     if not decoding:
         return
     for engine in engines:
         if engine.prefill:
-            yield _split(engine, decoding, demand)
+            yield _split(engine, decoding, sources, demand)
+
+
+def _sources(engines, keeper):
+    """Return the two engines that keep most of the prompt's beginning."""
+    found = [
+        Source(e.id, e.cached)
+        for e in engines
+        if e.cached and e.slowness < FAILED_SLOWNESS
+    ]
+    if keeper is not None:
+        found.append(keeper)
+    return sorted(found, key=lambda source: (-source.cached, source.id))[:2]
+
+
+def _fetch(reader, sources, demand):
+    """Return from where the reader gets what it lacks, and how long it takes.
+
+    The third value is how many leading tokens it need not read then.
+    """
+    source = next((e for e in sources if e.id != reader.id), None)
+    if source is None or not demand.link_mbps:
+        return None, 0.0, reader.cached
+    tokens = source.cached - reader.cached
+    cost = FETCH_SETUP_MS + engine_time.transfer_ms(
+        tokens, demand.token_bytes, demand.link_mbps
+    )
+    saved = tokens / engine_time.PROMPT_TOKENS_A_MS
+    if cost > saved * FETCH_PART:
+        return None, 0.0, reader.cached
+    return source.id, cost, source.cached
 
 
 def _has_slot(engine, demand):
@@ -165,29 +222,33 @@
     return engine.streams < engine.slots * part
 
 
-def _direct(engine, demand):
+def _direct(engine, sources, demand):
+    fetch, fetch_ms, cached = _fetch(engine, sources, demand)
     prompt = engine_time.prompt_ms_beside(
-        demand.tokens, engine.cached, engine.streams
+        demand.tokens, cached, engine.streams
     )
     wait = engine.wait_ms * engine.slowness
     own = engine_time.HOP_MS + engine_time.FIRST_EVENT_MS
-    first = wait + own + prompt * engine.slowness
-    return Way(None, engine.id, first, wait, prompt, engine.cached)
+    first = max(wait, fetch_ms) + own + prompt * engine.slowness
+    return Way(None, engine.id, first, wait, prompt, cached, fetch, fetch_ms)
 
 
-def _split(reader, decoding, demand):
-    prompt = engine_time.prompt_ms(demand.tokens, reader.cached)
+def _split(reader, decoding, sources, demand):
+    fetch, fetch_ms, cached = _fetch(reader, sources, demand)
+    prompt = engine_time.prompt_ms(demand.tokens, cached)
     transfer = engine_time.transfer_ms(
         demand.tokens, demand.token_bytes, demand.link_mbps
     )
     wait = reader.wait_ms * reader.slowness
-    ready = wait + prompt * reader.slowness + transfer
+    ready = max(wait, fetch_ms) + prompt * reader.slowness + transfer
     target = min(decoding, key=lambda engine: _target_rank(engine, ready))
     own = engine_time.HOP_MS + engine_time.FIRST_EVENT_MS * (
         1 + target.slowness
     )
     first = ready + _blocked_ms(target, ready) + own
-    return Way(reader.id, target.id, first, wait, prompt, reader.cached)
+    return Way(
+        reader.id, target.id, first, wait, prompt, cached, fetch, fetch_ms
+    )
 
 
 def _target_rank(engine, ready_ms):
--- a/tests/lab/test_simulation.py
+++ b/tests/lab/test_simulation.py
@@ -125,7 +125,7 @@
 
     def test_other_thresholds_hold_for_their_run_only(self):
         before = play("gateway")
-        other = play("gateway:placement.ROOM=0.1")
+        other = play("gateway:placement.STREAMS_PART=0.05")
         self.assertNotEqual(other.credit, before.credit)
         self.assertEqual(play("gateway"), before)
 
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -140,6 +140,68 @@
             self.assertTrue(by_id[way.prefill].prefill)
 
 
+class Fetch(unittest.TestCase):
+    """Prompts whose beginning some engine keeps."""
+
+    LINK = {"token_bytes": 18_432, "link_mbps": 370_000.0}
+
+    def test_an_idle_engine_fetches_what_a_busy_one_keeps(self):
+        # Everybody's catalogue is kept where prompts wait already.  Reading
+        # it again takes an idle engine 35 ms, fetching it under 15.
+        fleet = [
+            engine("idle", True),
+            engine("busy", True, cached=5_500, wait_ms=300),
+            engine("d"),
+        ]
+        way = placement.choose(fleet, demand(12_000, **self.LINK))
+        self.assertEqual((way.prefill, way.fetch), ("idle", "busy"))
+        self.assertEqual(way.cached, 5_500)
+
+    def test_an_engine_that_keeps_it_fetches_nothing(self):
+        fleet = [engine("p", True, cached=5_500), engine("d", cached=5_500)]
+        way = placement.choose(fleet, demand(12_000, **self.LINK))
+        self.assertIsNone(way.fetch)
+
+    def test_a_keeper_of_another_cell_is_asked(self):
+        fleet = [engine("p", True), engine("d")]
+        keeper = placement.Source("far", 5_500)
+        way = placement.choose(fleet, demand(12_000, **self.LINK), keeper)
+        self.assertEqual((way.prefill, way.fetch), ("p", "far"))
+
+    def test_short_beginnings_are_read(self):
+        fleet = [
+            engine("p", True),
+            engine("other", True, cached=600, wait_ms=300),
+            engine("d"),
+        ]
+        way = placement.choose(fleet, demand(12_000, **self.LINK))
+        self.assertIsNone(way.fetch)
+
+    def test_nothing_is_fetched_from_an_engine_that_failed(self):
+        # An engine without power lets whoever fetches from it wait.
+        fleet = [
+            engine("p", True),
+            engine("failed", True, cached=5_500, slowness=10.0),
+            engine("d"),
+        ]
+        way = placement.choose(fleet, demand(12_000, **self.LINK))
+        self.assertIsNone(way.fetch)
+
+    @hypothesis.given(
+        strategies.integers(0, 20_000),
+        strategies.integers(0, 20_000),
+        strategies.integers(1, 60_000),
+    )
+    @hypothesis.settings(derandomize=True)
+    def test_a_keeper_makes_no_way_longer(self, own, kept, tokens):
+        fleet = [engine("p", True, cached=min(own, tokens)), engine("d")]
+        keeper = placement.Source("far", min(kept, tokens))
+        wanted = demand(tokens, 100_000, **self.LINK)
+        without = placement.choose(fleet, wanted)
+        with_it = placement.choose(fleet, wanted, keeper)
+        self.assertLessEqual(with_it.first_ms, without.first_ms + 1e-6)
+
+
 class Urgency(unittest.TestCase):
     """Who goes first at an engine."""
 
