--- a/tests/gateway/test_keepers.py
+++ b/tests/gateway/test_keepers.py
@@ -63,15 +63,16 @@
     @hypothesis.settings(derandomize=True)
     def test_the_latest_reading_stands_whatever_the_order(self, rows, rng):
         """Messages overtake one another and are told more than once."""
-        messages = []
+        ticker = clock.ManualClock(100_000)
+        writer = keepers.Keepers(ticker.now)
+        reader = keepers.Keepers(ticker.now)
         last = {}
         for gap_ms, engine in rows:
-            self.ticker.advance(gap_ms)
-            self.here.note(f"e{engine}", LONG)
-            last[self.ticker.now()] = f"e{engine}"
-        messages = self.here.message(keepers.KEPT_MS)
+            ticker.advance(gap_ms)
+            writer.note(f"e{engine}", LONG)
+            last[ticker.now()] = f"e{engine}"
+        messages = writer.message(keepers.KEPT_MS)
         rng.shuffle(messages)
-        reader = keepers.Keepers(self.ticker.now)
         for row in messages:
             reader.learn([row])
         found = reader.find(PARTS)
