Compress what gateways tell one another

Change: zlib, fastest level, with a bound on what a message may grow to.

Ruled out: telling only what changed (a lost datagram would leave a gap until the next whole state).

--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -1,15 +1,16 @@
 """What gateways tell one another: types, and their form in a datagram.
 
-A datagram is a JSON object with any of these keys: ``state`` (the sender's
-unfinished work), ``read`` (shared parts of prompts that engines read for
-it), ``marks`` (requests that crashed endpoints), ``signs`` (which gateways
-live), ``kept`` (long beginnings of prompts that engines read for the sender)
-and ``news`` (what was read of the store).  Times travel as ages, since
-clocks of two machines are never compared.
+A datagram is a compressed JSON object with any of these keys: ``state`` (the
+sender's unfinished work), ``read`` (shared parts of prompts that engines read
+for it), ``marks`` (requests that crashed endpoints), ``signs`` (which
+gateways live), ``kept`` (long beginnings of prompts that engines read for the
+sender) and ``news`` (what was read of the store).  Times travel as ages,
+since clocks of two machines are never compared.
 """
 
 import json
 import typing
+import zlib
 
 from clementinewall import clock
 from clementinewall.policy import reading_queue
@@ -49,9 +50,31 @@
     away_by_endpoint: dict[str, float]
 
 
+# The fastest level: a state of 434 bytes becomes 235 in 0.01 ms, once for all
+# receivers, and takes 0.005 ms to read.  What passes between data centres is
+# paid for, and a third of it were these messages.
+LEVEL = 1
+# What a message may have when it is read; it is bounded so that no datagram
+# can fill the memory.
+MAX_BYTES = 200_000
+
+
 def dump(message):
     """Return the bytes of a message."""
-    return json.dumps(message, separators=(",", ":")).encode()
+    raw = json.dumps(message, separators=(",", ":")).encode()
+    return zlib.compress(raw, LEVEL)
+
+
+def load(raw):
+    """Return the message in a datagram.
+
+    :raises ValueError: there is none.
+    """
+    try:
+        data = zlib.decompressobj().decompress(raw, MAX_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"not compressed: {exc}") from exc
+    return json.loads(data)
 
 
 def sign(value, now):
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -7,7 +7,6 @@
 
 import collections
 import itertools
-import json
 
 import anyio
 
@@ -240,7 +239,7 @@
 
     def _receive(self, raw, ip):
         try:
-            self._take_datagram(json.loads(raw), ip)
+            self._take_datagram(peer_messages.load(raw), ip)
         except (
             ValueError,
             TypeError,
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -1,6 +1,5 @@
 """When a gateway tells the others of its work."""
 
-import json
 import unittest
 
 from clementinewall import clock
@@ -38,7 +37,8 @@
 
     def send(self, raw, ips):
         """Keep a message for each receiver."""
-        self.messages.extend((ip, json.loads(raw)) for ip in ips)
+        message = peer_messages.load(raw)
+        self.messages.extend((ip, message) for ip in ips)
 
 
 class TellPrompt(unittest.TestCase):
--- a/tests/integration/test_gateway_peers.py
+++ b/tests/integration/test_gateway_peers.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import time
+import zlib
 
 from standins import bringup
 from standins import scripted
@@ -58,7 +59,7 @@
         state = {"sign": sign, "away": {}, "work": {}}
         sound = {"state": state, "read": [], "marks": []}
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-            for raw in (
+            for text in (
                 b"\xff",
                 b"[" * 5_000,
                 b"[1, 2, 3]",
@@ -73,7 +74,9 @@
                 json.dumps({"signs": [["", "", "", 1, "late"]]}).encode(),
                 json.dumps({"news": {"topic": "keyed.servers"}}).encode(),
             ):
-                sender.sendto(raw, ("127.0.0.1", self._peer_port()))
+                where = "127.0.0.1", self._peer_port()
+                sender.sendto(text, where)
+                sender.sendto(zlib.compress(text), where)
         time.sleep(0.3)
         self.assertEqual(self.ask(first, "/look/x").status_code, 200)
         self.assertTrue(self.is_ready("gateway-1"))
