Let other cells help a cell whose engines crashed

Crashed engines were tried again after a second, by then started anew in another stage.

Change: where less than half of a cell's engines of a stage are usable, two of other cells are drawn at random; an engine that refuses connections, or answers 421, is left out for 5 s, since its new life has a record of its own; a record with another stage clears that.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -123,6 +123,9 @@
         if state is None:
             state = State(endpoint, self._now)
             self._state_by_life[endpoint.life] = state
+        if state.endpoint.stage != endpoint.stage:
+            # What it refused in its stage before says nothing any more.
+            state.health = speed.Health()
         state.endpoint = endpoint
         return state
 
--- a/clementinewall/gateway/membership.py
+++ b/clementinewall/gateway/membership.py
@@ -44,9 +44,13 @@
         """Tell whether a gateway shares this one's engines."""
         return ip in self._cell.gateways
 
+    def is_own(self, state):
+        """Tell whether an engine belongs to this gateway's cell."""
+        return state.endpoint.id in self._cell.engines
+
     def own_engines(self, states):
         """Return those of the cell, or all where it has none."""
-        own = [s for s in states if s.endpoint.id in self._cell.engines]
+        own = [s for s in states if self.is_own(s)]
         return own if _has_decoder(own) else states
 
 
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -17,6 +17,8 @@
 NO_PROMPT = types.Prompt("", 0, 0, ())
 # Returning callers are spread over half as much time again.
 RETRY_SPREAD = 0.5
+# Engines of other cells that are tried where those of the cell fail.
+HELPERS = 2
 # An engine that failed or fell silent is used only if all others are worse.
 UNUSABLE_SLOWNESS = 10.0
 
@@ -53,14 +55,16 @@
         :raises Overloaded: the request cannot be served in time.
         """
         demand = self._demand(exchange)
-        untried = [
+        engines = [
             state
             for state in self._endpoints.of_service(exchange.service.name)
-            if state.endpoint.id not in exchange.tried
-            and endpoints_module.is_engine(state)
+            if endpoints_module.is_engine(state)
         ]
-        close = self._membership.own_engines(untried)
-        states = {state.endpoint.id: state for state in close}
+        states = {
+            state.endpoint.id: state
+            for state in self._candidates(engines)
+            if state.endpoint.id not in exchange.tried
+        }
         peers = self._peers.table.states()
         prompt = exchange.call.prompt or NO_PROMPT
         cached = max(
@@ -68,12 +72,12 @@
             default=0,
         )
         urgency = placement.urgency(demand, cached)
-        engines = [
+        known = [
             self._engine(state, prompt, urgency, peers)
             for state in states.values()
         ]
         keeper = self._keeper(prompt, states)
-        chosen = placement.choose(engines, demand, keeper)
+        chosen = placement.choose(known, demand, keeper)
         if isinstance(chosen, placement.Refusal):
             if last is None or not _may_come_late(chosen, exchange):
                 self._refuse(exchange, demand, chosen, last)
@@ -95,7 +99,7 @@
         )
         reader = states.get(chosen.prefill)
         source = chosen.fetch and self._endpoints.find(chosen.fetch)
-        decoder = next(e for e in engines if e.id == chosen.decode)
+        decoder = next(e for e in known if e.id == chosen.decode)
         return Plan(
             reader,
             states[chosen.decode],
@@ -105,6 +109,30 @@
             placement.run_urgency(decoder, urgency),
         )
 
+    def _candidates(self, engines):
+        """Return the engines of the cell, and others where most of it fails.
+
+        When a quarter of 45 engines crashed at once, cells of two or three
+        decode engines had none left, and refused everything for seconds
+        while engines of other cells had room.  Nothing is known of the work
+        there, so some are drawn at random.
+        """
+        close = self._membership.own_engines(engines)
+        found = list(close)
+        for stage in types.STAGES:
+            own = [s for s in close if s.endpoint.stage == stage]
+            if sum(s.is_usable() for s in own) * 2 >= len(own):
+                continue
+            others = [
+                state
+                for state in engines
+                if state.endpoint.stage == stage
+                and state not in close
+                and state.is_usable()
+            ]
+            found += random.sample(others, min(HELPERS, len(others)))
+        return found
+
     def _keeper(self, prompt, states):
         """Return an engine outside the cell that keeps the beginning."""
         keeper = self._endpoints.keepers.find(prompt.parts[:-1])
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -104,7 +104,7 @@
             state.endpoint.id,
             broken=True,
             reached=reached,
-            absent=not reached,
+            absent=exc.absent,
         ) from exc
     finally:
         state.end()
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -31,13 +31,17 @@
 
 
 class LinkBroken(Exception):
-    """The exchange ended early; ``progress`` says how far it had come."""
+    """The exchange ended early; ``progress`` says how far it had come.
 
-    def __init__(self, progress, why):
+    ``absent`` tells that nothing listens at the address.
+    """
+
+    def __init__(self, progress, why, absent=False):
         """Keep how far the exchange had come."""
         super().__init__(why)
         self.progress = progress
         self.why = why
+        self.absent = absent
 
 
 class Link:
@@ -238,6 +242,7 @@
             raise LinkBroken(
                 verdicts.Progress.NEVER_CONNECTED,
                 f"no connection: {exc!r}",
+                isinstance(exc, ConnectionRefusedError),
             ) from exc
         except BaseException:
             self.open -= 1
--- a/clementinewall/policy/speed.py
+++ b/clementinewall/policy/speed.py
@@ -8,6 +8,10 @@
 
 FAILURES_TO_PAUSE = 2
 FIRST_PAUSE_MS = 1_000
+# An endpoint that isn't there comes back as a new one, with a record of its
+# own, which takes three heartbeats of 1,200 ms at the most.  Tried again
+# before, it was there but in another stage, and refused 329 requests.
+ABSENT_PAUSE_MS = 5_000
 LONGEST_PAUSE_MS = 30_000
 SMOOTHING = 0.1
 FASTEST = 0.5
@@ -34,7 +38,10 @@
         ``absent`` tells that nothing listens where the endpoint was, or that
         another one answered.
         """
-        self._failures += FAILURES_TO_PAUSE if absent else 1
+        if absent:
+            self._paused_until = now + ABSENT_PAUSE_MS
+            return ABSENT_PAUSE_MS
+        self._failures += 1
         if self._failures < FAILURES_TO_PAUSE or not self.is_usable(now):
             return 0
         pause = self._pause_ms
--- /dev/null
+++ b/tests/gateway/test_placing.py
@@ -0,0 +1,134 @@
+"""Which engines a gateway takes into account."""
+
+import types as builtin_types
+import unittest
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.gateway import beliefs
+from clementinewall.gateway import endpoints
+from clementinewall.gateway import exchange as exchanges
+from clementinewall.gateway import membership
+from clementinewall.gateway import peer_table
+from clementinewall.gateway import placing
+from clementinewall.gateway import types
+from clementinewall.http1 import server
+
+GATEWAYS = [f"10.0.0.{n}" for n in range(1, 33)]
+SERVICE = types.Service(
+    "model", types.EngineLimits(16, 500_000, 18_432, 370_000.0, 3_000)
+)
+SETTINGS = types.Settings(
+    instance="gateway-1",
+    ip=GATEWAYS[0],
+    data_centre="a",
+    callers="",
+    ready="",
+    directory="",
+    peer_port=1,
+    store="",
+    bounds=types.Bounds(),
+)
+ROUTE = types.Route(
+    name="chat",
+    host="",
+    prefix="/",
+    kind=types.STREAM,
+    shares=(types.Share("model", 1.0),),
+    timeout_ms=8_000,
+    goal_ms=400,
+    gap_goal_ms=150,
+    priority=0,
+    max_attempts=1,
+    resumable=False,
+)
+PROMPT = types.Prompt("m", 6_000, 100, (types.PromptPart("own", 6_000),))
+
+
+def engine(number, stage, **more):
+    """Return the record of an engine."""
+    row = {"leaving": False, "stage": stage, "born": 1}
+    row.update(more)
+    name = f"i-{number:04}"
+    return types.Endpoint(name, "model", f"{name}:1", "a", 16, **row)
+
+
+class Placing(unittest.TestCase):
+    """One of 32 gateways in four cells, before 24 engines."""
+
+    def setUp(self):
+        """Know all gateways and engines."""
+        self.ticker = clock.ManualClock(100_000)
+        now = self.ticker.now
+        self.beliefs = beliefs.Beliefs(now)
+        self.beliefs.configuration = types.Configuration(
+            1, {}, {"model": SERVICE}, server.Limits()
+        )
+        self.beliefs.endpoint_by_id = {
+            found.id: found
+            for found in (
+                engine(n, types.STAGES[n % len(types.STAGES)])
+                for n in range(24)
+            )
+        }
+        self.endpoints = endpoints.Endpoints(self.beliefs, now)
+        self.membership = membership.Membership(SETTINGS, self.beliefs)
+        self.membership.update(GATEWAYS[1:])
+        table = peer_table.PeerTable(GATEWAYS[0], now)
+        self.placer = placing.Placer(
+            SETTINGS,
+            self.endpoints,
+            builtin_types.SimpleNamespace(table=table),
+            self.membership,
+            now,
+        )
+
+    def place(self):
+        """Place a new request."""
+        call = types.Call(
+            "a", b"POST", b"/", "", "/", (), b"", None, None, PROMPT
+        )
+        exchange = exchanges.Exchange(
+            None, call, ROUTE, SERVICE, self.ticker.now
+        )
+        return self.placer.place(exchange, None)
+
+    def own(self, stage):
+        """Return the engines of the cell in a stage."""
+        return [
+            state
+            for state in self.endpoints.of_service("model")
+            if self.membership.is_own(state) and state.endpoint.stage == stage
+        ]
+
+    def test_the_cell_serves_itself(self):
+        for _ in range(50):
+            plan = self.place()
+            self.assertTrue(self.membership.is_own(plan.decoder))
+            self.assertTrue(self.membership.is_own(plan.reader))
+
+    def test_other_cells_help_where_all_engines_of_a_stage_crashed(self):
+        # All decode engines of a cell crash together.  Its gateways would
+        # refuse every caller for seconds while three other cells have room.
+        for state in self.own(types.DECODE):
+            state.health.failed(self.ticker.now(), absent=True)
+        for _ in range(20):
+            plan = self.place()
+            self.assertFalse(self.membership.is_own(plan.decoder))
+            self.assertTrue(plan.decoder.is_usable())
+
+    def test_full_engines_are_no_reason_to_go_elsewhere(self):
+        # With too much work everywhere, cells that send each other what
+        # they can't serve make everybody late.
+        for state in self.own(types.DECODE):
+            state.streams = state.endpoint.slots
+        with self.assertRaises(errors.Overloaded):
+            self.place()
+
+    def test_another_stage_clears_what_the_old_one_refused(self):
+        # An engine that is asked for what its stage doesn't do refuses.  It
+        # must be used as soon as its record tells the new stage.
+        state = self.own(types.DECODE)[0]
+        state.health.failed(self.ticker.now(), absent=True)
+        changed = state.endpoint._replace(stage=types.PREFILL)
+        self.assertTrue(self.endpoints.state(changed).is_usable())
--- a/tests/policy/test_speed.py
+++ b/tests/policy/test_speed.py
@@ -34,6 +34,14 @@
         health.failed(0, absent=True)
         self.assertFalse(health.is_usable(1))
 
+    def test_one_that_is_not_there_stays_out_until_its_record_lapsed(self):
+        # It is started anew within seconds, under another stage, and refuses
+        # what is sent by the old record.
+        health = speed.Health()
+        health.failed(0, absent=True)
+        self.assertFalse(health.is_usable(3_600))
+        self.assertTrue(health.is_usable(speed.ABSENT_PAUSE_MS))
+
     def test_an_answer_clears_the_record(self):
         health = speed.Health()
         health.failed(0, absent=True)
