Let the story command print, and name two causes that it missed

Cause: clementinewall story REQUEST LOG... ended with a traceback: its answer is text, and the renderer took only tables. The tests called its parts.

Change: text is printed as it is; a failed attempt right before the answer is the cause; a request whose process wrote no end is told with that process's next start. Each with a test that failed before.

--- a/clementinewall/operator/story.py
+++ b/clementinewall/operator/story.py
@@ -19,6 +19,8 @@
     "gateway: failed",
     "gateway: answered",
 )
+_ENDS = ("gateway: caller gone", "gateway: failed", "gateway: answered")
+_STARTED = "gateway: started"
 # What changed meanwhile at an endpoint that the request was sent to.
 _AROUND_MS = 3_000
 
@@ -76,16 +78,38 @@
         and start <= line.time <= end
         and _endpoints([line]) & endpoints
     ]
-    deciding = [line for line in own if line.message in _DECIDING]
-    story = sorted(own + around, key=lambda line: line.time)
-    return story, _decider(deciding)
+    decider = _decider(own)
+    if own[-1].message not in _ENDS:
+        decider = _restart(lines, own[-1]) or decider
+        around += [decider] if decider and decider not in own else []
+    return sorted(own + around, key=lambda line: line.time), decider
+
 
+def _restart(lines, last):
+    """Return the next start of the process in which a request stopped.
 
-def _decider(deciding):
+    A process that was killed or lost power writes nothing of it; its next
+    start is the only sign.
+    """
+    later = [
+        line
+        for line in lines
+        if line.message == _STARTED
+        and line.instance == last.instance
+        and line.time > last.time
+    ]
+    return min(later, key=lambda line: line.time, default=None)
+
+
+def _decider(own):
     """Return the line that says why, before the one that says how it ended."""
+    deciding = [line for line in own if line.message in _DECIDING]
     causes = [line for line in deciding if "why" in line.fields]
-    if deciding and deciding[-1].message == "gateway: answered":
-        return deciding[-1]
+    if own[-1].message == "gateway: answered":
+        # The failure of an endpoint that no other was asked after is handed
+        # on as it came.
+        handed_on = own[-2:-1] and own[-2].message.endswith("attempt failed")
+        return own[-2] if handed_on else own[-1]
     if causes:
         return causes[0] if len(causes) == 1 else causes[-2]
     return deciding[-1] if deciding else None
@@ -104,7 +128,7 @@
 def text(story, decider):
     """Return a story as text for a person."""
     if not story:
-        return "no line about this request"
+        return "no line about this request: it reached none of these processes"
     first = story[0].time
     rows = []
     for line in story:
--- a/clementinewall/operator/tables.py
+++ b/clementinewall/operator/tables.py
@@ -4,7 +4,9 @@
 
 
 def render(answer):
-    """Return the answer as text in aligned columns."""
+    """Return the answer as text in aligned columns, or as it is if text."""
+    if isinstance(answer, str):
+        return answer
     if isinstance(answer, list):
         return _table(answer) if answer else "nothing"
     blocks = []
--- a/tests/operator/test_story.py
+++ b/tests/operator/test_story.py
@@ -3,6 +3,8 @@
 import io
 import json
 import pathlib
+import subprocess
+import sys
 import tempfile
 import unittest
 
@@ -55,6 +57,45 @@
         self.assertEqual(decider.message, "stream: attempt failed")
         self.assertIn(">      300 ms  g1", story.text(found, decider))
 
+    def tell_lines(self, *lines):
+        """Tell the request ``r1`` from lines of one gateway."""
+        return story.tell(story.read([io.StringIO("".join(lines))]), "r1")
+
+    def test_a_failure_that_was_handed_on_is_the_cause(self):
+        # Two endpoints in a row answer 500, and the second 500 is what the
+        # caller gets.  "Answered" alone would tell nothing.
+        _, decider = self.tell_lines(
+            line(1.0, "g1", "gateway: accepted", request="r1"),
+            line(1.1, "g1", "plain: sent", request="r1", endpoint="e1"),
+            line(1.2, "g1", "plain: attempt failed", request="r1", why="500"),
+            line(1.3, "g1", "plain: sent", request="r1", endpoint="e2"),
+            line(1.4, "g1", "plain: attempt failed", request="r1", why="500"),
+            line(1.5, "g1", "gateway: answered", request="r1"),
+        )
+        self.assertEqual(decider.time, 1.4)
+
+    def test_a_second_attempt_that_worked_is_no_failure(self):
+        _, decider = self.tell_lines(
+            line(1.1, "g1", "plain: sent", request="r1", endpoint="e1"),
+            line(1.2, "g1", "plain: attempt failed", request="r1", why="500"),
+            line(1.3, "g1", "plain: sent", request="r1", endpoint="e2"),
+            line(1.5, "g1", "gateway: answered", request="r1"),
+        )
+        self.assertEqual(decider.message, "gateway: answered")
+
+    def test_a_process_that_died_is_seen_by_its_next_start(self):
+        # A gateway loses power in the middle of a stream.  It writes no line
+        # about that; the story would end with the first event.
+        found, decider = self.tell_lines(
+            line(1.0, "g1", "gateway: accepted", request="r1"),
+            line(1.1, "g1", "stream: first event", request="r1"),
+            line(2.0, "g2", "gateway: started"),
+            line(3.0, "g1", "gateway: started"),
+            line(9.0, "g1", "gateway: started"),
+        )
+        self.assertEqual((decider.instance, decider.time), ("g1", 3.0))
+        self.assertIs(found[-1], decider)
+
     def test_unknown_request(self):
         found, decider = self.tell("r3")
         self.assertEqual((found, decider), ([], None))
@@ -77,3 +118,33 @@
             text, code = main.anyio.run(main._story, options, None)
         self.assertEqual(code, 0)
         self.assertIn("endpoint gone", text)
+
+    def test_the_command_prints_it(self):
+        # An engineer on call types the command from the operators' page.  It
+        # ended with a traceback while its parts passed their tests.
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "g1.log"
+            row = {
+                "time": 1.0,
+                "level": "INFO",
+                "instance": "g1",
+                "message": "gateway: failed",
+                "request": "r1",
+                "why": "no route leads there",
+            }
+            path.write_text(json.dumps(row) + "\n")
+            done = subprocess.run(
+                [
+                    sys.executable,
+                    "-c",
+                    "from clementinewall.operator import main; main.main()",
+                    "story",
+                    "r1",
+                    str(path),
+                ],
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("why=no route leads there", done.stdout)
