--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,105 @@
+"""Requests as callers send them and as endpoints get them."""
+
+import unittest
+
+from clementinewall import errors
+from clementinewall.gateway import types
+from clementinewall.http1 import messages
+from clementinewall.platform import calls
+
+HEADERS = (
+    (b"Host", b"Shop.Example:80"),
+    (b"Attempt-Id", b"a1"),
+    (b"Model", b"m"),
+    (b"Token-Usage", b"1460,80"),
+    (b"Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    (b"Deadline-Ms", b"5000"),
+)
+# What callers may not set: they would choose engines, jump queues or go on
+# from the memory of somebody else's prompt.
+FORGED = (
+    (b"KV-Fetch", b"10.0.0.9:1"),
+    (b"kv-source", b"10.0.0.9:1/abc"),
+    (b"Kv-Hold", b"h"),
+    (b"Kv-Backup", b"10.0.0.9:1"),
+    (b"Pin-Ms", b"4000"),
+    (b"Stage", b"prefill"),
+    (b"Request-Priority", b"0"),
+    (b"Expect-Instance", b"i-0"),
+)
+
+
+def engine(name):
+    """Return an engine whose address is its name."""
+    return types.Endpoint(
+        name, "model", f"{name}:1", "a", 16, False, types.PREFILL, 1
+    )
+
+
+def decode(*more):
+    """Decode a caller's request with further headers."""
+    return calls.decode(
+        messages.Request(b"POST", b"/chat/x?y=1", HEADERS + more, b"body")
+    )
+
+
+def values(request, name):
+    """Return all values of a header of a request."""
+    return [v for k, v in request.headers if k.lower() == name]
+
+
+class Decode(unittest.TestCase):
+    """Requests of callers."""
+
+    def test_what_it_says(self):
+        call = decode()
+        self.assertEqual(call.host, "shop.example")
+        self.assertEqual(call.path, "/chat/x")
+        self.assertEqual(call.wait_ms, 5_000)
+        self.assertEqual(call.prompt.tokens_out, 80)
+        self.assertEqual(
+            [part.tokens for part in call.prompt.parts], [800, 410, 250]
+        )
+
+    def test_no_id_and_no_host_are_refused(self):
+        for missing in (b"Attempt-Id", b"Host"):
+            headers = tuple(row for row in HEADERS if row[0] != missing)
+            with self.assertRaises(errors.BadRequest):
+                calls.decode(messages.Request(b"GET", b"/", headers))
+
+
+class ToEngines(unittest.TestCase):
+    """Requests to engines."""
+
+    def test_nothing_that_is_the_systems_comes_from_a_caller(self):
+        call = decode(*FORGED)
+        sent = calls.run(call, engine("e1"), 4_000)
+        for name, value in FORGED:
+            self.assertNotIn(value, values(sent, name.lower()))
+        self.assertEqual(values(sent, b"expect-instance"), [b"e1"])
+        self.assertEqual(values(sent, b"deadline-ms"), [b"4000"])
+
+    def test_the_prompt_is_the_callers(self):
+        sent = calls.run(decode(), engine("e1"), 4_000)
+        for name in (b"model", b"token-usage", b"prompt-prefix"):
+            self.assertEqual(values(sent, name), [dict(_lower(HEADERS))[name]])
+        self.assertEqual((sent.target, sent.body), (b"/chat/x?y=1", b"body"))
+
+    def test_where_a_beginning_is_fetched(self):
+        call = decode()
+        keeper = engine("keeper")
+        for sent in (
+            calls.prefill(call, engine("e1"), 4_000, 2, keeper),
+            calls.run(call, engine("e1"), 4_000, source=keeper),
+        ):
+            self.assertEqual(values(sent, b"kv-fetch"), [b"keeper:1"])
+        plain = calls.prefill(call, engine("e1"), 4_000, 2)
+        self.assertEqual(values(plain, b"kv-fetch"), [])
+
+    def test_time_that_is_over_is_still_a_positive_number(self):
+        sent = calls.run(decode(), engine("e1"), -3)
+        self.assertEqual(values(sent, b"deadline-ms"), [b"1"])
+
+
+def _lower(headers):
+    return [(name.lower(), value) for name, value in headers]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,11 @@
         self.assertEqual(found.bounds.grace_ms, 8_000)
         self.assertEqual(found.bounds.retry_ratio, 0.25)
 
+    def test_the_link_is_known_or_not(self):
+        self.assertEqual(self.load(GOOD).link_mbps, 0.0)
+        told = GOOD + "[limits]\nlink_mbps = 10\nmax_fds = 4_100\n"
+        self.assertEqual(self.load(told).link_mbps, 10.0)
+
     def test_each_mistake_is_named(self):
         broken = GOOD.replace('zone = "a"', "zone = 7").replace(
             'front = "10.1.0.38:8149"', ""
