Log each request that the end of a gateway cuts off

A request that was cut at the end of a drain left no line, so its story ended with the first event and nothing told a deadline, a kill and the gateway's own end apart. Now `gateway: cut at the end of the process` names it, with how long after SIGTERM it was taken; `accepted` says the same during a drain, `listener closed` when no connection is taken any more, `placed` the length of the answer that was asked for. `story` marks the cut as the cause (test: it failed before with the earlier failure marked). No decision changed.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -32,15 +32,30 @@
         self._streams = streams
         self._now = now
         self._connections = set()
-        self._is_leaving = False
+        self._exchanges = set()
+        self._left_at = None
         self.open = 0
 
     def leave(self):
         """End each connection after its next answer."""
-        self._is_leaving = True
+        self._left_at = self._now()
         for connection in self._connections:
             connection.close_after_answer()
 
+    def note_cut(self):
+        """Log each request that the end of the process cuts off."""
+        for exchange in self._exchanges:
+            metrics.count("cut", route=exchange.route.name)
+            _log.warning(
+                "cut at the end of the process",
+                request=exchange.call.attempt,
+                route=exchange.route.name,
+                taken_after_ms=exchange.arrived - self._left_at,
+                waited_ms=exchange.waited_ms,
+                answer_begun=exchange.connection.answered,
+                verdict=exchange.verdict.value,
+            )
+
     async def serve(self, stream):
         """Serve one connection until its end."""
         limits = server.Limits()
@@ -48,7 +63,7 @@
             limits = self._beliefs.configuration.limits
         connection = server.Connection(stream, limits)
         self._connections.add(connection)
-        if self._is_leaving:
+        if self._left_at is not None:
             connection.close_after_answer()
         try:
             await self._serve_caller(connection)
@@ -105,6 +120,7 @@
         try:
             call = calls.decode(request)
             exchange = self._exchange(connection, call)
+            self._exchanges.add(exchange)
             await self._run_in_time(exchange)
         except errors.ClementinewallError as exc:
             await self._fail(connection, request, exchange, exc)
@@ -115,6 +131,8 @@
             logs.traceback(_log)
             error = errors.ClementinewallError("internal error")
             await self._fail(connection, request, exchange, error)
+        finally:
+            self._exchanges.discard(exchange)
 
     def _exchange(self, connection, call):
         configuration = self._beliefs.configuration
@@ -137,9 +155,16 @@
             route=route.name,
             version=configuration.version,
             left_ms=exchange.left_ms,
+            **self._leaving_fields(exchange),
         )
         return exchange
 
+    def _leaving_fields(self, exchange):
+        """Return what the log says of a request that came in a drain."""
+        if self._left_at is None:
+            return {}
+        return {"taken_after_ms": exchange.arrived - self._left_at}
+
     async def _run_in_time(self, exchange):
         with anyio.move_on_after(clock.seconds(exchange.left_ms)) as scope:
             if exchange.service.engine is not None:
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -95,6 +95,7 @@
             cached=chosen.cached,
             fetch=chosen.fetch,
             tokens=demand.tokens,
+            tokens_out=demand.tokens_out,
             left_ms=round(demand.left_ms),
         )
         reader = states.get(chosen.prefill)
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -153,7 +153,9 @@
         # Callers keep the address for a while and come in good faith.
         await self._until(started + grace_ms * ACCEPT_PART, False)
         front.close()
+        _log.info("listener closed", open=self._callers.open)
         await self._until(started + grace_ms * END_PART, True)
+        self._callers.note_cut()
         _log.info("stopped", open=self._callers.open)
 
     async def _until(self, end, stop_when_idle):
--- a/clementinewall/operator/story.py
+++ b/clementinewall/operator/story.py
@@ -8,6 +8,7 @@
 import json
 import typing
 
+_CUT = "gateway: cut at the end of the process"
 # The line that decided what became of a request is the last of these.
 _DECIDING = (
     "stream: refused",
@@ -18,8 +19,9 @@
     "gateway: caller gone",
     "gateway: failed",
     "gateway: answered",
+    _CUT,
 )
-_ENDS = ("gateway: caller gone", "gateway: failed", "gateway: answered")
+_ENDS = _DECIDING[-4:]
 _STARTED = "gateway: started"
 # What changed meanwhile at an endpoint that the request was sent to.
 _AROUND_MS = 3_000
@@ -105,6 +107,8 @@
     """Return the line that says why, before the one that says how it ended."""
     deciding = [line for line in own if line.message in _DECIDING]
     causes = [line for line in deciding if "why" in line.fields]
+    if own[-1].message == _CUT:
+        return own[-1]
     if own[-1].message == "gateway: answered":
         # The failure of an endpoint that no other was asked after is handed
         # on as it came.
--- a/tests/operator/test_story.py
+++ b/tests/operator/test_story.py
@@ -96,6 +96,23 @@
         self.assertEqual((decider.instance, decider.time), ("g1", 3.0))
         self.assertIs(found[-1], decider)
 
+    def test_a_cut_at_the_end_of_the_process_is_the_cause(self):
+        _, decider = self.tell_lines(
+            line(1.0, "g1", "gateway: accepted", request="r1"),
+            line(
+                1.1, "g1", "stream: attempt failed", request="r1", why="reset"
+            ),
+            line(
+                2.0,
+                "g1",
+                "gateway: cut at the end of the process",
+                request="r1",
+            ),
+        )
+        self.assertEqual(
+            decider.message, "gateway: cut at the end of the process"
+        )
+
     def test_unknown_request(self):
         found, decider = self.tell("r3")
         self.assertEqual((found, decider), ([], None))
