--- a/tests/integration/test_gateway_life.py
+++ b/tests/integration/test_gateway_life.py
@@ -12,6 +12,22 @@
 route = gateway_base.route
 
 
+MODEL_HEADERS = {"Model": "m", "Prompt_Prefix": "aa:40,bb:60"}
+
+
+def long_answer(events, gap):
+    """Return a script that streams so many events, ``gap`` seconds apart."""
+
+    def script(_endpoint, request):
+        yield scripted.stream_head(request)
+        for number in range(1, events + 1):
+            yield scripted.chunk(scripted.event(number))
+            yield gap
+        yield scripted.chunk(b"")
+
+    return script
+
+
 def slow(seconds):
     """Return a script that answers after so many seconds."""
 
@@ -57,6 +73,34 @@
         self.assertEqual(answer.content, b"done")
         self.assertEqual(self.dep.wait_end("gateway-1", 4), 0)
 
+    def test_a_stream_longer_than_the_rest_of_a_stop_is_not_begun(self):
+        # Taken shortly before the process ended, it would break off midway.
+        self.publish(route("chat", "model", "stream", resumable=True))
+        engine = self.endpoint(
+            "one", long_answer(40, 0.05), "model", stage="decode"
+        )
+        front = self.gateway()
+        self.terminate()
+        time.sleep(1.5)
+        answer = self.ask(
+            front, "/chat/x", Token_Usage="100,400", **MODEL_HEADERS
+        )
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.headers["connection"], "close")
+        self.assertEqual(engine.requests, [])
+
+    def test_a_short_stream_is_served_late_in_a_stop(self):
+        # Refusing everything would send callers away that can be served.
+        self.publish(route("chat", "model", "stream", resumable=True))
+        self.endpoint("one", long_answer(3, 0.02), "model", stage="decode")
+        front = self.gateway()
+        self.terminate()
+        time.sleep(1.5)
+        answer = self.ask(
+            front, "/chat/x", Token_Usage="100,3", **MODEL_HEADERS
+        )
+        self.assertEqual(answer.status_code, 200)
+
     def test_a_stopping_gateway_leaves_the_answers(self):
         self.endpoint("one", slow(0))
         self.gateway()
