Take no request in a drain that would outlast the process

Callers of a gateway that had got SIGTERM lost streams: connections that came up to 0.6 of the grace were accepted, whatever they asked for, and everything open at 0.86 of it was cut.

Now a drain knows its end. A request is taken only if it will be over by then: by what nearly all of the last requests of its route took, or, where few were seen, by its predicted first event and the longest answer it may have. What can't be finished is refused at once with 503 and "not run" before anything is sent, the connection is closed, and the caller may come to another gateway at once (a Retry-After of 0 had become 0.3 s). The end is also a time limit of what was taken before: a request without an answer gets 504 instead of a closed connection. The end moves from 0.86 to 0.95 of the grace.

Tried first and dropped: the longest possible answer alone as the bound.

--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -97,6 +97,13 @@
     status = 503
 
 
+class Leaving(NotRunError):
+    """This instance is stopping; connect to another one."""
+
+    code = "leaving"
+    status = 503
+
+
 class Overloaded(NotRunError):
     """The class target cannot be met now; come back when told."""
 
@@ -128,6 +135,13 @@
     status = 504
 
 
+class Stopped(ClementinewallError):
+    """This instance stopped before the answer was whole."""
+
+    code = "stopped"
+    status = 504
+
+
 class EndpointFailed(ClementinewallError):
     """The endpoint broke off; the verdict says whether the call may run."""
 
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -23,8 +23,11 @@
 class Callers:
     """Serves the callers' connections of this gateway."""
 
-    def __init__(self, beliefs, budgets, guard, plain, streams, now):
-        """Hand requests to the relays for plain and for model work."""
+    def __init__(self, beliefs, budgets, guard, plain, streams, drain, now):
+        """Hand requests to the relays for plain and for model work.
+
+        ``drain`` knows what can be finished once the process has to stop.
+        """
         self._beliefs = beliefs
         self._budgets = budgets
         self._guard = guard
@@ -32,29 +35,18 @@
         self._streams = streams
         self._now = now
         self._connections = set()
-        self._exchanges = set()
-        self._left_at = None
+        self._drain = drain
+        self._scope_by_exchange = {}
         self.open = 0
 
-    def leave(self):
-        """End each connection after its next answer."""
-        self._left_at = self._now()
+    def leave(self, end):
+        """End each connection after its next answer, all by ``end``."""
+        self._drain.begin(end)
         for connection in self._connections:
             connection.close_after_answer()
-
-    def note_cut(self):
-        """Log each request that the end of the process cuts off."""
-        for exchange in self._exchanges:
-            metrics.count("cut", route=exchange.route.name)
-            _log.warning(
-                "cut at the end of the process",
-                request=exchange.call.attempt,
-                route=exchange.route.name,
-                taken_after_ms=exchange.arrived - self._left_at,
-                waited_ms=exchange.waited_ms,
-                answer_begun=exchange.connection.answered,
-                verdict=exchange.verdict.value,
-            )
+        latest = anyio.current_time() + clock.seconds(self._drain.left_ms)
+        for scope in self._scope_by_exchange.values():
+            scope.deadline = min(scope.deadline, latest)
 
     async def serve(self, stream):
         """Serve one connection until its end."""
@@ -63,7 +55,7 @@
             limits = self._beliefs.configuration.limits
         connection = server.Connection(stream, limits)
         self._connections.add(connection)
-        if self._left_at is not None:
+        if self._drain.is_on:
             connection.close_after_answer()
         try:
             await self._serve_caller(connection)
@@ -120,7 +112,6 @@
         try:
             call = calls.decode(request)
             exchange = self._exchange(connection, call)
-            self._exchanges.add(exchange)
             await self._run_in_time(exchange)
         except errors.ClementinewallError as exc:
             await self._fail(connection, request, exchange, exc)
@@ -131,8 +122,6 @@
             logs.traceback(_log)
             error = errors.ClementinewallError("internal error")
             await self._fail(connection, request, exchange, error)
-        finally:
-            self._exchanges.discard(exchange)
 
     def _exchange(self, connection, call):
         configuration = self._beliefs.configuration
@@ -161,22 +150,49 @@
 
     def _leaving_fields(self, exchange):
         """Return what the log says of a request that came in a drain."""
-        if self._left_at is None:
+        if not self._drain.is_on:
             return {}
-        return {"taken_after_ms": exchange.arrived - self._left_at}
+        return {"taken_after_ms": self._drain.after_ms(exchange.arrived)}
 
     async def _run_in_time(self, exchange):
-        with anyio.move_on_after(clock.seconds(exchange.left_ms)) as scope:
-            if exchange.service.engine is not None:
-                await self._streams.run(exchange)
-            else:
-                await self._plain.run(exchange)
+        left_ms = exchange.left_ms
+        if self._drain.is_on:
+            left_ms = min(left_ms, self._drain.left_ms)
+        with anyio.move_on_after(clock.seconds(left_ms)) as scope:
+            self._scope_by_exchange[exchange] = scope
+            try:
+                await self._run(exchange)
+            finally:
+                del self._scope_by_exchange[exchange]
+        self._drain.note(exchange)
         if scope.cancelled_caught:
-            raise errors.DeadlineExceeded("no answer within the timeout")
+            raise self._out_of_time(exchange)
         took = exchange.waited_ms
         metrics.observe_ms("answered", took, route=exchange.route.name)
         _log.info("answered", request=exchange.call.attempt, took_ms=took)
 
+    async def _run(self, exchange):
+        if exchange.service.engine is not None:
+            await self._streams.run(exchange)
+        else:
+            self._drain.check_call(exchange)
+            await self._plain.run(exchange)
+
+    def _out_of_time(self, exchange):
+        """Return the error for a request whose time is over."""
+        if not self._drain.is_on or exchange.left_ms <= 0:
+            return errors.DeadlineExceeded("no answer within the timeout")
+        metrics.count("cut", route=exchange.route.name)
+        _log.warning(
+            "cut at the end of the process",
+            request=exchange.call.attempt,
+            route=exchange.route.name,
+            taken_after_ms=self._drain.after_ms(exchange.arrived),
+            waited_ms=exchange.waited_ms,
+            answer_begun=exchange.connection.answered,
+        )
+        return errors.Stopped("the instance stopped before the answer")
+
     async def _fail(self, connection, request, exchange, error):
         attempt = request.header(calls.ATTEMPT) or b""
         metrics.count("failed", code=error.code)
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -130,7 +130,9 @@
     ).encode()
     headers = [(b"Content-Type", b"application/problem+json")]
     if error.status in (429, 503):
-        wait_ms = error.retry_after_ms or RETRY_MS
+        wait_ms = error.retry_after_ms
+        if wait_ms is None:
+            wait_ms = RETRY_MS
         if left_ms is not None:
             wait_ms = min(wait_ms, left_ms * RETRY_PART)
         seconds = max(0.0, wait_ms) / 1_000
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -9,6 +9,7 @@
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import budgets
 from clementinewall.gateway import callers
+from clementinewall.gateway import draining
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import following
 from clementinewall.gateway import guard
@@ -25,12 +26,12 @@
 _log = logs.PartLog("gateway")
 
 SWEEP_MS = 250
-# Of the time between SIGTERM and the end: up to here new connections are
-# still accepted, since callers kept the address.  What is still open in the
-# last sixth is cut; with a tenth left two of 14 stopped processes had not
-# ended in time and were killed.
+# Of the time between SIGTERM and SIGKILL: up to here new connections are
+# still accepted, since callers kept the address, and then what is open is cut.
 ACCEPT_PART = 0.6
-END_PART = 0.86
+END_PART = 0.95
+# What is cut is told to its caller in this time.
+CUT_MS = 100
 
 
 class Gateway:
@@ -58,6 +59,7 @@
             self._membership,
         )
         self._budgets = budgets.Budgets(settings, self._peers, now)
+        drain = draining.Drain(now)
         self._plain = plain.PlainRelay(
             settings, self._endpoints, self._budgets, self._guard, now
         )
@@ -69,6 +71,7 @@
             self._peers.tell_prompt,
             self._budgets,
             self._guard,
+            drain,
             group,
             now,
         )
@@ -81,6 +84,7 @@
             self._guard,
             self._plain,
             self._streams,
+            drain,
             now,
         )
         self._ports = ports.Ports(settings, self._peers, self.is_ready)
@@ -149,13 +153,12 @@
         grace_ms = self._settings.bounds.grace_ms
         self._stopping.set()
         started = self._now()
-        self._callers.leave()
+        self._callers.leave(started + grace_ms * END_PART)
         # Callers keep the address for a while and come in good faith.
         await self._until(started + grace_ms * ACCEPT_PART, False)
         front.close()
         _log.info("listener closed", open=self._callers.open)
-        await self._until(started + grace_ms * END_PART, True)
-        self._callers.note_cut()
+        await self._until(started + grace_ms * END_PART + CUT_MS, True)
         _log.info("stopped", open=self._callers.open)
 
     async def _until(self, end, stop_when_idle):
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -31,13 +31,14 @@
     """Carries streams from the engines of a service to callers."""
 
     def __init__(
-        self, endpoints, placer, tell_prompt, budgets, guard, group, now
+        self, endpoints, placer, tell_prompt, budgets, guard, drain, group, now
     ):
         """Use the gateway's parts.
 
         ``tell_prompt`` lets the peers know of a new prompt; ``group`` runs
         what outlives a request.
         """
+        self._drain = drain
         self._endpoints = endpoints
         self._placer = placer
         self._tell_prompt = tell_prompt
@@ -55,6 +56,8 @@
         last = None
         while True:
             plan = self._placer.place(exchange, last)
+            if last is None:
+                self._drain.check_stream(exchange, plan.way.first_ms)
             if not self._spend(exchange, plan):
                 _log.info("no budget", request=exchange.call.attempt)
                 break
