Close the listeners before the tasks of a gateway end

Probes and look-ups go on until a stopping gateway is gone. Its listeners for readiness and addresses were never closed, so a connection accepted after the task group had ended raised "This task group is not active" in the event loop, and its caller heard nothing. Now all listeners are closed first.

test_nothing_goes_wrong_in_a_process_that_ends failed before (a traceback in the log). Beside it a test that passed before: a kept connection is served until the end of a stop.

--- a/clementinewall/gateway/ports.py
+++ b/clementinewall/gateway/ports.py
@@ -75,7 +75,7 @@
 
 
 async def serve(address, handle, group):
-    """Answer the questions that come to an address."""
+    """Answer the questions that come to an address; return the listener."""
 
     async def serve_one(stream):
         connection = server.Connection(stream, server.Limits())
@@ -86,7 +86,7 @@
         finally:
             connection.close()
 
-    await streams.listen(address, serve_one, group)
+    return await streams.listen(address, serve_one, group)
 
 
 async def _answer_all(connection, handle):
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -110,8 +110,10 @@
         front = await tcp.listen(
             settings.callers, self._callers.serve, self._group
         )
-        for address, handle in self._ports.handlers():
+        others = [
             await ports.serve(address, handle, self._group)
+            for address, handle in self._ports.handlers()
+        ]
         _log.info(
             "started",
             callers=settings.callers,
@@ -120,6 +122,10 @@
         )
         await self._wait_term()
         await self._drain(front)
+        # A connection that is accepted once the tasks have ended has nobody
+        # to serve it.
+        for listener in others:
+            listener.close()
 
     async def _meet_peers(self):
         """Register, then learn who else did.
--- a/tests/integration/test_gateway_life.py
+++ b/tests/integration/test_gateway_life.py
@@ -1,5 +1,6 @@
 """Starts, stops and outages of gateways under requests."""
 
+import socket
 import time
 
 import httpx
@@ -28,6 +29,23 @@
     return script
 
 
+def request_bytes(attempt, length=0):
+    """Return a request as bytes; with a length its body is missing."""
+    head = (
+        f"POST /book/x HTTP/1.1\r\nHost: {gateway_base.HOST}\r\n"
+        f"Attempt-Id: {attempt}\r\nContent-Length: {length}\r\n\r\n"
+    )
+    return head.encode()
+
+
+def read_all(peer):
+    """Return what comes until the other side closes."""
+    parts = []
+    while part := peer.recv(65_536):
+        parts.append(part)
+    return b"".join(parts)
+
+
 def slow(seconds):
     """Return a script that answers after so many seconds."""
 
@@ -101,6 +119,38 @@
         )
         self.assertEqual(answer.status_code, 200)
 
+    def connect(self, front):
+        """Return a plain connection to a gateway, for bytes of our own."""
+        host, _, port = front.rpartition(":")
+        peer = socket.create_connection((host, int(port)), timeout=5)
+        self.addCleanup(peer.close)
+        return peer
+
+    def test_an_idle_connection_is_served_until_the_end_of_a_stop(self):
+        # Callers use what they keep until the process is gone.
+        self.endpoint("one", slow(0))
+        front = self.gateway()
+        peer = self.connect(front)
+        peer.sendall(request_bytes("a1"))
+        self.assertIn(b" 200 ", peer.recv(65_536))
+        self.terminate()
+        time.sleep(1.2)
+        peer.sendall(request_bytes("a2"))
+        answer = read_all(peer)
+        self.assertIn(b" 200 ", answer.split(b"\r\n")[0])
+        self.assertIn(b"connection: close", answer.lower())
+
+    def test_nothing_goes_wrong_in_a_process_that_ends(self):
+        # Probes and look-ups go on until the listeners are gone.
+        self.endpoint("one", slow(0))
+        self.gateway()
+        self.terminate()
+        process = self.dep.process_by_name["gateway-1"]
+        while process.poll() is None:
+            self.is_ready("gateway-1")
+        self.assertEqual(process.returncode, 0)
+        self.assertNotIn("Traceback", self.dep.log_of("gateway-1"))
+
     def test_a_stopping_gateway_leaves_the_answers(self):
         self.endpoint("one", slow(0))
         self.gateway()
