Answer what was read in part when a gateway ends

A stopping gateway looked once whether a request was open, and then cancelled everything: a request of which only the head had come, or that had been read whole in that very moment, ended with a closed connection and no word whether it had run. Now, when nothing is open or the time is over, connections without a byte are closed, those with a part of a request get 408, which says that it has not run, and what is whole goes through the drain's admission; only then do the tasks end, 100 ms later at the most.

test_a_request_half_read_at_the_end_of_a_stop_is_refused failed before (closed without an answer, for a head and for a body).

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -48,6 +48,16 @@
         for scope in self._scope_by_exchange.values():
             scope.deadline = min(scope.deadline, latest)
 
+    def stop_reading(self):
+        """Take no further request; close what is idle."""
+        for connection in self._connections:
+            connection.stop_reading()
+
+    @property
+    def connected(self):
+        """Return how many connections there are."""
+        return len(self._connections)
+
     async def serve(self, stream):
         """Serve one connection until its end."""
         limits = server.Limits()
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -30,6 +30,7 @@
 # still accepted, since callers kept the address, and then what is open is cut.
 ACCEPT_PART = 0.6
 END_PART = 0.95
+POLL_MS = 20
 # What is cut is told to its caller in this time.
 CUT_MS = 100
 
@@ -161,17 +162,24 @@
         started = self._now()
         self._callers.leave(started + grace_ms * END_PART)
         # Callers keep the address for a while and come in good faith.
-        await self._until(started + grace_ms * ACCEPT_PART, False)
+        await self._until(started + grace_ms * ACCEPT_PART)
         front.close()
         _log.info("listener closed", open=self._callers.open)
-        await self._until(started + grace_ms * END_PART + CUT_MS, True)
+        await self._until(
+            started + grace_ms * END_PART + CUT_MS,
+            lambda: not self._callers.open,
+        )
+        # Requests that were read in part, or whole but not looked at yet, get
+        # an answer before their connections end.
+        self._callers.stop_reading()
+        await self._until(
+            self._now() + CUT_MS, lambda: not self._callers.connected
+        )
         _log.info("stopped", open=self._callers.open)
 
-    async def _until(self, end, stop_when_idle):
-        while self._now() < end:
-            if stop_when_idle and not self._callers.open:
-                return
-            await anyio.sleep(clock.seconds(SWEEP_MS / 5))
+    async def _until(self, end, is_over=lambda: False):
+        while self._now() < end and not is_over():
+            await anyio.sleep(clock.seconds(POLL_MS))
 
     async def _sweep(self):
         gc.freeze()
--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -66,6 +66,11 @@
         """End the connection."""
         self._stream.close()
 
+    def stop_reading(self):
+        """Wait no longer for a request, or for the rest of one."""
+        self._closing = True
+        self._stream.stop_waiting()
+
     async def read_request(self):
         """Return the next request, or ``None`` at the end.
 
@@ -97,7 +102,7 @@
                 if self.is_idle:
                     return None
                 raise Refused(
-                    408, "the head of the request took too long"
+                    408, "the head of the request came too late"
                 ) from exc
             wait_ms = self._limits.header_timeout_ms
             event = self._h11.next_event()
@@ -116,7 +121,7 @@
                 try:
                     await self._receive(self._limits.idle_timeout_ms)
                 except TimeoutError as exc:
-                    raise Refused(408, "the body took too long") from exc
+                    raise Refused(408, "the body came too late") from exc
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self._limits.body_bytes:
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -39,6 +39,7 @@
         self._reader = None
         self._writer = None
         self._is_full = False
+        self._waits = True
 
     # What asyncio calls.
 
@@ -105,6 +106,12 @@
         if callback is not None and self._at_end:
             callback()
 
+    def stop_waiting(self):
+        """Let :meth:`receive` time out from now on instead of waiting."""
+        self._waits = False
+        if self._reader is not None:
+            _time_out(self._reader)
+
     async def receive(self, limit_ms=None):
         """Return what came, or ``b""`` at the peer's end.
 
@@ -112,6 +119,8 @@
         :raises anyio.BrokenResourceError: the connection was reset.
         """
         if not self._chunks and not self._at_end:
+            if not self._waits:
+                raise TimeoutError
             self._reader = asyncio.get_running_loop().create_future()
             await _wait(self._reader, limit_ms)
         if self._chunks:
--- a/tests/http1/test_stream.py
+++ b/tests/http1/test_stream.py
@@ -62,6 +62,25 @@
 
         anyio.run(run)
 
+    def test_a_wait_that_is_over_loses_no_bytes(self):
+        async def run():
+            async with connected() as (stream, peer):
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self.expect_timeout, stream)
+                    await anyio.sleep(0.02)
+                    stream.stop_waiting()
+                peer.sendall(b"late")
+                await anyio.sleep(0.02)
+                self.assertEqual(await stream.receive(1_000), b"late")
+                await self.expect_timeout(stream)
+
+        anyio.run(run)
+
+    async def expect_timeout(self, stream):
+        """Demand that nothing comes in time."""
+        with self.assertRaises(TimeoutError):
+            await stream.receive(1_000)
+
     def test_a_reset_is_no_end(self):
         """An endpoint that crashes resets its connections.
 
--- a/tests/integration/test_gateway_life.py
+++ b/tests/integration/test_gateway_life.py
@@ -126,6 +126,21 @@
         self.addCleanup(peer.close)
         return peer
 
+    def test_a_request_half_read_at_the_end_of_a_stop_is_refused(self):
+        self.endpoint("one", slow(0))
+        front = self.gateway()
+        peers = []
+        for part in (request_bytes("a1")[:-20], request_bytes("a2", 5)):
+            peers.append(self.connect(front))
+            peers[-1].sendall(part)
+        time.sleep(0.2)
+        self.terminate()
+        for peer in peers:
+            answer = read_all(peer)
+            self.assertIn(b" 408 ", answer.split(b"\r\n")[0])
+            self.assertIn(b"not_run", answer)
+        self.assertEqual(self.dep.wait_end("gateway-1", 4), 0)
+
     def test_an_idle_connection_is_served_until_the_end_of_a_stop(self):
         # Callers use what they keep until the process is gone.
         self.endpoint("one", slow(0))
