Answer pipelined requests before a connection ends in a drain

During a drain the next answer says "Connection: close". A caller that had already sent another request behind the first one had that one read and never answered, and could not know whether it ran. An answer says close only if nothing came behind its request; otherwise the next one does.

test_pipelined_requests_are_all_answered_in_a_stop failed before (one answer of two). A refusal of broken or too large requests still closes at once, which the test of bad bytes now checks too.

--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -48,6 +48,7 @@
         self._limits = limits
         self._h11 = _new_h11(limits)
         self._closing = False
+        self._is_last = False
         self.answered = False
 
     @property
@@ -144,8 +145,7 @@
             headers.append((b"Content-Length", str(length).encode()))
         elif head.status >= 200 and head.status not in (204, 304):
             headers.append((b"Transfer-Encoding", b"chunked"))
-        if self._closing:
-            headers.append((b"Connection", b"close"))
+        self._add_close(headers)
         self.answered = True
         await self._send(
             h11.Response(
@@ -167,8 +167,7 @@
         """Send a whole answer in one write."""
         headers = list(head.headers)
         headers.append((b"Content-Length", str(len(body)).encode()))
-        if self._closing:
-            headers.append((b"Connection", b"close"))
+        self._add_close(headers)
         self.answered = True
         parts = [
             self._h11.send(
@@ -184,6 +183,22 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
 
+    def _add_close(self, headers):
+        """Say that this answer is the last one, unless more is asked for.
+
+        After it, nothing tells the caller whether a request that it sent
+        ahead of this answer has run.
+        """
+        self._is_last = self._closing and not self._has_more()
+        if self._is_last:
+            headers.append((b"Connection", b"close"))
+
+    def _has_more(self):
+        """Tell whether bytes came after a whole request."""
+        if self._h11.their_state is not h11.DONE:
+            return False
+        return bool(self._h11.trailing_data[0]) or self._stream.has_bytes
+
     async def _send(self, event):
         data = self._h11.send(event)
         if data:
@@ -197,7 +212,7 @@
 
     def next_request(self):
         """Get ready for the next request; return whether there may be one."""
-        if self._h11.our_state is not h11.DONE or self._closing:
+        if self._h11.our_state is not h11.DONE or self._is_last:
             return False
         if self._h11.their_state is not h11.DONE:
             return False
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -95,6 +95,11 @@
         """Tell whether the peer has sent nothing that wasn't taken."""
         return not self._chunks and not self._at_end
 
+    @property
+    def has_bytes(self):
+        """Tell whether bytes came that weren't taken."""
+        return bool(self._chunks)
+
     @property
     def raw_socket(self):
         """Return the socket, for its options and to poll it."""
--- a/tests/integration/test_gateway_life.py
+++ b/tests/integration/test_gateway_life.py
@@ -141,6 +141,15 @@
             self.assertIn(b"not_run", answer)
         self.assertEqual(self.dep.wait_end("gateway-1", 4), 0)
 
+    def test_pipelined_requests_are_all_answered_in_a_stop(self):
+        self.endpoint("one", slow(0.3))
+        front = self.gateway()
+        peer = self.connect(front)
+        peer.sendall(request_bytes("a1") + request_bytes("a2"))
+        time.sleep(0.1)
+        self.terminate()
+        self.assertEqual(read_all(peer).count(b"HTTP/1.1 200"), 2)
+
     def test_an_idle_connection_is_served_until_the_end_of_a_stop(self):
         # Callers use what they keep until the process is gone.
         self.endpoint("one", slow(0))
--- a/tests/integration/test_gateway_verdicts.py
+++ b/tests/integration/test_gateway_verdicts.py
@@ -205,7 +205,9 @@
                 (host, int(port)), 5
             ) as peer:
                 peer.sendall(raw)
-                self.assertIn(b" 400 ", peer.recv(4_096))
+                answer = peer.recv(4_096)
+                self.assertIn(b" 400 ", answer)
+                self.assertIn(b"connection: close", answer.lower())
         self.assertEqual(self.ask(front, "/book/x").status_code, 200)
 
     def test_caller_that_leaves_ends_the_work(self):
