Move the shared types to domain.py, below gateway and platform

platform/ decoded messages into types of gateway/types.py, so a lower package depended on the one above it. The types move to clementinewall/domain.py (git mv); every importer is changed by name alone. `model` was ruled out as a name (a model is what engines run, and entry/model.py exists), `types` because it hides the standard module, a package because one module of 170 lines needs none. http1 stays below: domain uses its header type and its limits.

--- a/clementinewall/gateway/types.py
+++ b/clementinewall/domain.py
@@ -1,7 +1,8 @@
-"""What a gateway knows of its surroundings, in the project's own words.
+"""Types that the gateway and the platform's translation share.
 
-:mod:`clementinewall.platform` decodes the platform's messages into these
-types; all decisions are made on them.  All durations are milliseconds.
+:mod:`clementinewall.platform` decodes messages into these types; the gateway
+and the lab decide on them.  This module imports neither, so that both can
+depend on it.  All durations are milliseconds.
 """
 
 import typing
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -2,9 +2,9 @@
 
 import collections
 
+from clementinewall import domain
 from clementinewall.gateway import keepers
 from clementinewall.gateway import peer_messages
-from clementinewall.gateway import types
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall.policy import reading_queue
@@ -225,4 +225,4 @@
 
 def is_engine(state):
     """Tell whether the endpoint is a model engine with a stage."""
-    return state.endpoint.stage in (types.PREFILL, types.DECODE)
+    return state.endpoint.stage in (domain.PREFILL, domain.DECODE)
--- a/clementinewall/gateway/membership.py
+++ b/clementinewall/gateway/membership.py
@@ -1,6 +1,6 @@
 """Which gateways and engines this gateway works with closely."""
 
-from clementinewall.gateway import types
+from clementinewall import domain
 from clementinewall import logs
 from clementinewall.policy import cells
 
@@ -22,7 +22,7 @@
         engines = [
             cells.Engine(endpoint.id, endpoint.service, endpoint.stage)
             for endpoint in self._beliefs.endpoint_by_id.values()
-            if endpoint.stage in types.STAGES and not endpoint.leaving
+            if endpoint.stage in domain.STAGES and not endpoint.leaving
         ]
         dealt = frozenset(live_ips), frozenset(engines)
         if dealt == self._dealt:
@@ -55,4 +55,4 @@
 
 
 def _has_decoder(states):
-    return any(s.endpoint.stage == types.DECODE for s in states)
+    return any(s.endpoint.stage == domain.DECODE for s in states)
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -3,10 +3,10 @@
 import random
 import typing
 
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import exchange as exchanges
-from clementinewall.gateway import types
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import placement
@@ -14,7 +14,7 @@
 
 _log = logs.PartLog("stream")
 
-NO_PROMPT = types.Prompt("", 0, 0, ())
+NO_PROMPT = domain.Prompt("", 0, 0, ())
 # Returning callers are spread over half as much time again.
 RETRY_SPREAD = 0.5
 # Engines of other cells that are tried where those of the cell fail.
@@ -120,7 +120,7 @@
         """
         close = self._membership.own_engines(engines)
         found = list(close)
-        for stage in types.STAGES:
+        for stage in domain.STAGES:
             own = [s for s in close if s.endpoint.stage == stage]
             if sum(s.is_usable() for s in own) * 2 >= len(own):
                 continue
@@ -177,7 +177,7 @@
         waiting = reading_queue.wait_ms(jobs, last_end, self._now(), urgency)
         return placement.Engine(
             id=endpoint.id,
-            prefill=endpoint.stage == types.PREFILL,
+            prefill=endpoint.stage == domain.PREFILL,
             wait_ms=waiting,
             streams=streams,
             slots=max(1, endpoint.slots),
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -9,10 +9,10 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import lease as lease_module
 from clementinewall.gateway import sending
-from clementinewall.gateway import types
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall import metrics
@@ -85,7 +85,7 @@
                 [
                     self._engine(state)
                     for state in states
-                    if state.endpoint.stage in types.STAGES
+                    if state.endpoint.stage in domain.STAGES
                 ]
             )
             if change is not None:
@@ -104,7 +104,7 @@
             stage = self._ordered_by_id.get(state.endpoint.id, stage)
         return stages.Engine(
             state.endpoint.id,
-            stage == types.PREFILL,
+            stage == domain.PREFILL,
             streams,
             max(1, state.endpoint.slots),
         )
@@ -147,7 +147,7 @@
         self._ordered_by_id.pop(change.id, None)
         order = calls.stage_order(
             state.endpoint,
-            types.PREFILL if change.prefill else types.DECODE,
+            domain.PREFILL if change.prefill else domain.DECODE,
             self._settings.instance,
             self._lease.token,
             sequence,
@@ -155,7 +155,7 @@
         head, _body = await self._ask(state, order)
         if head.status in (200, 202):
             self._ordered_by_id[change.id] = (
-                types.PREFILL if change.prefill else types.DECODE
+                domain.PREFILL if change.prefill else domain.DECODE
             )
         metrics.count("orders", status=head.status)
         _log.info(
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -3,11 +3,11 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import sending
 from clementinewall.gateway import stream_answer
-from clementinewall.gateway import types
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall import metrics
@@ -149,7 +149,7 @@
             state
             for state in self._endpoints.of_service(exchange.service.name)
             if state.endpoint.id not in exchange.tried
-            and state.endpoint.stage == types.DECODE
+            and state.endpoint.stage == domain.DECODE
         ]
         if not others:
             return None
--- a/clementinewall/lab/gateway.py
+++ b/clementinewall/lab/gateway.py
@@ -6,6 +6,7 @@
 virtual time.
 """
 
+from clementinewall import domain
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import membership
@@ -13,7 +14,6 @@
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import peers
 from clementinewall.gateway import placing
-from clementinewall.gateway import types
 
 # What a gateway itself takes for a step: a wake-up, parsing and deciding.
 STEP_MS = 1.5
@@ -111,7 +111,7 @@
 
 
 def _settings(ip):
-    return types.Settings(
+    return domain.Settings(
         instance=ip,
         ip=ip,
         data_centre="",
@@ -120,5 +120,5 @@
         directory="",
         peer_port=0,
         store="",
-        bounds=types.Bounds(),
+        bounds=domain.Bounds(),
     )
--- a/clementinewall/lab/load.py
+++ b/clementinewall/lab/load.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from clementinewall.gateway import types
+from clementinewall import domain
 
 
 class Arrival(typing.NamedTuple):
@@ -13,7 +13,7 @@
 
     at_ms: float
     work_class: str
-    prompt: types.Prompt
+    prompt: domain.Prompt
 
 
 def draw(deployment, seconds, seed):
@@ -80,12 +80,12 @@
             self._shared(depth, part) for depth, part in enumerate(row.shared)
         ]
         own = _size(row.tokens_in, row.spread_in, row.most_in, self._rng)
-        parts.append(types.PromptPart(f"o{next(self._serial):x}", own))
+        parts.append(domain.PromptPart(f"o{next(self._serial):x}", own))
         tokens_out = _size(
             row.tokens_out, row.spread_out, row.most_out, self._rng
         )
         total = sum(part.tokens for part in parts)
-        return types.Prompt("m", total, tokens_out, tuple(parts))
+        return domain.Prompt("m", total, tokens_out, tuple(parts))
 
     def _shared(self, depth, part):
         weights = self._weights[depth]
@@ -95,7 +95,7 @@
             self._sizes[name] = _size(
                 part.tokens, part.spread, part.most, self._rng
             )
-        return types.PromptPart(name, self._sizes[name])
+        return domain.PromptPart(name, self._sizes[name])
 
 
 def _size(mean, spread, most, rng):
--- a/clementinewall/lab/policies.py
+++ b/clementinewall/lab/policies.py
@@ -10,9 +10,9 @@
 import random
 import typing
 
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import placing
-from clementinewall.gateway import types
 from clementinewall.policy import placement
 
 
@@ -77,7 +77,7 @@
 
     def place(exchange, _last):
         states = gateway.endpoints.of_service(exchange.service.name)
-        return _plan(None, rng.choice(_with(states, types.DECODE)))
+        return _plan(None, rng.choice(_with(states, domain.DECODE)))
 
     return place
 
@@ -87,8 +87,8 @@
 
     def place(exchange, _last):
         states = gateway.endpoints.of_service(exchange.service.name)
-        reader = rng.choice(_with(states, types.PREFILL))
-        return _plan(reader, rng.choice(_with(states, types.DECODE)))
+        reader = rng.choice(_with(states, domain.PREFILL))
+        return _plan(reader, rng.choice(_with(states, domain.DECODE)))
 
     return place
 
--- a/clementinewall/lab/simulation.py
+++ b/clementinewall/lab/simulation.py
@@ -3,9 +3,9 @@
 import random
 import typing
 
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
-from clementinewall.gateway import types
 from clementinewall.http1 import server
 from clementinewall.lab import engine as engines
 from clementinewall.lab import gateway as gateways
@@ -296,25 +296,25 @@
 
 def _configuration(deployment):
     row = deployment.engines
-    limits = types.EngineLimits(
+    limits = domain.EngineLimits(
         row.slots, row.kv_tokens, row.kv_token_bytes, row.link_mbps, 3_000
     )
-    service = types.Service(SERVICE, limits)
-    return types.Configuration(1, {}, {SERVICE: service}, server.Limits())
+    service = domain.Service(SERVICE, limits)
+    return domain.Configuration(1, {}, {SERVICE: service}, server.Limits())
 
 
 def _endpoint(name, reads, slots):
-    stage = types.PREFILL if reads else types.DECODE
-    return types.Endpoint(name, SERVICE, name, "", slots, False, stage, 1)
+    stage = domain.PREFILL if reads else domain.DECODE
+    return domain.Endpoint(name, SERVICE, name, "", slots, False, stage, 1)
 
 
 def _route(name, row):
-    return types.Route(
+    return domain.Route(
         name=name,
         host="",
         prefix="/",
-        kind=types.STREAM,
-        shares=(types.Share(SERVICE, 1.0),),
+        kind=domain.STREAM,
+        shares=(domain.Share(SERVICE, 1.0),),
         timeout_ms=row.deadline_ms,
         goal_ms=row.goal_ms,
         gap_goal_ms=GAP_GOAL_MS,
@@ -325,7 +325,7 @@
 
 
 def _call(arrival):
-    return types.Call(
+    return domain.Call(
         attempt="lab",
         method=b"POST",
         target=b"/",
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -3,8 +3,8 @@
 import json
 import urllib.parse
 
+from clementinewall import domain
 from clementinewall import errors
-from clementinewall.gateway import types
 from clementinewall.http1 import messages
 
 ATTEMPT = b"attempt-id"
@@ -53,7 +53,7 @@
         for key, value in messages.end_to_end(request.headers)
         if key.lower() not in _OWN
     )
-    return types.Call(
+    return domain.Call(
         attempt=attempt.decode("latin-1"),
         method=request.method,
         target=request.target,
@@ -80,7 +80,7 @@
         return None
     tokens_in, _, tokens_out = usage.partition(b",")
     model = request.header(b"model") or b""
-    return types.Prompt(
+    return domain.Prompt(
         model=model.decode("latin-1"),
         tokens_in=messages.whole_number(tokens_in, 0),
         tokens_out=messages.whole_number(tokens_out, 0),
@@ -95,7 +95,7 @@
     for entry in value.decode("latin-1").split(","):
         part, _, tokens = entry.strip().partition(":")
         if part and tokens.isdigit():
-            parts.append(types.PromptPart(part, int(tokens)))
+            parts.append(domain.PromptPart(part, int(tokens)))
     return tuple(parts)
 
 
@@ -206,7 +206,7 @@
     """
     try:
         data = json.loads(body)
-        return types.Prefilled(
+        return domain.Prefilled(
             endpoint.address, str(data["cache_handle"]), data["token_count"]
         )
     except (KeyError, TypeError, ValueError) as exc:
@@ -252,4 +252,4 @@
     numbers = [messages.whole_number(part) for part in value.split(b",")]
     if len(numbers) != 3 or None in numbers:
         return None
-    return types.EndpointLoad(*numbers)
+    return domain.EndpointLoad(*numbers)
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -3,8 +3,8 @@
 import json
 import math
 
+from clementinewall import domain
 from clementinewall import errors
-from clementinewall.gateway import types
 from clementinewall.http1 import server
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -26,7 +26,7 @@
     try:
         routes = [_route(row) for row in data["routes"]]
         services = [_service(row) for row in data["services"]]
-        return types.Configuration(
+        return domain.Configuration(
             version=_whole(data["version"]),
             routes_by_host=_by_host(routes),
             service_by_name={service.name: service for service in services},
@@ -46,7 +46,7 @@
         state = data["state"]
         if state not in _STATES:
             raise ValueError(f"state {state!r}")
-        return types.Endpoint(
+        return domain.Endpoint(
             id=endpoint_id,
             service=_text(data["service"]),
             address=_address(data["address"]),
@@ -100,11 +100,11 @@
 def _route(row):
     goal_ms = int(_number(row.get("goal_ms") or 1_000))
     timeout_ms = row.get("timeout_ms")
-    return types.Route(
+    return domain.Route(
         name=_text(row["name"]),
         host=_text(row["host"]).lower(),
         prefix=_text(row["path_prefix"]),
-        kind=row.get("route_kind") or types.UNSAFE,
+        kind=row.get("route_kind") or domain.UNSAFE,
         shares=_shares(row),
         timeout_ms=None if not timeout_ms else int(_number(timeout_ms)),
         goal_ms=goal_ms,
@@ -120,22 +120,22 @@
     split = row.get("traffic_split")
     if split:
         return tuple(
-            types.Share(_text(part["service"]), _number(part["weight"]))
+            domain.Share(_text(part["service"]), _number(part["weight"]))
             for part in split
         )
-    return (types.Share(_text(row["service"]), 1.0),)
+    return (domain.Share(_text(row["service"]), 1.0),)
 
 
 def _service(row):
     engine = row.get("engine")
-    return types.Service(
+    return domain.Service(
         name=_text(row["name"]),
         engine=_engine(engine) if isinstance(engine, dict) else None,
     )
 
 
 def _engine(row):
-    return types.EngineLimits(
+    return domain.EngineLimits(
         slots=_whole(row["slot_count"]),
         kv_tokens=_whole(row["kv_capacity"]),
         kv_token_bytes=_whole(row.get("kv_token_bytes") or 0),
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -8,8 +8,8 @@
 import typing
 
 from clementinewall import _schema
+from clementinewall import domain
 from clementinewall import errors
-from clementinewall.gateway import types
 from clementinewall import settings as project_settings
 
 PATH_VARIABLE = "CLEMENTINEWALL_SETTINGS"
@@ -83,7 +83,7 @@
 
 def _translate(known):
     bounds = known.bounds
-    return types.Settings(
+    return domain.Settings(
         instance=known.node_name,
         ip=known.ip,
         data_centre=known.zone,
@@ -93,7 +93,7 @@
         peer_port=known.port_range[0],
         store=known.platform.address,
         link_mbps=known.limits.link_mbps,
-        bounds=types.Bounds(
+        bounds=domain.Bounds(
             grace_ms=int(bounds.grace_s * 1_000),
             retry_ratio=bounds.budget_ratio,
             retry_window_ms=int(bounds.budget_window_s * 1_000),
--- a/tests/gateway/test_following.py
+++ b/tests/gateway/test_following.py
@@ -9,16 +9,16 @@
 from hypothesis import strategies
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import following
 from clementinewall.gateway import news as news_module
-from clementinewall.gateway import types
 from clementinewall.platform import records
 from clementinewall.platform import store
 
-BOUNDS = types.Bounds(8_000, 0.2, 10_000, 50, 5_000, 2_000, 2_000, 3_000)
-SETTINGS = types.Settings(
+BOUNDS = domain.Bounds(8_000, 0.2, 10_000, 50, 5_000, 2_000, 2_000, 3_000)
+SETTINGS = domain.Settings(
     "gateway-1",
     "10.0.0.1",
     "a",
--- a/tests/gateway/test_keepers.py
+++ b/tests/gateway/test_keepers.py
@@ -6,11 +6,11 @@
 from hypothesis import strategies
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall.gateway import keepers
-from clementinewall.gateway import types
 
 LONG = [("system", 500), ("catalogue", 4_000)]
-PARTS = tuple(types.PromptPart(name, tokens) for name, tokens in LONG)
+PARTS = tuple(domain.PromptPart(name, tokens) for name, tokens in LONG)
 
 
 class Keepers(unittest.TestCase):
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -5,9 +5,9 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import lease
-from clementinewall.gateway import types
 from clementinewall.platform import store
 
 
@@ -34,8 +34,8 @@
         return at
 
 
-SETTINGS = types.Settings(
-    "i", "10.0.0.1", "a", "", "", "", 1, "10.0.0.9:1", types.Bounds()
+SETTINGS = domain.Settings(
+    "i", "10.0.0.1", "a", "", "", "", 1, "10.0.0.9:1", domain.Bounds()
 )
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -3,17 +3,17 @@
 import unittest
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import guard
 from clementinewall.gateway import membership
 from clementinewall.gateway import peer_messages
 from clementinewall.gateway import peers
-from clementinewall.gateway import types
 
 OWN = "10.0.0.1"
 OTHER = "10.0.0.2"
-SETTINGS = types.Settings(
+SETTINGS = domain.Settings(
     instance="gateway-1",
     ip=OWN,
     data_centre="a",
@@ -22,10 +22,10 @@
     directory="",
     peer_port=1,
     store="",
-    bounds=types.Bounds(),
+    bounds=domain.Bounds(),
 )
-ENGINE = types.Endpoint(
-    "e1", "model", "10.0.1.1:1", "a", 16, False, types.PREFILL, 1
+ENGINE = domain.Endpoint(
+    "e1", "model", "10.0.1.1:1", "a", 16, False, domain.PREFILL, 1
 )
 
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -1,9 +1,10 @@
 """Which engines a gateway takes into account."""
 
-import types as builtin_types
+import types
 import unittest
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import endpoints
@@ -11,14 +12,13 @@
 from clementinewall.gateway import membership
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import placing
-from clementinewall.gateway import types
 from clementinewall.http1 import server
 
 GATEWAYS = [f"10.0.0.{n}" for n in range(1, 33)]
-SERVICE = types.Service(
-    "model", types.EngineLimits(16, 500_000, 18_432, 370_000.0, 3_000)
+SERVICE = domain.Service(
+    "model", domain.EngineLimits(16, 500_000, 18_432, 370_000.0, 3_000)
 )
-SETTINGS = types.Settings(
+SETTINGS = domain.Settings(
     instance="gateway-1",
     ip=GATEWAYS[0],
     data_centre="a",
@@ -27,14 +27,14 @@
     directory="",
     peer_port=1,
     store="",
-    bounds=types.Bounds(),
+    bounds=domain.Bounds(),
 )
-ROUTE = types.Route(
+ROUTE = domain.Route(
     name="chat",
     host="",
     prefix="/",
-    kind=types.STREAM,
-    shares=(types.Share("model", 1.0),),
+    kind=domain.STREAM,
+    shares=(domain.Share("model", 1.0),),
     timeout_ms=8_000,
     goal_ms=400,
     gap_goal_ms=150,
@@ -42,7 +42,7 @@
     max_attempts=1,
     resumable=False,
 )
-PROMPT = types.Prompt("m", 6_000, 100, (types.PromptPart("own", 6_000),))
+PROMPT = domain.Prompt("m", 6_000, 100, (domain.PromptPart("own", 6_000),))
 
 
 def engine(number, stage, **more):
@@ -50,7 +50,7 @@
     row = {"leaving": False, "stage": stage, "born": 1}
     row.update(more)
     name = f"i-{number:04}"
-    return types.Endpoint(name, "model", f"{name}:1", "a", 16, **row)
+    return domain.Endpoint(name, "model", f"{name}:1", "a", 16, **row)
 
 
 class Placing(unittest.TestCase):
@@ -61,13 +61,13 @@
         self.ticker = clock.ManualClock(100_000)
         now = self.ticker.now
         self.beliefs = beliefs.Beliefs(now)
-        self.beliefs.configuration = types.Configuration(
+        self.beliefs.configuration = domain.Configuration(
             1, {}, {"model": SERVICE}, server.Limits()
         )
         self.beliefs.endpoint_by_id = {
             found.id: found
             for found in (
-                engine(n, types.STAGES[n % len(types.STAGES)])
+                engine(n, domain.STAGES[n % len(domain.STAGES)])
                 for n in range(24)
             )
         }
@@ -78,14 +78,14 @@
         self.placer = placing.Placer(
             SETTINGS,
             self.endpoints,
-            builtin_types.SimpleNamespace(table=table),
+            types.SimpleNamespace(table=table),
             self.membership,
             now,
         )
 
     def place(self):
         """Place a new request."""
-        call = types.Call(
+        call = domain.Call(
             "a", b"POST", b"/", "", "/", (), b"", None, None, PROMPT
         )
         exchange = exchanges.Exchange(
@@ -110,7 +110,7 @@
     def test_other_cells_help_where_all_engines_of_a_stage_crashed(self):
         # All decode engines of a cell crash together.  Its gateways would
         # refuse every caller for seconds while three other cells have room.
-        for state in self.own(types.DECODE):
+        for state in self.own(domain.DECODE):
             state.health.failed(self.ticker.now(), absent=True)
         for _ in range(20):
             plan = self.place()
@@ -120,7 +120,7 @@
     def test_full_engines_are_no_reason_to_go_elsewhere(self):
         # With too much work everywhere, cells that send each other what
         # they can't serve make everybody late.
-        for state in self.own(types.DECODE):
+        for state in self.own(domain.DECODE):
             state.streams = state.endpoint.slots
         with self.assertRaises(errors.Overloaded):
             self.place()
@@ -128,7 +128,7 @@
     def test_another_stage_clears_what_the_old_one_refused(self):
         # An engine that is asked for what its stage doesn't do refuses.  It
         # must be used as soon as its record tells the new stage.
-        state = self.own(types.DECODE)[0]
+        state = self.own(domain.DECODE)[0]
         state.health.failed(self.ticker.now(), absent=True)
-        changed = state.endpoint._replace(stage=types.PREFILL)
+        changed = state.endpoint._replace(stage=domain.PREFILL)
         self.assertTrue(self.endpoints.state(changed).is_usable())
--- a/tests/gateway/test_retries.py
+++ b/tests/gateway/test_retries.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall.gateway import retries
-from clementinewall.gateway import types
 
-BOUNDS = types.Bounds(retry_ratio=0.2, retry_slack=56, retry_window_ms=10_000)
+BOUNDS = domain.Bounds(retry_ratio=0.2, retry_slack=56, retry_window_ms=10_000)
 
 
 class Budget(unittest.TestCase):
--- a/tests/lab/test_engine.py
+++ b/tests/lab/test_engine.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from clementinewall.gateway import types
+from clementinewall import domain
 from clementinewall.lab import deployment
 from clementinewall.lab import engine as engines
 from clementinewall.lab import loop as loops
@@ -16,8 +16,8 @@
 
 def prompt(*parts, out=10):
     """Return a prompt of parts given as names and tokens."""
-    found = tuple(types.PromptPart(name, tokens) for name, tokens in parts)
-    return types.Prompt("m", sum(p.tokens for p in found), out, found)
+    found = tuple(domain.PromptPart(name, tokens) for name, tokens in parts)
+    return domain.Prompt("m", sum(p.tokens for p in found), out, found)
 
 
 class Reading(unittest.TestCase):
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -2,8 +2,8 @@
 
 import unittest
 
+from clementinewall import domain
 from clementinewall import errors
-from clementinewall.gateway import types
 from clementinewall.http1 import messages
 from clementinewall.platform import calls
 
@@ -31,8 +31,8 @@
 
 def engine(name):
     """Return an engine whose address is its name."""
-    return types.Endpoint(
-        name, "model", f"{name}:1", "a", 16, False, types.PREFILL, 1
+    return domain.Endpoint(
+        name, "model", f"{name}:1", "a", 16, False, domain.PREFILL, 1
     )
 
 
