--- a/clementinewall/_log_writer.py
+++ b/clementinewall/_log_writer.py
@@ -10,7 +10,7 @@
 import os
 import select
 
-# Ten seconds of lines at 100 requests a second and 200 bytes a line.
+# Lines that wait for a slow reader of the output; the rest is dropped.
 BUFFER_BYTES = 1_000_000
 # Ordinary lines leave this much for failures and changes of belief.
 KEPT_FOR_IMPORTANT = 250_000
--- a/clementinewall/entry/loads.py
+++ b/clementinewall/entry/loads.py
@@ -199,7 +199,7 @@
         """Return the tables drawn from the configuration in force.
 
         They are made anew when its version changes, not for each request:
-        a pass over 2,100 endpoints takes longer than the whole choice.
+        a pass over a large fleet takes longer than the whole choice.
         """
         view = self._node.view
         if self._known_index is None or self._known_index.view is not view:
--- a/clementinewall/entry/partition.py
+++ b/clementinewall/entry/partition.py
@@ -24,7 +24,7 @@
 BATCH_LIMIT = 200
 OUTCOMES_LIMIT = 10_000
 # The least time between two appends of one partition.  It bounds the load
-# on the log: 32 partitions commit 320 times a second at the most.
+# on the log.
 SPACING_MS = 100
 
 
--- a/clementinewall/gateway/datagrams.py
+++ b/clementinewall/gateway/datagrams.py
@@ -1,9 +1,7 @@
 """The datagram socket of a gateway.
 
 asyncio's own protocol is used because it hands over each datagram without a
-task that has to be woken, and sends without a pass through the event loop:
-receiving one and taking in what it says costs 0.07 ms of a processor instead
-of 0.12 (one gateway on loopback), and a gateway gets a hundred a second.
+task that has to be woken, and sends without a pass through the event loop.
 """
 
 import asyncio
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -12,13 +12,10 @@
 
 _log = logs.PartLog("endpoint")
 
-# A connection takes two ways of 1.4 ms and what an endpoint needs for it, 1 ms
-# by its operators' figures.  An endpoint without power answers nothing, and
-# whoever waits for it loses that time of a target of 200 to 400 ms.
+# An endpoint without power answers nothing, and whoever waits for it loses
+# that time of its target.
 CONNECT_TIMEOUT_MS = 200
-# With work open, an engine that says nothing for so long is taken for dead:
-# with streams running each engine sends an event every 50 ms or so, and a
-# plain endpoint answers in 20 to 90 ms.
+# With work open, an endpoint that says nothing for so long is taken for dead.
 SILENT_MS = 1_000
 
 
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -97,9 +97,8 @@
     def note(self, failure):
         """Count a send that failed.
 
-        One that reached nobody is no attempt: when a quarter of the engines
-        crashed, 367 callers in five seconds got a failure because the one
-        engine that their route allows refused the connection.
+        One that reached nobody is no attempt: on a route that allows a
+        single one, each engine that crashed would cost its callers a failure.
         """
         self.verdict = verdicts.worst(self.verdict, failure.verdict)
         if not failure.reached:
--- a/clementinewall/gateway/following.py
+++ b/clementinewall/gateway/following.py
@@ -24,16 +24,15 @@
 # is not told of it: the last in line reads 1.8 cycles after the last news,
 # so wait and gap together take less than half of the bound.
 CONFIGURATION_PART = 0.35
-# Changes also come in quick succession, 25 in two seconds.  Each was read
-# by each of 61 gateways, 3,900 calls to the store in a day; with a gap
-# between two reads one read brings several of them.
+# Changes also come in quick succession: with a gap between two reads one read
+# brings several of them.
 CONFIGURATION_GAP_PART = 0.1
 # Endpoints write several times a second, so a waiting read would come back
 # at once each time.  A leaving endpoint must be known within a bound; a
 # quarter of it leaves room for the last in line and one lost read.
 FLEET_PART = 0.25
 # Gateways hear of each other by datagram; the topic is for those that start.
-# A read that waited for it would come back for each of 61 that start.
+# A read that waited for it would come back for each one that starts.
 PEERS_GAP_MS = 30_000
 
 
@@ -204,7 +203,7 @@
             int(settings.bounds.configuration_ms * CONFIGURATION_PART),
             int(settings.bounds.configuration_ms * CONFIGURATION_GAP_PART),
         ),
-        # Of 25 configurations that one read brings, 24 need not be decoded.
+        # Only the newest configuration of a read has to be decoded.
         newest_first=True,
     )
 
--- a/clementinewall/gateway/keepers.py
+++ b/clementinewall/gateway/keepers.py
@@ -1,13 +1,10 @@
 """Which engine read the beginning of a prompt last, wherever it is.
 
-Prompts share long beginnings, and engines keep what they read for some ten
-seconds.  Engines of other cells keep them too: with 61 gateways in eight
-cells 6.2 of 46 million tokens that were read in half a minute had been read
-by some engine within 4.4 s; with fetching, 3.2 of 42 million.  By the
-operators' figures the mean beginning takes 35 ms to read and under 15 to
-fetch.  So gateways tell each other, all over the deployment, which long
-beginnings engines read for them.  What is told may be out of date: then the
-engine reads what it cannot fetch.
+Prompts share long beginnings, and engines keep for some seconds what they
+read.  Engines of other cells keep them too, and a long beginning is fetched in
+less time than it is read.  So gateways tell each other, all over the
+deployment, which long beginnings engines read for them.  What is told may be
+out of date: then the engine reads what it cannot fetch.
 """
 
 import collections
@@ -17,8 +14,7 @@
 
 # Shorter beginnings are read in less time than a fetch takes to begin.
 MIN_TOKENS = 1_000
-# Worked out: 22 reading engines of 563,000 tokens each take in 1.3 million
-# tokens a second, so that what isn't used again is gone after nine seconds.
+# Caches drop what isn't used again soon after that time.
 KEPT_MS = 8_000
 LIMIT = 20_000
 
--- a/clementinewall/gateway/news.py
+++ b/clementinewall/gateway/news.py
@@ -14,10 +14,9 @@
 
 # Reads that one message covers: one that is lost is made up for by the next.
 COVERED = 3
-# News of a larger change names the end only, and all others read it.  The
-# reader sends each message to up to 63 others, twice: a configuration of 15
-# KB kept a link of 10 Mbit/s busy for two seconds.  All that gateway sent
-# meanwhile came late, engines seemed silent, and callers gave up.
+# News of a larger change names the end only, and all others read it: one
+# reader tells all others, and large messages would fill its link and delay
+# its answers.
 MAX_BYTES = 1_000
 
 
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -50,9 +50,7 @@
     away_by_endpoint: dict[str, float]
 
 
-# The fastest level: a state of 434 bytes becomes 235 in 0.01 ms, once for all
-# receivers, and takes 0.005 ms to read.  What passes between data centres is
-# paid for: of 61 gateways in half a minute 0.256 GB, compressed 0.188.
+# The fastest level.  Bytes between data centres are paid for.
 LEVEL = 1
 # What a message may have when it is read; it is bounded so that no datagram
 # can fill the memory.
--- a/clementinewall/gateway/peer_table.py
+++ b/clementinewall/gateway/peer_table.py
@@ -3,9 +3,7 @@
 A gateway that isn't heard for a while counts as gone, and its work with it.
 Gateways of the own cell are heard directly; of the others the table mostly
 learns from gateways that hear them, so that the datagrams don't grow with
-the square of the deployment: 61 gateways that each sent a sign of life to
-all others twice a second made 6,500 datagrams a second, each of which costs
-0.1 ms of a processor.
+the square of the deployment.
 """
 
 from clementinewall import logs
@@ -16,9 +14,8 @@
 # tells about four times a second, each time as of 300 ms ago at most.
 # Callers that ask aren't sent to a gateway that died longer ago than this.
 SILENT_MS = 1_600
-# Cells are dealt anew only when a gateway is gone for longer: a process that
-# was killed is back after two to four seconds, and dealing at once scattered
-# the work of all cells, 28 times in the first 20 s of 61 gateways.
+# Cells are dealt anew only when a gateway is gone for longer than a restart
+# takes, since each time the work of several cells is scattered.
 MEMBER_SILENT_MS = 5_000
 
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -23,18 +23,15 @@
 
 _log = logs.PartLog("peers")
 
-# New prompts are told at once: with 7 gateways and 100 prompts a second,
-# five or more prompts of 20 to 60 ms each are placed within 50 ms, all on
+# New prompts are told at once; otherwise all that are placed meanwhile go to
 # the engine that then seems the least loaded.  The gap between two sends
-# grows with the number of peers, so that a gateway never sends more than 500
-# datagrams a second.
+# grows with the number of peers, which bounds the datagrams a second.
 GAP_MS_A_PEER = 2
 # Ends of work, and new streams, are told at the latest after this time.  The
 # others work out for themselves when a prompt has been read.
 CHANGED_MS = 200
-# The body of a prompt that takes so long to read fills a link of 10 Mbit/s
-# for 10 ms or more, and datagrams that meet a full link are lost.  Such a
-# prompt is told again after a while.
+# The body of a prompt that takes so long to read fills a thin link, and
+# datagrams that meet a full link are lost.  Such a prompt is told again.
 LONG_MS = 40
 AGAIN_MS = 60
 # Without a change a state is sent this seldom, as a sign of life.
@@ -83,10 +80,8 @@
     def tell_prompt(self, job):
         """Let the others know of a new prompt, before its body is sent.
 
-        Sent right after it, the datagram may be lost behind a body of 62 KB
-        on a link of 10 Mbit/s, and others take the engine for idle until the
-        next one, 300 ms later.  Of 2,650 long prompts 202 came late because
-        their engine was busier than was known; told first, 133.
+        Sent right after it, the datagram may be lost behind the body on a
+        thin link, and others take the engine for idle until the next one.
         """
         now = self._now()
         if job.cost_ms >= LONG_MS:
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -113,9 +113,8 @@
     def _candidates(self, engines):
         """Return the engines of the cell, and others where most of it fails.
 
-        When a quarter of 45 engines crashed at once, cells of two or three
-        decode engines had none left, and refused everything for seconds
-        while engines of other cells had room.  Nothing is known of the work
+        When many engines crash at once a cell may have none of a stage left
+        while those of other cells have room.  Nothing is known of the work
         there, so some are drawn at random.
         """
         close = self._membership.own_engines(engines)
--- a/clementinewall/gateway/plain.py
+++ b/clementinewall/gateway/plain.py
@@ -14,8 +14,7 @@
 # The first send of a call that may be repeated gets this part of the time,
 # so that an endpoint that hangs leaves time for another.
 FIRST_PART = 0.5
-# What a waiting or running call elsewhere weighs against being in this data
-# centre: the way to another one and back takes 2.8 ms, a call 20 to 90 ms.
+# What being in this data centre weighs, in waiting or running calls.
 NEAR_WORTH = 0.2
 
 
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -2,10 +2,8 @@
 
 The rest of the gateway is written for anyio.  Its socket streams, however,
 stop and start reading around each receive, which takes two system calls, and
-go through the event loop twice more for each send.  Passing on an event of a
-stream costs 0.51 ms of a processor that way and 0.21 ms this way, a whole
-stream of one event 4.3 ms and 3.2 ms (one gateway on loopback).  Waiting
-here is still ended by anyio's cancel scopes.
+go through the event loop twice more for each send.  Waiting here is still
+ended by anyio's cancel scopes.
 """
 
 import asyncio
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -18,9 +18,9 @@
 from clementinewall.http1 import client
 from clementinewall.http1 import messages
 
-# An answer takes 4 ms on a calm store, and 60 times as long on a slow one.  A
-# gateway that starts while the store returns serves nobody until its first
-# read, so a call that was lost must not be waited for much longer.
+# Leaves time for the answer of a slow store.  A gateway that starts while the
+# store returns serves nobody until its first read, so a call that was lost
+# must not be waited for much longer.
 CALL_TIMEOUT_MS = 700
 CONNECT_TIMEOUT_MS = 500
 ANSWER_LIMIT = 8_000_000
--- a/clementinewall/policy/cells.py
+++ b/clementinewall/policy/cells.py
@@ -2,12 +2,10 @@
 
 Gateways that share an engine have to tell each other every prompt they send
 there.  Among all gateways of a large deployment that grows with the square of
-their number: 61 of them, each at its limit of 500 datagrams a second, are
-worked out at 30,000 a second.  So gateways and
-engines are dealt into cells of about the size of a small deployment, and the
-cost for each gateway stays the same however many there are.  The price is
-that a cell's engines can't help another cell; callers spread over gateways at
-random, so the cells' loads differ little.
+their number.  So gateways and engines are dealt into cells of about the size
+of a small deployment, and the cost for each gateway stays the same however
+many there are.  The price is that a cell's engines can't help another cell;
+callers spread over gateways at random, so the cells' loads differ little.
 
 All gateways that see the same members deal alike; while their views differ,
 they misjudge some engine's load for a moment, and nothing else.
@@ -16,9 +14,8 @@
 import typing
 import zlib
 
-# Gateways in a cell.  Seven and eight gateways in front of five and six
-# engines were measured; smaller cells leave an engine's load to fewer
-# gateways but have fewer engines to choose from.
+# Gateways in a cell.  Smaller cells leave an engine's load to fewer gateways
+# but have fewer engines to choose from.
 GATEWAYS = 8
 
 
--- a/clementinewall/policy/engine_time.py
+++ b/clementinewall/policy/engine_time.py
@@ -9,13 +9,11 @@
 PAIRS_MS_A_MILLION = 0.109
 # Prompts are read in pieces, each beside a step of the engine's batch.
 PREFILL_CHUNK = 2_048
-# What a prompt takes however short it is.  With it and the step of each
-# piece the predicted ends of 1,400 prompts fit the seen ones best (mean
-# deviation 33 ms; 44 ms without).
+# What a prompt takes however short it is.
 PROMPT_BASE_MS = 1.5
 # From the end of the prompt's reading to the first event of the answer.
 FIRST_EVENT_MS = 26.0
-# A request to an engine and its answer: two ways over 1.4 ms, and set-up.
+# A request to an engine and its answer.
 HOP_MS = 8.0
 # A decoding engine reads prompts at half speed, in pieces of 512 tokens
 # between the steps of its streams.
@@ -52,8 +50,8 @@
 def transfer_ms(tokens, token_bytes, link_mbps):
     """Return how long the memory of a prompt takes to another engine.
 
-    The way between data centres takes twice as long as within one; for
-    12,000 tokens that is 10 ms and 5 ms, so the longer one is assumed.
+    The way between data centres takes twice as long as within one; the longer
+    one is assumed.
     """
     if not link_mbps:
         return 0.0
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -15,7 +15,7 @@
 from clementinewall.policy import engine_time
 
 # The part of the time to the target that predictions may fill.  Work that
-# other gateways sent in the last 50 ms isn't known yet.
+# other gateways have just sent isn't known yet.
 ROOM = 0.85
 # A prompt so large that reading it alone takes longer than the target is
 # still taken while the wait before it is under this part of the target;
@@ -38,22 +38,16 @@
 # From this slowness on an engine counts as failed.
 FAILED_SLOWNESS = 5.0
 # What a decode engine full of streams weighs against the reading that blocks
-# a new one there: its steps take up to 6 ms longer than those of an idle one,
-# 13 of them between two events.
+# a new one there: its steps take longer than those of an idle one.
 STREAMS_MS = 80.0
 # Streams beside which a decode engine still takes new ones, of its slots.
 STREAMS_PART = 0.95
-# The last slots are kept for short answers: one of 23 tokens takes a slot for
-# 0.1 s, one of 380 for 1.6 s.  With 16 slots an engine, at 1.25, 1.5 and 1.8
-# times the usual load, 0.01, 0.02 and 0.05 more of what was owed was earned
-# than without (``clementinewall-lab``); to let requests wait for a slot
-# instead cost 0.01, 0.04 and 0.09.
+# The last slots are kept for short answers, which give them back soon.
 LONG_STREAMS_PART = 0.88
 LONG_TOKENS = 100
 # With so few slots free, all that a decode engine gets has the same urgency.
 # An engine whose slots are all taken stops a running stream for one that is
-# more urgent and reads its prompt again, at half speed: on engines with 16
-# slots that happened to 2 of 100 streams, whose callers saw them pause.
+# more urgent and reads its prompt again, and its caller sees a pause.
 LAST_SLOTS = 6
 MIN_RETRY_MS = 50
 # A fetch takes this long before the first byte (operators' figure for moves),
@@ -85,8 +79,7 @@
     """What a request needs, and the time left to its first-event target.
 
     ``tokens_out`` is how many tokens its answer has at the most, ``send_ms``
-    how long its body takes on the gateway's link: a prompt of 60,000 tokens
-    fills a link of 10 Mbit/s for 50 ms each time it is sent.
+    how long its body takes on the gateway's link each time it is sent.
     """
 
     tokens: int
@@ -169,8 +162,8 @@
     """Return the place of a prompt among those that wait, 0 first.
 
     Engines read urgent prompts first.  Short ones delay nobody, so they go
-    first.  Of the others a prompt of 30,000 tokens takes 300 of its 400 ms
-    and comes late behind any other, while a usual one can wait for it.
+    first.  Of the others one that fills most of its target comes late behind
+    any other, while a usual one can wait for it.
     """
     prompt_ms = engine_time.prompt_ms(demand.tokens, cached)
     if prompt_ms <= demand.goal_ms * CHEAP_PART:
@@ -270,8 +263,8 @@
 
 def _target_rank(engine, ready_ms):
     """Return the order in which decode engines are taken for a split."""
-    # A crashed engine has no streams.  Taken for the least loaded, it had 355
-    # prompts read for it in eight seconds, by seven gateways, for nothing.
+    # A crashed engine has no streams and must not pass for the least loaded:
+    # prompts would be read for it in vain.
     full = STREAMS_MS * engine.streams / engine.slots
     blocked = _blocked_ms(engine, ready_ms)
     return engine.slowness, blocked + full, engine.id
@@ -280,8 +273,6 @@
 def _blocked_ms(engine, ready_ms):
     """Return how long a decode engine still reads when a prompt is ready.
 
-    It reads prompts of its own before a new stream begins: with 120 ms or
-    more of them first events came 104 ms after the prompt was read instead
-    of 27 (medians of 2,250 streams in a calm day).
+    It reads the prompts that it has before a new stream begins.
     """
     return max(0.0, engine.wait_ms * engine.slowness - ready_ms)
--- a/clementinewall/policy/reading_queue.py
+++ b/clementinewall/policy/reading_queue.py
@@ -2,15 +2,13 @@
 
 Engines take the most urgent waiting prompt, the first come among equals, and
 read it to its end: an urgent prompt doesn't interrupt a long one that has
-begun.  In logs of 1,500 prompts at two engines, replayed by this rule, short
-prompts ended 31 ms from the median error on the mean and long ones 44 ms; 52
-and 85 ms if urgent prompts interrupted, 50 and 79 ms in order of arrival.
+begun.
 """
 
 import typing
 
 # An answer arrives so much after the prompt was read, while the engine is at
-# the next one already: about the least that was seen in those logs.
+# the next one already.
 ANSWER_MS = 28
 
 
--- a/clementinewall/policy/reading_turns.py
+++ b/clementinewall/policy/reading_turns.py
@@ -1,19 +1,17 @@
 """Which gateway reads the store, and when others read for themselves.
 
-Load this answers: 61 gateways that each read two topics made 6,800 calls to
-the store in a day of 34 s, which cost a tenth of what the day earned.  So
-one gateway reads and tells the others, and each of the others reads for
-itself only when it heard nothing for too long.  Nobody is elected: the
-gateways that hear each other stand in a line, by address, and each one's
-patience grows with its place.  Lost datagrams, a dead or cut off reader and
-views of the line that differ cost a few more calls, and never more than one
-bounded delay.
+Load this answers: calls to the store are paid for, and grow with the number
+of gateways if each one reads each topic.  So one gateway reads and tells the
+others, and each of the others reads for itself only when it heard nothing for
+too long.  Nobody is elected: the gateways that hear each other stand in a
+line, by address, and each one's patience grows with its place.  Lost
+datagrams, a dead or cut off reader and views of the line that differ cost a
+few more calls, and never more than one bounded delay.
 """
 
 import typing
 
-# Gateways for which one reads.  What the reader sends grows with their
-# number: 64 times 200 bytes for each read, twice a second, is 25 KB/s.
+# Gateways for which one reads.  What the reader sends grows with their number.
 GROUP = 64
 # A gateway that isn't the first in line waits for so many cycles of the
 # reader, and each one further back longer by this part, up to a limit: if
@@ -22,9 +20,7 @@
 STEP = 0.1
 MOST_STEPS = 4
 # The first in line asks a store that is away this often, and tells the others
-# when it is back.  When all of 61 gateways asked so often, a day with an
-# outage of nine seconds had 4,008 calls, each of which is paid for; with the
-# others asking less often the same day had 2,813.
+# when it is back.  These ask less often, since each call is paid for.
 RETRY_MS = 200
 
 
--- a/clementinewall/policy/speed.py
+++ b/clementinewall/policy/speed.py
@@ -9,8 +9,8 @@
 FAILURES_TO_PAUSE = 2
 FIRST_PAUSE_MS = 1_000
 # An endpoint that isn't there comes back as a new one, with a record of its
-# own, which takes three heartbeats of 1,200 ms at the most.  Tried again
-# before, it was there but in another stage, and refused 329 requests.
+# own.  Tried before that record is known, it may be in another stage and
+# refuse what it gets.
 ABSENT_PAUSE_MS = 5_000
 LONGEST_PAUSE_MS = 30_000
 SMOOTHING = 0.1
--- a/clementinewall/policy/stages.py
+++ b/clementinewall/policy/stages.py
@@ -3,10 +3,7 @@
 Load this answers: prompts of 12,000 tokens beside short ones, in a mix that
 swings every few seconds.  An engine that decodes reads prompts at less than
 a third of the speed of one that only reads, so the more engines read the
-sooner first events come, as long as the streams find slots.  A calm day of
-six engines, played once with each split and the same code, had a worth of 0.54
-with two of them reading, 0.64 with three, and 0.57 with four, when the streams
-no longer found slots.
+sooner first events come, as long as the streams find slots.
 
 A change takes an engine away for seconds, so there are few: up to half at
 the start, one back when the streams need the slots, and one after an engine
@@ -17,22 +14,15 @@
 import typing
 
 PREFILL_PART = 0.5
-# Engines with few slots are full of streams before they are busy reading: a
-# stream of 30 events takes 1.6 s of a slot, its prompt 0.08 s of a reading
-# engine.  With 16 slots at 1.25 and 1.5 times the usual load 0.42 of the
-# engines reading earned 0.932 and 0.866 of what was owed, half of them 0.925
-# and 0.841; 0.954 both at the usual load (``clementinewall-lab``).
+# Engines with few slots are full of streams before they are busy reading.
 SCARCE_SLOTS = 32
 SCARCE_PREFILL_PART = 0.42
 # Streams fill this part of the decoding slots: one more engine decodes, if
-# that lasts.  Peaks last three to five seconds, and a change takes as long:
-# following them cost 0.06 and 0.13 of the worth of a calm day.
+# that lasts.  Most peaks end before a change pays.
 FULL_PART = 0.85
 FULL_LASTING_MS = 6_000
 # After decoding engines were lost, more than half may be left reading.  Then
-# one is given back from this part on: of three reading and one decoding
-# engine, which was full, a third of the requests was refused for ten seconds,
-# until all was started anew.
+# one is given back from this part on, or the decoding ones stay full.
 UNEVEN_PART = 0.6
 # An engine is given to reading only while the streams would fill at most
 # this part of the other engines: at the start, or in a lull.
--- a/clementinewall/records/bookings.py
+++ b/clementinewall/records/bookings.py
@@ -160,7 +160,7 @@
             return
         if kept.state == "open":
             # The outcome's strings are equal to the intent's; sharing them
-            # saves a quarter of the table's memory.
+            # saves memory in a table that is kept for long.
             shared = outcome._replace(
                 id=kept.intent.id,
                 key=kept.intent.key,
--- a/clementinewall/records/configuration.py
+++ b/clementinewall/records/configuration.py
@@ -142,8 +142,8 @@
 def view(version, value_by_key):
     """Build the view from typed values by key.
 
-    The values are checked when they are folded in; checking 2,100
-    endpoints again at each change would stop every stream for 90 ms.
+    The values are checked when they are folded in; checking a large fleet
+    again at each change would hold up every stream.
     """
     named = {prefix: {} for prefix in _SHAPE_BY_PREFIX}
     for key, value in value_by_key.items():
--- a/clementinewall/settings.py
+++ b/clementinewall/settings.py
@@ -58,8 +58,7 @@
     dead_after_ms: Millis = 4_000
     tailers: typing.Annotated[int, _schema.Range(1, 16)] = 2
     # The least time between two reads of the control stream.  It bounds the
-    # reads of a node whatever the number of records: at 35 renewals a second
-    # a read for each of them would cost several percent of a core.
+    # reads of a node whatever the number of records.
     tail_ms: Millis = 200
     digest_size: typing.Annotated[int, _schema.Range(1, 16)] = 3
 
