--- a/clementinewall/_http.py
+++ b/clementinewall/_http.py
@@ -1,8 +1,8 @@
 """The HTTP clients of all parts, made in one way.
 
 All traffic goes to IP numbers inside the deployment, so there is no proxy
-to look up and no certificate to check: loading the system's certificates
-for each client cost 30 ms and a megabyte each.
+to look up and no certificate to check; loading the system's certificates for
+each client would cost time and memory.
 """
 
 import httpx
