--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -3,10 +3,10 @@
 import random
 import typing
 
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import exchange as exchanges
-from clementinewall.gateway import types
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import placement
@@ -14,7 +14,7 @@
 
 _log = logs.PartLog("stream")
 
-NO_PROMPT = types.Prompt("", 0, 0, ())
+NO_PROMPT = domain.Prompt("", 0, 0, ())
 # Returning callers are spread over half as much time again.
 RETRY_SPREAD = 0.5
 # Engines of other cells that are tried where those of the cell fail.
@@ -113,14 +113,13 @@
     def _candidates(self, engines):
         """Return the engines of the cell, and others where most of it fails.
 
-        When a quarter of 45 engines crashed at once, cells of two or three
-        decode engines had none left, and refused everything for seconds
-        while engines of other cells had room.  Nothing is known of the work
+        When many engines crash at once a cell may have none of a stage left
+        while those of other cells have room.  Nothing is known of the work
         there, so some are drawn at random.
         """
         close = self._membership.own_engines(engines)
         found = list(close)
-        for stage in types.STAGES:
+        for stage in domain.STAGES:
             own = [s for s in close if s.endpoint.stage == stage]
             if sum(s.is_usable() for s in own) * 2 >= len(own):
                 continue
@@ -177,7 +176,7 @@
         waiting = reading_queue.wait_ms(jobs, last_end, self._now(), urgency)
         return placement.Engine(
             id=endpoint.id,
-            prefill=endpoint.stage == types.PREFILL,
+            prefill=endpoint.stage == domain.PREFILL,
             wait_ms=waiting,
             streams=streams,
             slots=max(1, endpoint.slots),
