Refuse settings that break the process later

A settings file with an infinite or negative bound, an address without a port, a port over 65535, or TOML that the parser gives up on (RecursionError, ValueError of a number with thousands of digits) ended a process with a traceback, or was taken. The file will also be read while a process serves, where such an error must not come out. Each is now a `SettingsError` with file, key, what was found and what is allowed; addresses may still be names.

--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -13,6 +13,9 @@
 from clementinewall import settings as project_settings
 
 PATH_VARIABLE = "CLEMENTINEWALL_SETTINGS"
+HIGHEST_PORT = 65_535
+
+_Amount = typing.Annotated[float, _schema.Range(0, 1_000_000_000)]
 
 
 class _Listen(typing.NamedTuple):
@@ -26,18 +29,18 @@
 
 
 class _Bounds(typing.NamedTuple):
-    grace_s: float = 8.0
-    budget_ratio: float = 0.2
-    budget_window_s: float = 10.0
-    budget_slack: float = 50.0
-    ttl_max_s: float = 5.0
-    lease_ms: float = 3_000.0
-    config_ms: float = 2_000.0
-    drain_ms: float = 2_000.0
+    grace_s: _Amount = 8.0
+    budget_ratio: _Amount = 0.2
+    budget_window_s: _Amount = 10.0
+    budget_slack: _Amount = 50.0
+    ttl_max_s: _Amount = 5.0
+    lease_ms: _Amount = 3_000.0
+    config_ms: _Amount = 2_000.0
+    drain_ms: _Amount = 2_000.0
 
 
 class _Limits(typing.NamedTuple):
-    link_mbps: float = 0.0
+    link_mbps: _Amount = 0.0
 
 
 class _File(typing.NamedTuple):
@@ -61,12 +64,34 @@
         raise errors.SettingsError(f"{PATH_VARIABLE} is not set")
     data = project_settings.read_toml(path)
     known, mistakes = _schema.build(_File, _only_known(_File, data))
-    if known is not None and not known.port_range:
-        mistakes += (_schema.Mistake("port_range", "[]", "one port or more"),)
+    if known is not None:
+        mistakes += tuple(_check_addresses(known))
     project_settings.refuse(path, mistakes)
     return _translate(known)
 
 
+def _check_addresses(known):
+    if not known.port_range:
+        yield _schema.Mistake("port_range", "[]", "one port or more")
+    elif not 0 < known.port_range[0] <= HIGHEST_PORT:
+        found = str(known.port_range[0])
+        yield _schema.Mistake("port_range[0]", found, f"1 to {HIGHEST_PORT}")
+    listen = known.listen
+    for key, address in (
+        ("listen.front", listen.front),
+        ("listen.ready_addr", listen.ready_addr),
+        ("listen.directory", listen.directory),
+        ("platform.address", known.platform.address),
+    ):
+        host, _, port = address.rpartition(":")
+        if not host or not _is_port(port):
+            yield _schema.Mistake(key, repr(address), "host:port")
+
+
+def _is_port(text):
+    return text.isdecimal() and len(text) <= 5 and int(text) <= HIGHEST_PORT
+
+
 def _only_known(shape, data):
     """Drop the keys that this version doesn't know, at every level."""
     if not isinstance(data, dict):
--- a/clementinewall/settings.py
+++ b/clementinewall/settings.py
@@ -165,7 +165,7 @@
             return tomllib.load(file)
     except OSError as exc:
         raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except (ValueError, RecursionError) as exc:
         raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -65,3 +65,25 @@
             settings.load("/nowhere/settings.toml")
         with self.assertRaises(errors.SettingsError):
             self.load("not = = toml")
+
+    def test_values_that_no_process_can_use_are_named(self):
+        for key, good, bad in (
+            ("bounds.grace_s", "grace_s = 8", "grace_s = inf"),
+            ("bounds.grace_s", "grace_s = 8", "grace_s = nan"),
+            ("bounds.grace_s", "grace_s = 8", "grace_s = -1"),
+            ("listen.front", "10.1.0.38:8149", "10.1.0.38"),
+            ("listen.directory", "10.1.0.38:8143", "10.1.0.38:70000"),
+            ("platform.address", "10.200.1.7:8142", ":x"),
+            ("port_range[0]", "[7380,", "[70000,"),
+        ):
+            with self.subTest(bad):
+                with self.assertRaises(errors.SettingsError) as caught:
+                    self.load(GOOD.replace(good, bad))
+                self.assertIn(f"{key}: found", caught.exception.message)
+
+    def test_toml_that_the_parser_gives_up_on_is_refused(self):
+        for text in ("a = " + "[" * 20_000, "a = " + "9" * 5_000):
+            with self.subTest(text[:8]):
+                with self.assertRaises(errors.SettingsError) as caught:
+                    self.load(text)
+                self.assertIn("not TOML", caught.exception.message)
