Give every process one life cycle for signals at any time

Callers of a draining gateway lost their open calls when the platform sent SIGHUP: the gateway left its signal receiver at the first SIGTERM, and the default action of the next signal ended it. Entry and steward handled SIGHUP at no time, and a signal during the imports killed any of the three.

`signals.py` installs handlers as the first thing in `main`, before the imports, and keeps them until the exit; `lifecycle.py` holds the states starting, serving, leaving and ended, with the transitions as a pure function, and is used by gateway, entry and steward. SIGHUP checks the settings file and logs what it found; unknown signals are ignored with a line; a stop before listening ends with 0. What `main` did moved to `gateway/startup.py`, `entry/program.py` and `steward/program.py`, so that `main` imports them late.

Red before: all eleven tests of `integration/test_signals.py` (exit codes -1 and -2 instead of 0 and 3, the open call cut by a reset). `design/lifecycle.md` names the ways ruled out.

`test_a_second_signal_ends_at_once` asserted that a second SIGTERM cuts what is open. That was wrong: the platform may repeat SIGTERM within the time it grants. In its place `test_a_second_interrupt_ends_at_once` keeps the exit code 3, the 5 s and the line for an operator's second SIGINT, and `test_a_second_term_does_not_shorten_the_drain` asks for service and exit code 0 after the second SIGTERM. A process that ends at once now exits without cancelling its tasks: cancelled, Hypercorn turned the exit code into 1.

--- a/bench/slopes_processes.py
+++ b/bench/slopes_processes.py
@@ -138,7 +138,7 @@
             "import anyio, httpx, hypercorn.asyncio, "
             "starlette.applications, loguru, hdrh.histogram",
         ),
-        ("with the entry imported", "import clementinewall.entry.main"),
+        ("with the entry imported", "import clementinewall.entry.program"),
     ):
         script = f"{code}\nimport time; time.sleep(3)"
         process = subprocess.Popen([sys.executable, "-c", script])
--- /dev/null
+++ b/clementinewall/entry/program.py
@@ -0,0 +1,132 @@
+"""The entry process: its tasks, its listeners and its end."""
+
+import anyio
+from starlette import responses
+from starlette import routing
+
+from clementinewall import _schema
+from clementinewall import _web
+from clementinewall import clock
+from clementinewall.entry import app
+from clementinewall.entry import calls
+from clementinewall.entry import crash_guard
+from clementinewall.entry import loads
+from clementinewall.entry import model
+from clementinewall.entry import shares
+from clementinewall import errors
+from clementinewall import lifecycle
+from clementinewall import logs
+from clementinewall import node
+from clementinewall.steward import planner
+
+_log = logs.PartLog("entry")
+
+DRAIN_POLL_MS = 50
+
+
+class Entry:
+    """The entry program."""
+
+    def __init__(self, life):
+        """Take the life cycle of the process."""
+        self.node = node.Node(life, "entry")
+        self.loads = loads.Loads(self.node)
+        guard = crash_guard.CrashGuard(self.node, self.loads)
+        known_shares = shares.Shares(self.node.clock.now)
+        self.calls = calls.Calls(self.node, self.loads, guard)
+        self.relay = model.ModelRelay(
+            self.node, self.loads, known_shares, guard
+        )
+        self.callers = app.CallerApp(
+            self.node, self.loads, self.relay, self.calls
+        )
+        self._homed = 0
+
+    async def run(self):
+        """Serve until asked to stop and drained."""
+        listen = self.node.settings.listen
+        control = _web.application(
+            [
+                *self.node.control_routes(),
+                routing.Route(
+                    calls.HOME_PATH, self._on_booking, methods=["POST"]
+                ),
+                routing.Route(planner.OUTCOMES_PATH, self._on_outcomes),
+            ]
+        )
+        closed = self.node.closed
+        async with anyio.create_task_group() as group:
+            await self.node.run(group)
+            group.start_soon(self.loads.run)
+            group.start_soon(self.calls.run)
+            group.start_soon(self.relay.watch)
+            group.start_soon(_web.serve, control, listen.control, closed)
+            group.start_soon(
+                _web.serve, self.callers.application(), listen.callers, closed
+            )
+            _log.info("started", callers=listen.callers, boot=self.node.boot)
+            self.node.life.note(lifecycle.Event.STARTED)
+            await self.node.stopping.wait()
+            end = await self._drain()
+            closed.set()
+            await anyio.sleep(clock.seconds(DRAIN_POLL_MS) * 2)
+            group.cancel_scope.cancel()
+        return end
+
+    async def _drain(self):
+        """Leave the callers' answers, then wait for what is open.
+
+        Return the event that ends the process.
+        """
+        limits = self.node.settings.limits
+        end = self.node.clock.now() + limits.drain_ms
+        await self.node.leave()
+        # Callers kept the answer that names this entry for so long, and
+        # still come with new work in good faith.
+        await anyio.sleep(clock.seconds(limits.keep_addresses_ms))
+        while self.callers.open or self._homed:
+            if self.node.clock.now() > end:
+                _log.warning("cut at the end", open=self.callers.open)
+                return lifecycle.Event.OUT_OF_TIME
+            await anyio.sleep(clock.seconds(DRAIN_POLL_MS))
+        # Outcomes of bookings that were answered a moment ago.
+        await self.calls.flush()
+        _log.info("drained")
+        return lifecycle.Event.DRAINED
+
+    async def _on_outcomes(self, request):
+        self.node.check(request)
+        by_model = self.relay.outcomes.by_model
+        return responses.JSONResponse(_schema.plain(by_model))
+
+    async def _on_booking(self, request):
+        self.node.check(request)
+        body = await _web.read_json(request, self.node.settings.limits)
+        call, mistakes = _schema.build(calls.Call, body)
+        if mistakes:
+            raise errors.BadRecord(str(mistakes[0]))
+        if not self.node.is_ready():
+            raise errors.NotReady("no configuration is known yet")
+        self._homed += 1
+        try:
+            answer = await self.calls.run_as_home(call)
+        finally:
+            self._homed -= 1
+        return responses.JSONResponse(_schema.plain(answer))
+
+
+async def run(life):
+    """Run the entry until it is stopped; return the event that ends it."""
+    return await Entry(life).run()
+
+
+def main(options, inbox):
+    """Read the settings and run, or only check them."""
+    node.run_with_settings(options, inbox, _needs_callers, run)
+
+
+def _needs_callers(checked):
+    if checked.listen.callers is None:
+        raise errors.SettingsError(
+            "listen.callers: found nothing, allowed is IP:port"
+        )
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -1,7 +1,6 @@
 """The gateway process: its tasks, its listeners and its end."""
 
 import gc
-import signal
 
 import anyio
 
@@ -20,6 +19,7 @@
 from clementinewall.gateway import stages
 from clementinewall.gateway import streams
 from clementinewall.http1 import stream as tcp
+from clementinewall import lifecycle
 from clementinewall import logs
 
 _log = logs.PartLog("gateway")
@@ -36,13 +36,15 @@
 class Gateway:
     """All parts of the process."""
 
-    def __init__(self, settings, group, log_writer):
+    def __init__(self, life, group, log_writer):
         """Put the parts together; ``group`` runs the tasks."""
+        self._life = life
         self._log_writer = log_writer
+        settings = life.settings
         ticker = clock.Clock()
         now = ticker.now
         self._settings = settings
-        self._stopping = anyio.Event()
+        self._stopping = life.leaving
         self._now = now
         self._group = group
         self._beliefs = beliefs.Beliefs(now)
@@ -90,7 +92,7 @@
         return self._beliefs.is_ready and not self._stopping.is_set()
 
     async def run(self):
-        """Serve until SIGTERM and the end of what is open."""
+        """Serve until SIGTERM; return the event that ended what was open."""
         settings = self._settings
         start = self._group.start_soon
         for follower in (
@@ -114,8 +116,12 @@
             data_centre=settings.data_centre,
             store=settings.store,
         )
-        await self._wait_term()
+        self._life.note(lifecycle.Event.STARTED)
+        await self._stopping.wait()
         await self._drain(front)
+        if self._callers.open:
+            return lifecycle.Event.OUT_OF_TIME
+        return lifecycle.Event.DRAINED
 
     async def _meet_peers(self):
         """Register, then learn who else did.
@@ -131,19 +137,6 @@
     def _known(self):
         return self._settings, self._now, self._beliefs
 
-    async def _wait_term(self):
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    # All that the settings hold is fixed for the life of a
-                    # process; what may change comes from the store.
-                    _log.info("settings changed, nothing to do")
-                    continue
-                _log.info("asked to stop", signal=int(number))
-                return
-
     async def _drain(self, front):
         """Leave the callers' answers, then end what is open."""
         grace_ms = self._settings.bounds.grace_ms
@@ -174,9 +167,9 @@
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
-async def run(settings, log_writer):
-    """Run a gateway until it is stopped."""
+async def run(log_writer, life):
+    """Run a gateway until it is stopped; return the event that ends it."""
     async with anyio.create_task_group() as group:
-        await Gateway(settings, group, log_writer).run()
+        end = await Gateway(life, group, log_writer).run()
         group.cancel_scope.cancel()
-    log_writer.flush()
+    return end
--- /dev/null
+++ b/clementinewall/gateway/startup.py
@@ -0,0 +1,35 @@
+"""The start of a gateway: its settings, its log, then its program."""
+
+import functools
+
+from clementinewall import errors
+from clementinewall.gateway import program
+from clementinewall import lifecycle
+from clementinewall import logs
+from clementinewall.platform import settings as platform_settings
+
+
+def main(options, inbox):
+    """Read the settings and run, or only check them."""
+    read = functools.partial(_read_settings, options)
+    settings = lifecycle.load(read)
+    if options["--check"]:
+        print(f"{options['--settings'] or 'settings'}: good")
+        return
+    log_writer = logs.to_standard_output(settings.instance)
+    life = lifecycle.Lifecycle(inbox, settings, read)
+    lifecycle.run(
+        functools.partial(program.run, log_writer), life, log_writer.flush
+    )
+
+
+def _read_settings(options):
+    settings = platform_settings.load(options["--settings"])
+    text = options["--metrics-port"]
+    if text is None:
+        return settings
+    if not text.isdigit() or not 0 < int(text) < 65_536:
+        raise errors.SettingsError(
+            f"--metrics-port: found {text!r}, give a port"
+        )
+    return settings._replace(metrics_port=int(text))
--- a/clementinewall/node.py
+++ b/clementinewall/node.py
@@ -1,12 +1,11 @@
 """What an entry and a steward have in common.
 
-A node follows the control stream, gossips with the other nodes, serves the
-control listener, and turns the signals of the operating system into a
-graceful stop.
+A node follows the control stream, gossips with the other nodes and serves
+the control listener.
 """
 
+import functools
 import secrets
-import signal
 import sys
 
 import anyio
@@ -17,6 +16,7 @@
 from clementinewall import _web
 from clementinewall import clock
 from clementinewall import errors
+from clementinewall import lifecycle
 from clementinewall.log import client
 from clementinewall.log import tail
 from clementinewall import logs
@@ -26,16 +26,16 @@
 from clementinewall import metrics
 from clementinewall import settings as settings_module
 
-_log = logs.PartLog("node")
-
 BOOT_BYTES = 6
 
 
 class Node:
     """The parts that every program of the system runs."""
 
-    def __init__(self, settings, program):
-        """Take the whole settings and the program's short name."""
+    def __init__(self, life, program):
+        """Take the process's life cycle and the program's short name."""
+        settings = life.settings
+        self.life = life
         self.settings = settings
         self.clock = clock.Clock()
         self.boot = secrets.token_hex(BOOT_BYTES)
@@ -55,7 +55,7 @@
         self.log = client.LogClient(settings)
         self.tail = tail.Tail(settings, self.log, self.members, self.clock.now)
         self.gossip = gossip.Gossiper(settings, self.members, self.crashes)
-        self.stopping = anyio.Event()
+        self.stopping = life.leaving
         self.closed = anyio.Event()
 
     @property
@@ -87,19 +87,6 @@
         self.members.leave()
         await self.gossip.spread()
 
-    async def watch_signals(self):
-        """Set ``stopping`` at the first signal, end at the second."""
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT
-        ) as signals:
-            async for number in signals:
-                if self.stopping.is_set():
-                    _log.warning("stopped at once", signal=number)
-                    sys.stderr.flush()
-                    raise SystemExit(3)
-                _log.info("asked to stop", signal=number)
-                self.stopping.set()
-
     def control_routes(self):
         """Return the routes of the control listener."""
         return [
@@ -176,39 +163,23 @@
     return responses.PlainTextResponse(metrics.render())
 
 
-def run_with_settings(options, check, main):
-    """Load the settings, check them, and run ``main`` with them.
+def run_with_settings(options, inbox, check, serve):
+    """Load the settings, check them, and run ``serve`` with them.
 
     A mistake in the settings exits with 2, ``--check`` with 0.
     """
     path = options["--settings"]
-    try:
-        checked = settings_module.load(path)
-        check(checked)
-    except errors.SettingsError as exc:
-        sys.stderr.write(f"{exc.message}\n")
-        raise SystemExit(2) from None
+    read = functools.partial(_read_settings, path, check)
+    checked = lifecycle.load(read)
     if options["--check"]:
         print(f"{path}: good")
         return
     logs.configure(checked.logging, checked.instance.id)
-    _run(main, checked)
-
-
-def _run(main, checked):
-    try:
-        anyio.run(main, checked)
-    except* errors.SettingsError as group:
-        for exc in _leaves(group):
-            sys.stderr.write(f"{exc.message}\n")
-        raise SystemExit(2) from None
-    except* SystemExit as group:
-        raise SystemExit(next(_leaves(group)).code) from None
-
-
-def _leaves(group):
-    for exc in group.exceptions:
-        if isinstance(exc, BaseExceptionGroup):
-            yield from _leaves(exc)
-        else:
-            yield exc
+    life = lifecycle.Lifecycle(inbox, checked, read)
+    lifecycle.run(serve, life, sys.stderr.flush)
+
+
+def _read_settings(path, check):
+    checked = settings_module.load(path)
+    check(checked)
+    return checked
--- a/clementinewall/steward/main.py
+++ b/clementinewall/steward/main.py
@@ -8,98 +8,24 @@
   --settings=FILE  The settings, in TOML.
   --check          Only check the settings.
 
-Exit codes: 0 stopped gracefully, 2 bad settings, 3 stopped at once.
+Exit codes: 0 stopped gracefully, 2 bad settings or an address that cannot be
+listened on, 3 stopped at once by a second SIGINT.
 """
 
-import anyio
-import docopt
-
-from clementinewall import _web
-from clementinewall import clock
-from clementinewall import logs
-from clementinewall import node
-from clementinewall.steward import fleet
-from clementinewall.steward import keeper
-from clementinewall.steward import orders
-from clementinewall.steward import planner
-from clementinewall.steward import scopes
-from clementinewall.steward import snapshots
-
-_log = logs.PartLog("steward")
-
-WANT_MS = 500
-
-
-class Steward:
-    """The steward program."""
-
-    def __init__(self, checked):
-        """Take the whole settings."""
-        self.node = node.Node(checked, "steward")
-        self.keeper = keeper.Keeper(self.node)
-        self.sender = orders.OrderSender(self.node, self.keeper)
-        self.fleet = fleet.Fleet(self.node, self.keeper, self.sender)
-        self.planner = planner.Planner(self.node, self.keeper)
-        self.snapshots = snapshots.Snapshots(self.node, self.keeper)
-
-    async def run(self):
-        """Serve until asked to stop, then give the scopes up."""
-        control = _web.application(
-            [*self.node.control_routes(), *self.sender.routes()]
-        )
-        address = self.node.settings.listen.control
-        async with anyio.create_task_group() as group:
-            group.start_soon(self.node.watch_signals)
-            await self.node.run(group)
-            group.start_soon(_web.serve, control, address, self.node.closed)
-            group.start_soon(self._want)
-            group.start_soon(self.keeper.run)
-            group.start_soon(self.fleet.run)
-            group.start_soon(self.planner.run)
-            group.start_soon(self.snapshots.run)
-            _log.info("started", control=address, boot=self.node.boot)
-            await self.node.stopping.wait()
-            await self.node.leave()
-            await self.keeper.release_all()
-            _log.info("drained")
-            self.node.closed.set()
-            await anyio.sleep(clock.seconds(100))
-            group.cancel_scope.cancel()
-
-    async def _want(self):
-        """Keep telling the keeper which scopes to hold."""
-        while not self.node.stopping.is_set():
-            if self.node.is_ready():
-                self.keeper.want(self._wanted())
-            await anyio.sleep(clock.seconds(WANT_MS))
-
-    def _wanted(self):
-        table = self.node.members
-        wanted = dict(scopes.endpoint_scopes(self.node.view))
-        wanted[scopes.PLANNER] = ""
-        wanted[scopes.SNAPSHOTS] = ""
-        patience = {
-            scope: scopes.patience(scope, data_centre, table)
-            for scope, data_centre in wanted.items()
-        }
-        for model in self.fleet.changes_wanted():
-            patience[scopes.change_scope(model)] = 0
-        held = self.keeper.table.own_scopes()
-        return {
-            scope: wait
-            for scope, wait in patience.items()
-            if wait is not None or scope in held
-        } | {s: 0 for s in held if s in wanted}
+import importlib
 
+import docopt
 
-async def run(checked):
-    """Run the steward with checked settings."""
-    await Steward(checked).run()
+from clementinewall import signals
 
 
 def main():
-    """Read the command line and run."""
-    node.run_with_settings(docopt.docopt(__doc__), lambda _: None, run)
+    """Catch signals, read the command line, load the program and run it."""
+    inbox = signals.catch()
+    options = docopt.docopt(__doc__)
+    # Imported only now: a signal that came meanwhile would kill the process.
+    program = importlib.import_module("clementinewall.steward.program")
+    program.main(options, inbox)
 
 
 if __name__ == "__main__":
