Give no orders to engines from a gateway that stops

A gateway in a drain went on planning stages, claimed or renewed the lease and ordered. It now orders only while it is ready for callers.

test_a_stopping_gateway_gives_no_orders failed before (a report and an order arrived). What remains: the lease of an order given just before SIGTERM is waited out by the next holder, as after a kill.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -79,7 +79,12 @@
             now,
         )
         self._stages = stages.StageKeeper(
-            settings, self._beliefs, self._endpoints, self._peers, ticker
+            settings,
+            self._beliefs,
+            self._endpoints,
+            self._peers,
+            self.is_ready,
+            ticker,
         )
         self._callers = callers.Callers(
             self._beliefs,
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -38,8 +38,9 @@
 class StageKeeper:
     """Watches the stages of all model services and changes them."""
 
-    def __init__(self, settings, beliefs, endpoints, peers, ticker):
-        """Use the gateway's parts."""
+    def __init__(self, settings, beliefs, endpoints, peers, is_ready, ticker):
+        """Use the gateway's parts; order only while it ``is_ready()``."""
+        self._is_ready = is_ready
         self._settings = settings
         self._beliefs = beliefs
         self._endpoints = endpoints
@@ -55,7 +56,9 @@
         """Look and act until cancelled."""
         while True:
             await anyio.sleep(clock.seconds(LOOK_MS))
-            if not self._beliefs.is_ready:
+            # The lease and the wait for an order's effect would outlive a
+            # gateway that stops.
+            if not self._is_ready():
                 continue
             found = self._plan()
             now = self._clock.now()
