Judge what fits into a drain by the request's own size, again before each run

Now a route remembers what its streams took as parts of their longest possible time, and only whole answers teach; - a stream without a stated length counted as empty; now as endless; - only the first placing was checked. A stream that its first engine refused late was begun at a second one and cut. Now each placing is, as long as nothing has run; - a request taken before SIGTERM whose prompt was still being read began to run afterwards, however long. Now it is checked between prompt and run; the handle is freed and "not run" is said, which is true; - what had not run by the end got 504, and callers may not repeat an unsafe request after that. It gets 503; - the time given to engines and to the first of two sends was that of the route, not what the process has left: Deadline-Ms said 6,000 with 2.35 s to go, and a silent endpoint used up the drain. The end of the process is now the end of the request; - a body on its way did not count as open, and its caller got 408 with time left. The drain waits for it; - the clock stood still while the machine was suspended; the platform's doesn't. The end moves from 0.95 of the grace to 400 ms before SIGKILL: at a grace of 3 s the last line had come at 2.9 to 3.0 s.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -39,13 +39,14 @@
         self._scope_by_exchange = {}
         self.open = 0
 
-    def leave(self, end):
-        """End each connection after its next answer, all by ``end``."""
-        self._drain.begin(end)
+    def leave(self, left_ms):
+        """End each connection after its next answer, all in ``left_ms``."""
+        self._drain.begin(left_ms)
         for connection in self._connections:
             connection.close_after_answer()
-        latest = anyio.current_time() + clock.seconds(self._drain.left_ms)
-        for scope in self._scope_by_exchange.values():
+        latest = anyio.current_time() + clock.seconds(left_ms)
+        for exchange, scope in self._scope_by_exchange.items():
+            exchange.end_within(left_ms)
             scope.deadline = min(scope.deadline, latest)
 
     def stop_reading(self):
@@ -54,9 +55,14 @@
             connection.stop_reading()
 
     @property
-    def connected(self):
-        """Return how many connections there are."""
-        return len(self._connections)
+    def is_connected(self):
+        """Tell whether there is a connection."""
+        return bool(self._connections)
+
+    @property
+    def is_busy(self):
+        """Tell whether a request is open or on its way."""
+        return self.open or not all(c.is_idle for c in self._connections)
 
     async def serve(self, stream):
         """Serve one connection until its end."""
@@ -162,19 +168,17 @@
         """Return what the log says of a request that came in a drain."""
         if not self._drain.is_on:
             return {}
-        return {"taken_after_ms": self._drain.after_ms(exchange.arrived)}
+        return {"taken_after_ms": self._drain.taken_after_ms(exchange)}
 
     async def _run_in_time(self, exchange):
-        left_ms = exchange.left_ms
         if self._drain.is_on:
-            left_ms = min(left_ms, self._drain.left_ms)
-        with anyio.move_on_after(clock.seconds(left_ms)) as scope:
+            exchange.end_within(self._drain.left_ms)
+        with anyio.move_on_after(clock.seconds(exchange.left_ms)) as scope:
             self._scope_by_exchange[exchange] = scope
             try:
                 await self._run(exchange)
             finally:
                 del self._scope_by_exchange[exchange]
-        self._drain.note(exchange)
         if scope.cancelled_caught:
             raise self._out_of_time(exchange)
         took = exchange.waited_ms
@@ -187,21 +191,24 @@
         else:
             self._drain.check_call(exchange)
             await self._plain.run(exchange)
+            self._drain.note_call(exchange)
 
     def _out_of_time(self, exchange):
         """Return the error for a request whose time is over."""
-        if not self._drain.is_on or exchange.left_ms <= 0:
+        if not exchange.is_cut_short:
             return errors.DeadlineExceeded("no answer within the timeout")
         metrics.count("cut", route=exchange.route.name)
         _log.warning(
             "cut at the end of the process",
             request=exchange.call.attempt,
             route=exchange.route.name,
-            taken_after_ms=self._drain.after_ms(exchange.arrived),
+            taken_after_ms=self._drain.taken_after_ms(exchange),
             waited_ms=exchange.waited_ms,
             answer_begun=exchange.connection.answered,
         )
-        return errors.Stopped("the instance stopped before the answer")
+        if exchange.sends:
+            return errors.Stopped("the instance stopped before the answer")
+        return errors.Leaving("the instance stopped", retry_after_ms=0)
 
     async def _fail(self, connection, request, exchange, error):
         attempt = request.header(calls.ATTEMPT) or b""
--- a/clementinewall/gateway/draining.py
+++ b/clementinewall/gateway/draining.py
@@ -6,6 +6,7 @@
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import drain
+from clementinewall import verdicts
 
 _log = logs.PartLog("drain")
 
@@ -16,10 +17,11 @@
 class Drain:
     """Knows when the process ends; takes no work that lasts longer."""
 
-    def __init__(self, now):
+    def __init__(self, ticker):
         """Begin without an end."""
-        self._now = now
-        self._durations_by_route = collections.OrderedDict()
+        # The platform doesn't wait for a machine that was suspended.
+        self._now = ticker.now_with_suspend
+        self._ratios_by_route = collections.OrderedDict()
         self._began = None
         self._end = None
 
@@ -35,52 +37,64 @@
             return None
         return self._end - self._now()
 
-    def begin(self, end):
-        """Finish all requests by ``end``."""
+    def begin(self, left_ms):
+        """Finish all requests within ``left_ms``."""
         self._began = self._now()
-        self._end = end
+        self._end = self._began + left_ms
 
-    def after_ms(self, instant):
-        """Return how long after the begin of the drain an instant was."""
-        return instant - self._began
+    def taken_after_ms(self, exchange):
+        """Return how long after the stop was asked for a request came."""
+        return self._now() - self._began - exchange.waited_ms
 
-    def note(self, exchange):
-        """Learn how long a request took, whether it was answered or not."""
-        name = exchange.route.name
-        durations = self._durations_by_route.get(name)
-        if durations is None:
-            durations = self._durations_by_route[name] = drain.Durations()
-        self._durations_by_route.move_to_end(name)
-        if len(self._durations_by_route) > ROUTES:
-            self._durations_by_route.popitem(last=False)
-        durations.note(exchange.waited_ms)
+    def note_call(self, exchange):
+        """Learn from a call that was answered."""
+        longest_ms = drain.longest_call_ms(exchange.route.goal_ms)
+        self._ratios(exchange).note(exchange.waited_ms, longest_ms)
+
+    def note_stream(self, exchange, first_ms):
+        """Learn from a stream, of which the first event took ``first_ms``."""
+        longest_ms = drain.longest_run_ms(
+            _tokens_out(exchange), exchange.service.engine.slots
+        )
+        took_ms = exchange.waited_ms - first_ms
+        self._ratios(exchange).note(took_ms, longest_ms)
 
     def check_call(self, exchange):
         """Refuse a call to a plain service that the end would cut off.
 
         :raises Leaving: it can't be finished here.
         """
-        self._check(exchange, drain.call_ms(exchange.route.goal_ms))
+        if self.is_on:
+            usual = self._ratios(exchange).usual()
+            goal_ms = exchange.route.goal_ms
+            self._check(exchange, drain.call_ms(goal_ms, usual), usual)
 
     def check_stream(self, exchange, first_ms):
-        """Refuse a stream, of which nothing was sent yet, in the same way.
+        """Refuse a stream that has not run, in the same way.
 
         :raises Leaving: it can't be finished here.
         """
-        prompt = exchange.call.prompt
+        if not self.is_on or exchange.verdict is not verdicts.Verdict.NOT_RUN:
+            return
         stream = drain.Stream(
-            first_ms,
-            prompt.tokens_out if prompt else 0,
-            exchange.service.engine.slots,
+            first_ms, _tokens_out(exchange), exchange.service.engine.slots
         )
-        self._check(exchange, drain.stream_ms(stream))
+        usual = self._ratios(exchange).usual()
+        self._check(exchange, drain.stream_ms(stream, usual), usual)
 
-    def _check(self, exchange, predicted_ms):
-        if not self.is_on:
-            return
+    def _ratios(self, exchange):
+        name = exchange.route.name
+        ratios = self._ratios_by_route.get(name)
+        if ratios is None:
+            ratios = self._ratios_by_route[name] = drain.Ratios()
+        self._ratios_by_route.move_to_end(name)
+        if len(self._ratios_by_route) > ROUTES:
+            self._ratios_by_route.popitem(last=False)
+        return ratios
+
+    def _check(self, exchange, slow_ms, usual):
+        needed_ms = min(slow_ms, exchange.caller_left_ms)
         left_ms = self.left_ms
-        usual_ms = self._usual_ms(exchange)
-        needed_ms = drain.needed_ms(exchange.left_ms, predicted_ms, usual_ms)
         if needed_ms <= left_ms:
             return
         metrics.count("refused_leaving", route=exchange.route.name)
@@ -89,13 +103,13 @@
             request=exchange.call.attempt,
             route=exchange.route.name,
             needed_ms=round(needed_ms),
-            predicted_ms=round(predicted_ms),
-            usual_ms=usual_ms,
+            usual=usual and round(usual, 3),
             left_ms=round(left_ms),
         )
         # Other instances can serve it at once.
         raise errors.Leaving("this instance is stopping", retry_after_ms=0)
 
-    def _usual_ms(self, exchange):
-        durations = self._durations_by_route.get(exchange.route.name)
-        return durations.usual_ms() if durations else None
+
+def _tokens_out(exchange):
+    prompt = exchange.call.prompt
+    return prompt.tokens_out if prompt else 0
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -71,18 +71,35 @@
         self.service = service
         self._now = now
         self.arrived = now()
-        self.end = self.arrived + _wait_ms(call, route)
+        self._caller_end = self.arrived + _wait_ms(call, route)
+        self._end = self._caller_end
         self.verdict = verdicts.Verdict.NOT_RUN
         # Prompts that engines were asked to read only are counted apart.
         self.sends = 0
         self.reads = 0
+        # When the first event of a stream came, since the arrival.
+        self.first_ms = None
         self.tried = set()
         self._unreached = 0
 
     @property
     def left_ms(self):
         """Return the time left until the final answer is due."""
-        return self.end - self._now()
+        return self._end - self._now()
+
+    @property
+    def caller_left_ms(self):
+        """Return the time left as the caller and the route allow it."""
+        return self._caller_end - self._now()
+
+    @property
+    def is_cut_short(self):
+        """Tell whether the process ends before the time is over."""
+        return self._end < self._caller_end
+
+    def end_within(self, left_ms):
+        """Let the time be over in ``left_ms``, or sooner."""
+        self._end = min(self._end, self._now() + left_ms)
 
     @property
     def waited_ms(self):
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -27,9 +27,10 @@
 
 SWEEP_MS = 250
 # Of the time between SIGTERM and SIGKILL: up to here new connections are
-# still accepted, since callers kept the address, and then what is open is cut.
+# still accepted, since callers kept the address.
 ACCEPT_PART = 0.6
-END_PART = 0.95
+# What is open is cut so long before SIGKILL, to tell callers and to exit.
+LAST_MS = 400
 POLL_MS = 20
 # What is cut is told to its caller in this time.
 CUT_MS = 100
@@ -48,6 +49,7 @@
         self._settings = settings
         self._stopping = life.leaving
         self._now = now
+        self._now_with_suspend = ticker.now_with_suspend
         self._group = group
         self._beliefs = beliefs.Beliefs(now)
         self._endpoints = endpoints.Endpoints(self._beliefs, now)
@@ -62,7 +64,7 @@
             self._membership,
         )
         self._budgets = budgets.Budgets(settings, self._peers, now)
-        drain = draining.Drain(now)
+        drain = draining.Drain(ticker)
         self._plain = plain.PlainRelay(
             settings, self._endpoints, self._budgets, self._guard, now
         )
@@ -157,26 +159,28 @@
         """Leave the callers' answers, then end what is open."""
         grace_ms = self._settings.bounds.grace_ms
         self._stopping.set()
-        started = self._now()
-        self._callers.leave(started + grace_ms * END_PART)
+        started = self._now_with_suspend()
+        left_ms = max(grace_ms * ACCEPT_PART, grace_ms - LAST_MS)
+        self._callers.leave(left_ms)
         # Callers keep the address for a while and come in good faith.
         await self._until(started + grace_ms * ACCEPT_PART)
         front.close()
         _log.info("listener closed", open=self._callers.open)
         await self._until(
-            started + grace_ms * END_PART + CUT_MS,
-            lambda: not self._callers.open,
+            started + left_ms + CUT_MS,
+            lambda: not self._callers.is_busy,
         )
         # Requests that were read in part, or whole but not looked at yet, get
         # an answer before their connections end.
         self._callers.stop_reading()
         await self._until(
-            self._now() + CUT_MS, lambda: not self._callers.connected
+            self._now_with_suspend() + CUT_MS,
+            lambda: not self._callers.is_connected,
         )
         _log.info("stopped", open=self._callers.open)
 
     async def _until(self, end, is_over=lambda: False):
-        while self._now() < end and not is_over():
+        while self._now_with_suspend() < end and not is_over():
             await anyio.sleep(clock.seconds(POLL_MS))
 
     async def _sweep(self):
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -56,8 +56,7 @@
         last = None
         while True:
             plan = self._placer.place(exchange, last)
-            if last is None:
-                self._drain.check_stream(exchange, plan.way.first_ms)
+            self._drain.check_stream(exchange, plan.way.first_ms)
             if not self._spend(exchange, plan):
                 _log.info("no budget", request=exchange.call.attempt)
                 break
@@ -69,6 +68,8 @@
                 if not exchange.may_send_again():
                     break
                 continue
+            if exchange.first_ms is not None:
+                self._drain.note_stream(exchange, exchange.first_ms)
             return
         if last.answer is not None and not stream.started:
             head, body = last.answer
@@ -94,6 +95,7 @@
         prefilled = None
         if plan.reader is not None:
             prefilled = await self._prefill(exchange, plan)
+            self._check_time(exchange, plan, prefilled)
         exchange.sends += 1
         decoder = plan.decoder
         if not self._endpoints.is_current(decoder):
@@ -139,6 +141,17 @@
                 self._group.start_soon(self._free, plan.reader, prefilled)
         decoder.health.worked()
 
+    def _check_time(self, exchange, plan, prefilled):
+        """Refuse a stream that the end came too near to while it waited.
+
+        :raises Leaving: it can't be finished here.
+        """
+        try:
+            self._drain.check_stream(exchange, 0)
+        except errors.Leaving:
+            self._group.start_soon(self._free, plan.reader, prefilled)
+            raise
+
     def _silence_ms(self, exchange, plan):
         """Return how long the engine may say nothing, or ``None``.
 
@@ -166,6 +179,8 @@
         if job is not None and exchange.call.prompt:
             self._endpoints.note_read(plan.decoder, exchange.call.prompt)
         took = exchange.waited_ms
+        if exchange.first_ms is None:
+            exchange.first_ms = took
         metrics.observe_ms("first_event", took, route=exchange.route.name)
         _log.info(
             "first event",
--- a/clementinewall/policy/drain.py
+++ b/clementinewall/policy/drain.py
@@ -1,13 +1,12 @@
-"""Whether a request that comes while a process drains can be finished.
+"""How long a request may take, to be begun before a process ends.
 
 A process that is asked to stop has a fixed time left.  Work that outlasts it
 is cut off, so a request is taken only if it will be over by then even if it
 goes slowly, and is refused at once otherwise: another instance can serve it.
-How long it takes is told by the last requests of its route; without them, by
-the longest answer that it may have.
 """
 
 import collections
+import math
 import typing
 
 from clementinewall.policy import engine_time
@@ -21,17 +20,17 @@
 # Requests of a route that are remembered, and how many are enough to go by.
 SEEN = 200
 SEEN_ENOUGH = 20
-# Of those seen, this part was over within the time that is counted with, and
-# the time to be left is so many times as long.
+# This part of those seen took no longer than what is counted with.
 QUANTILE = 0.99
-MARGIN = 1.2
+MARGIN = 1.1
 
 
 class Stream(typing.NamedTuple):
     """How long a stream may become.
 
     ``first_ms`` is when its first event is predicted, ``tokens_out`` the most
-    tokens that it may have, ``slots`` the largest batch it may run in.
+    tokens that it may have, 0 if that isn't known, ``slots`` the largest
+    batch that it may run in.
     """
 
     first_ms: float
@@ -39,39 +38,55 @@
     slots: int
 
 
-def stream_ms(stream):
-    """Return how long a stream takes if its engine is full and slow."""
+def stream_ms(stream, usual=None):
+    """Return how long a stream takes if it goes slowly.
+
+    ``usual`` is what :class:`Ratios` says of the route's streams, as parts of
+    :func:`longest_run_ms`.
+    """
     first_ms = FIRST_EVENT_PATIENCE * stream.first_ms + FIRST_EVENT_SLACK_MS
-    return first_ms + stream.tokens_out * engine_time.step_ms(stream.slots)
+    run_ms = longest_run_ms(stream.tokens_out, stream.slots)
+    return first_ms + _scaled(run_ms, usual)
 
 
-def call_ms(goal_ms):
-    """Return how long a call to a plain service takes if it is slow."""
-    return CALL_TARGETS * goal_ms
+def longest_run_ms(tokens_out, slots):
+    """Return how long the longest answer takes after its first event."""
+    if not tokens_out:
+        return math.inf
+    return tokens_out * engine_time.step_ms(slots)
 
 
-def needed_ms(limit_ms, predicted_ms, usual_ms):
-    """Return the time that has to be left for a request.
+def call_ms(goal_ms, usual=None):
+    """Return how long a call to a plain service takes if it is slow.
 
-    ``limit_ms`` is when it is given up anyway; ``usual_ms`` is what
-    :meth:`Durations.usual_ms` says of its route.
+    ``usual`` is what :class:`Ratios` says of the route's calls, as parts of
+    :func:`longest_call_ms`.
     """
-    expected = predicted_ms if usual_ms is None else usual_ms * MARGIN
-    return min(limit_ms, expected)
+    return _scaled(longest_call_ms(goal_ms), usual)
+
+
+def longest_call_ms(goal_ms):
+    """Return how long a call may take as long as nothing else is known."""
+    return CALL_TARGETS * goal_ms
+
+
+def _scaled(longest_ms, usual):
+    return longest_ms if usual is None else longest_ms * usual * MARGIN
 
 
-class Durations:
-    """How long the last requests of a route took."""
+class Ratios:
+    """What the last requests of a route took, as parts of the longest."""
 
     def __init__(self):
         """Begin with none."""
         self._seen = collections.deque(maxlen=SEEN)
 
-    def note(self, took_ms):
-        """Take in a request that is over."""
-        self._seen.append(took_ms)
+    def note(self, took_ms, longest_ms):
+        """Take in a request that was answered."""
+        if longest_ms and longest_ms < math.inf:
+            self._seen.append(took_ms / longest_ms)
 
-    def usual_ms(self):
+    def usual(self):
         """Return what nearly all stayed within; ``None`` if few were seen."""
         if len(self._seen) < SEEN_ENOUGH:
             return None
--- a/tests/policy/test_drain.py
+++ b/tests/policy/test_drain.py
@@ -1,5 +1,6 @@
 """What a process that has to stop may still take."""
 
+import math
 import unittest
 
 from clementinewall.policy import drain
@@ -20,33 +21,44 @@
         difference = drain.stream_ms(late) - drain.stream_ms(SHORT)
         self.assertGreaterEqual(difference, 2 * 360)
 
-    def test_what_was_slow_lately_may_be_slow_again(self):
-        self.assertGreater(drain.needed_ms(10_000, 500, 3_000), 3_000)
+    def test_an_answer_of_unknown_length_may_take_for_ever(self):
+        unknown = SHORT._replace(tokens_out=0)
+        self.assertEqual(drain.stream_ms(unknown), math.inf)
+        self.assertEqual(drain.stream_ms(unknown, 0.5), math.inf)
 
-    def test_nothing_outlasts_its_own_deadline(self):
-        self.assertEqual(drain.needed_ms(1_000, 500, 3_000), 1_000)
+    def test_a_route_of_short_answers_still_has_long_ones(self):
+        long = SHORT._replace(tokens_out=1_000)
+        short_ms = drain.stream_ms(SHORT, 0.5)
+        self.assertGreater(drain.stream_ms(long, 0.5), short_ms + 4_000)
 
-    def test_an_unknown_route_is_predicted(self):
-        self.assertEqual(drain.needed_ms(10_000, 500, None), 500)
+    def test_calls_that_were_slow_lately_may_be_slow_again(self):
+        self.assertGreater(drain.call_ms(400, 2.0), drain.call_ms(400))
 
 
-class DurationsTest(unittest.TestCase):
-    """How long the last requests took."""
+class RatiosTest(unittest.TestCase):
+    """What the last requests took."""
 
     def test_few_say_nothing(self):
-        durations = drain.Durations()
-        durations.note(300)
-        self.assertIsNone(durations.usual_ms())
+        ratios = drain.Ratios()
+        ratios.note(300, 600)
+        self.assertIsNone(ratios.usual())
 
     def test_slow_ones_count_although_most_are_fast(self):
-        durations = drain.Durations()
+        ratios = drain.Ratios()
         for number in range(drain.SEEN):
-            durations.note(3_000 if number % 50 == 0 else 100)
-        self.assertEqual(durations.usual_ms(), 3_000)
+            ratios.note(900 if number % 50 == 0 else 100, 1_000)
+        self.assertEqual(ratios.usual(), 0.9)
 
     def test_old_ones_are_forgotten(self):
-        durations = drain.Durations()
-        for took_ms in (3_000, 100):
+        ratios = drain.Ratios()
+        for took_ms in (900, 100):
+            for _ in range(drain.SEEN):
+                ratios.note(took_ms, 1_000)
+        self.assertEqual(ratios.usual(), 0.1)
+
+    def test_what_has_no_longest_time_teaches_nothing(self):
+        ratios = drain.Ratios()
+        for longest_ms in (0, math.inf):
             for _ in range(drain.SEEN):
-                durations.note(took_ms)
-        self.assertEqual(durations.usual_ms(), 100)
+                ratios.note(100, longest_ms)
+        self.assertIsNone(ratios.usual())
