--- a/clementinewall/lab/simulation.py
+++ b/clementinewall/lab/simulation.py
@@ -194,7 +194,9 @@
         if self._refusals > self._row.retries or left <= 0:
             self._end(None, None)
             return
-        wait = exc.retry_after_ms or exchanges.RETRY_MS
+        wait = exc.retry_after_ms
+        if wait is None:
+            wait = exchanges.RETRY_MS
         wait = min(wait, left * exchanges.RETRY_PART)
         self._sim.loop.after(wait, self.arrive)
 
