Name the address that a gateway cannot listen on

A gateway whose address or peer port was in use ended with a traceback of nested exception groups and exit code 1; the address stood in its last lines only. The listeners now raise `SettingsError`, as the entry's do, and the process says "cannot listen on IP:port" and exits with 2.

Red before: both tests, for each of the four listeners (exit code 1). A code of its own for this was ruled out: the remedy is the settings file as well, and entry and steward use 2 already.

--- a/clementinewall/gateway/datagrams.py
+++ b/clementinewall/gateway/datagrams.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 
+from clementinewall import errors
 from clementinewall import logs
 
 _log = logs.PartLog("peers")
@@ -49,12 +50,15 @@
 async def open_socket(ip, port, take):
     """Return :class:`Datagrams` on ``ip``.
 
-    :raises OSError: the port is taken.
+    :raises SettingsError: naming the address, which can't be used.
     """
     loop = asyncio.get_running_loop()
-    _, datagrams = await loop.create_datagram_endpoint(
-        lambda: Datagrams(port, take),
-        local_addr=(ip, port),
-        family=socket.AF_INET,
-    )
+    try:
+        _, datagrams = await loop.create_datagram_endpoint(
+            lambda: Datagrams(port, take),
+            local_addr=(ip, port),
+            family=socket.AF_INET,
+        )
+    except OSError as exc:
+        raise errors.SettingsError(f"cannot listen on {ip}:{port}: {exc}")
     return datagrams
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -13,6 +13,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import errors
 
 # Reading stops while so much is waiting to be taken: what a peer sends ahead
 # counts as this process's memory.
@@ -209,9 +210,17 @@
     """Run ``serve(stream)`` in ``group`` for each connection that comes.
 
     Return the listener; its ``close()`` takes no more of them.
+
+    :raises SettingsError: naming the address, which can't be used.
     """
     host, _, port = address.rpartition(":")
     on_open = functools.partial(group.start_soon, serve)
-    return await asyncio.get_running_loop().create_server(
-        functools.partial(Stream, on_open), host, int(port), backlog=BACKLOG
-    )
+    try:
+        return await asyncio.get_running_loop().create_server(
+            functools.partial(Stream, on_open),
+            host,
+            int(port),
+            backlog=BACKLOG,
+        )
+    except OSError as exc:
+        raise errors.SettingsError(f"cannot listen on {address}: {exc}")
--- a/tests/integration/test_signals.py
+++ b/tests/integration/test_signals.py
@@ -3,6 +3,7 @@
 import errno
 import os
 import signal
+import socket
 import time
 
 import httpx
@@ -190,6 +191,33 @@
         self.assertNotIn("Traceback", self.dep.log_of("gateway-1"))
         asked.join()
 
+    def test_an_address_in_use_is_named_without_a_traceback(self):
+        self.gateway()
+        taken = self.listen_by_name["gateway-1"]
+        for key in ("front", "ready_addr", "directory"):
+            with self.subTest(key), socket.socket() as other:
+                self.dep.kill("gateway-1")
+                host, _, port = taken[key].rpartition(":")
+                other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                other.bind((host, int(port)))
+                other.listen()
+                before = len(self.dep.log_of("gateway-1"))
+                self.dep.start("gateway-1")
+                self.assertEqual(self.dep.wait_end("gateway-1", 10), 2)
+                told = self.dep.log_of("gateway-1")[before:]
+                self.assertIn(f"cannot listen on {taken[key]}", told)
+                self.assertNotIn("Traceback", told)
+
+    def test_a_peer_port_in_use_is_named_without_a_traceback(self):
+        taken = ("127.0.0.1", self._peer_port())
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+            other.bind(taken)
+            self.start_only()
+            self.assertEqual(self.dep.wait_end("gateway-1", 10), 2)
+        told = self.dep.log_of("gateway-1")
+        self.assertIn("cannot listen on %s:%d" % taken, told)
+        self.assertNotIn("Traceback", told)
+
     def test_a_gateway_whose_store_is_away_stops_when_told(self):
         for mode in ("busy", "silent"):
             with self.subTest(mode):
