Refuse work that may outlast the drain of an entry

An entry that drained took any request until its last moment and then cut it: a stream of 400 tokens, sent to an entry with 4 s left, broke off midway ("incomplete chunked read").

A home entry asks it for forwarded bookings too; the sender then tries the next home. Once nothing is open any more everything is refused, so that nothing begins between that moment and the end of the listeners.

Red before: `test_work_longer_than_the_rest_of_a_drain_is_not_begun` (cut) and `test_callers_that_come_until_the_end_get_whole_answers` (nothing was refused; no cut was seen in it). The other two tests of the file passed before and after. A prediction in place of the deadline was ruled out: the deadline is the only bound on the length of an answer that the entry holds to.

--- a/clementinewall/entry/app.py
+++ b/clementinewall/entry/app.py
@@ -106,6 +106,15 @@
                 "too many requests are open here", retry_after_ms=500
             )
 
+    async def _read_body(self, request, asked):
+        """Read the body of work that has the time to end here."""
+        deadline_ms = asked.work_class.deadline_ms
+        self._node.check_time(deadline_ms)
+        raw = await _web.read_body(request, self._node.settings.limits)
+        # The deadline counts from here, and a slow body takes its time too.
+        self._node.check_time(deadline_ms)
+        return raw
+
     async def _on_addresses(self, _request):
         settings = self._node.settings
         rows = self._node.members.live("entry")
@@ -143,7 +152,7 @@
         service = request.path_params["service"]
         if not self._loads.is_known("service", service):
             raise errors.UnknownService(f"no endpoint serves {service!r}")
-        raw = await _web.read_body(request, self._node.settings.limits)
+        raw = await self._read_body(request, asked)
         key = work.read_key(request)
         call = calls.Call(
             request_id=asked.request_id,
@@ -194,7 +203,7 @@
         self._check_room()
         limits = self._node.settings.limits
         asked = work.read_asked(request, self._node.view, "model")
-        raw = await _web.read_body(request, limits)
+        raw = await self._read_body(request, asked)
         body = _web.decode_object(raw)
         wanted = work.read_model_work(request, asked, body, raw)
         kind = _StreamSink if wanted.streamed else _WholeSink
--- a/clementinewall/entry/program.py
+++ b/clementinewall/entry/program.py
@@ -79,7 +79,7 @@
         Return the event that ends the process.
         """
         limits = self.node.settings.limits
-        end = self.node.clock.now() + limits.drain_ms
+        end = self.node.drain_end = self.node.clock.now() + limits.drain_ms
         await self.node.leave()
         # Callers kept the answer that names this entry for so long, and
         # still come with new work in good faith.
@@ -89,6 +89,8 @@
                 _log.warning("cut at the end", open=self.callers.open)
                 return lifecycle.Event.OUT_OF_TIME
             await anyio.sleep(clock.seconds(DRAIN_POLL_MS))
+        # What is read from now on would be cut by the end of the process.
+        self.node.drain_end = self.node.clock.now()
         # Outcomes of bookings that were answered a moment ago.
         await self.calls.flush()
         _log.info("drained")
@@ -107,6 +109,7 @@
             raise errors.BadRecord(str(mistakes[0]))
         if not self.node.is_ready():
             raise errors.NotReady("no configuration is known yet")
+        self.node.check_time(call.deadline_ms)
         self._homed += 1
         try:
             answer = await self.calls.run_as_home(call)
--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -91,7 +91,7 @@
 
 
 class NotReady(NotRunError):
-    """This instance has no configuration yet; connect to another one."""
+    """This instance has no configuration yet or leaves; use another one."""
 
     code = "not_ready"
     status = 503
--- a/clementinewall/node.py
+++ b/clementinewall/node.py
@@ -57,6 +57,7 @@
         self.gossip = gossip.Gossiper(settings, self.members, self.crashes)
         self.stopping = life.leaving
         self.closed = anyio.Event()
+        self.drain_end = None
 
     @property
     def id(self):
@@ -72,6 +73,21 @@
         """Tell whether there is a configuration to work by."""
         return self.tail.state.version >= 0 and self.tail.caught_up
 
+    def check_time(self, deadline_ms):
+        """Refuse work that may outlast the drain of this process.
+
+        :raises NotReady: less than ``deadline_ms`` is left.
+        """
+        if self.drain_end is None:
+            return
+        left = self.drain_end - self.clock.now()
+        if deadline_ms > left:
+            raise errors.NotReady(
+                f"leaving: {max(0, left):.0f} ms are left, this work may take "
+                f"{deadline_ms} ms; connect to another instance",
+                retry_after_ms=1_000,
+            )
+
     def in_force(self):
         """Return the version in force and how far the stream is read."""
         state = self.tail.state
--- /dev/null
+++ b/tests/integration/test_entry_drain.py
@@ -0,0 +1,143 @@
+"""What a draining entry takes and what it refuses."""
+
+import contextlib
+import time
+
+import httpx
+
+from standins import bringup
+from tests.integration import base
+from tests.integration import callers
+
+
+class EntryDrain(base.DeploymentCase):
+    """An entry that has less time left than some classes may take."""
+
+    def setUp(self):
+        """Start two entries and let the second one drain for 4 s at most."""
+        limits = {"keep_addresses_ms": 2_500, "drain_ms": 4_000}
+        self.bring_up(2, 1, prepare=self.prepare, entry_2={"limits": limits})
+
+    def prepare(self, dep):
+        """Add endpoints and classes that a drain has time for."""
+        dep.engine("engine-1", "a", options=("--gap-ms=20",))
+        dep.service("orders-1", "a")
+        dep.classes(
+            short={
+                "kind": "model",
+                "first_ms": 1_000,
+                "gap_ms": 200,
+                "deadline_ms": 1_500,
+            },
+            quick={
+                "kind": "service",
+                "first_ms": 500,
+                "deadline_ms": 1_500,
+            },
+        )
+
+    def drain(self):
+        """Send SIGTERM and wait until the entry drains."""
+        self.dep.terminate("entry-2")
+        bringup.wait_until(
+            lambda: self.dep.status("entry-2")["state"] != "live",
+            what="the drain",
+        )
+
+    def complete(self, text, tokens):
+        """Ask the draining entry for a streamed answer."""
+        return httpx.post(
+            f"{self.url(2)}/v1/completions",
+            json={
+                "model": bringup.MODEL,
+                "prompt": text,
+                "max_tokens": tokens,
+                "stream": True,
+            },
+            timeout=20,
+            trust_env=False,
+        )
+
+    def check_refused(self, answer):
+        """Check that ``answer`` says that nothing was run, and why."""
+        self.assertEqual(503, answer.status_code, answer.text)
+        body = answer.json()
+        self.assertEqual("not_run", body["verdict"])
+        self.assertIn("leaving", body["detail"])
+        self.assertEqual("close", answer.headers["connection"])
+
+    def test_work_longer_than_the_rest_of_a_drain_is_not_begun(self):
+        before = self.dep.ask("engine-1", "/state")["arrived"]
+        self.drain()
+        start = time.monotonic()
+        self.check_refused(self.complete("too long", 400))
+        self.check_refused(callers.book(self.url(2), "k1"))
+        self.assertLess(time.monotonic() - start, 1)
+        after = self.dep.ask("engine-1", "/state")["arrived"]
+        self.assertEqual(before, after)
+        self.assertEqual(0, self.dep.wait_end("entry-2", 10))
+
+    def test_work_that_fits_into_the_rest_of_a_drain_is_served(self):
+        self.drain()
+        headers = {"X-Class": "short"}
+        events = callers.stream(self.url(2), "short", 5, headers)
+        self.assertEqual(callers.expected("short", 5), callers.texts(events))
+        answer = httpx.post(
+            f"{self.url(2)}/services/{bringup.SERVICE}/book",
+            content="pears",
+            headers={"X-Class": "quick"},
+            trust_env=False,
+        )
+        self.assertEqual(200, answer.status_code, answer.text)
+        self.assertEqual(0, self.dep.wait_end("entry-2", 10))
+
+    def test_work_begun_before_the_stop_is_finished(self):
+        asked = base.Background(
+            callers.stream, [(self.url(2), "before the stop", 100)]
+        )
+        time.sleep(0.3)
+        self.drain()
+        rows = asked.join()
+        self.assertEqual([], asked.errors)
+        self.assertEqual(
+            callers.expected("before the stop", 100),
+            callers.texts(rows[0][1]),
+        )
+
+    def test_callers_that_come_until_the_end_get_whole_answers(self):
+        self.drain()
+        asked = base.Background(self.ask_until_the_end, [()] * 4)
+        rows = asked.join()
+        self.assertEqual([], asked.errors)
+        statuses = set().union(*(statuses for _, statuses in rows))
+        self.assertEqual({200, 503}, statuses - {None})
+        self.assertEqual(0, self.dep.wait_end("entry-2", 5))
+
+    def ask_until_the_end(self):
+        """Return the statuses of answers until the process ended."""
+        statuses = set()
+        while self.dep.process_by_name["entry-2"].poll() is None:
+            with contextlib.suppress(httpx.ConnectError):
+                statuses.add(self.ask_short())
+        return statuses
+
+    def ask_short(self):
+        """Return the status of a whole answer, ``None`` if none began."""
+        body = {"model": bringup.MODEL, "prompt": "again", "stream": True}
+        request = httpx.stream(
+            "POST",
+            f"{self.url(2)}/v1/completions",
+            json=body,
+            headers={"X-Class": "short"},
+            timeout=20,
+            trust_env=False,
+        )
+        with contextlib.ExitStack() as stack:
+            try:
+                answer = stack.enter_context(request)
+            except (httpx.ReadError, httpx.RemoteProtocolError):
+                return None
+            whole = answer.read()
+            if answer.status_code == 200:
+                self.assertIn(b"[DONE]", whole)
+            return answer.status_code
