Let the soak play planned work alone, and judge limits and stops

Cause: kinds of fault were drawn together, so that planned work was nearly always played beside unplanned trouble, which excuses most promises. All streams lasted a quarter of a second, so none came near the rest of a grace, and no caller asked a gateway where to connect.

Change: `--planned` draws stops, two stops at a time, a second SIGTERM or a SIGHUP during a drain, SIGHUP right before SIGTERM, a stop right after a start, SIGHUP, configurations alone and in series, and endpoints that leave. Streams last 0.24 s and 0.3 to 2.5 s, and `Token-Usage` says so. Four callers follow the gateways' directory, some for three times as long as told; six go on using named gateways behind proxies. Some callers leave before the end. `faults.py` is split by kind of fault; seeds without `--planned` draw the same faults as before.

New promises (`limits.py`): an answer within the limit and half a second; no work half a second after the caller left; a stream at one engine at a time; no more endpoints than the route's attempts; not ready during a drain; a stop ends with exit code 0 and in its time. A body with a length that ends early counts as cut off now; it was taken for a wrong answer.

Evidence: each check has a unit test that fires and one that stays silent.

Ruled out: the shared retry budget. The soak never comes near the slack of 50 retries, so a check of it could not be seen failing.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,13 +1,15 @@
 """Random faults over running gateways, then the checks.
 
 Usage:
-  soak [--seed=N] [--minutes=M] [--gateways=G] [--only=KIND]...
+  soak [--seed=N] [--minutes=M] [--gateways=G] [--only=KIND]... [--planned]
 
 Options:
   --seed=N      Seed of the faults [default: 1].
   --minutes=M   How long to run [default: 1].
   --gateways=G  How many gateways [default: 3].
   --only=KIND   Only faults of this kind.
+  --planned     Only planned work: stops, hang-ups, new configurations and
+                endpoints that leave.
 
 Exit codes: 0 no promise broken, 1 some were.
 """
@@ -28,11 +30,13 @@
         float(options["--minutes"]) * 60,
         int(options["--gateways"]),
         tuple(options["--only"]),
+        options["--planned"],
     )
     broken = run.go()
     ledger = run.ledger
     told = collections.Counter(
-        str(sent.status or "broken off") for sent in ledger.sent
+        sent.failure.value if sent.failure else str(sent.status)
+        for sent in ledger.sent
     )
     ends = ", ".join(
         f"{end}: {number}" for end, number in sorted(told.items())
--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -6,13 +6,16 @@
 import threading
 import time
 
-from bench.soak import checks
 from bench.soak import ledger as ledger_module
 from standins import scripted
 
 HEARTBEAT_SECONDS = 1.2
 CALL_SECONDS = (0.005, 0.06)
+# Longer than the timeout of the route of slow calls.
+SLOW_CALL_SECONDS = 2.6
+SLOW_PATHS = ("/slow/", "/wait/")
 PAUSE_SECONDS = 0.02
+TOKENS_PER_EVENT = 4
 SWITCH_SECONDS = 1.0
 
 
@@ -21,6 +24,15 @@
     return hashlib.sha256(f"{attempt} {path}".encode()).hexdigest().encode()
 
 
+def usage_of(events):
+    """Return the ``Token-Usage`` of a stream of so many events."""
+    return f"100,{events * TOKENS_PER_EVENT}"
+
+
+def _last_event(usage):
+    return int(usage.split(",")[1]) // TOKENS_PER_EVENT
+
+
 class Backend:
     """One life of an endpoint of ``app`` or ``model``."""
 
@@ -81,6 +93,8 @@
 
     def _script(self, _endpoint, request):
         headers = request.header_by_name
+        if "attempt-id" in headers:
+            self._note_arrival(request)
         if self.crashed:
             yield scripted.RESET
         elif request.target == "/order":
@@ -98,6 +112,17 @@
         else:
             yield from self._run(request)
 
+    def _note_arrival(self, request):
+        headers = request.header_by_name
+        arrival = ledger_module.Arrival(
+            headers["attempt-id"],
+            self.name,
+            self.service,
+            time.monotonic(),
+            headers.get("stage") == "prefill",
+        )
+        self._ledger.add(self._ledger.arrivals, arrival)
+
     def _on_order(self, request):
         body = json.loads(request.body)
         order = ledger_module.Order(
@@ -135,18 +160,36 @@
             attempt, self.name, request.target, time.monotonic()
         )
         self._ledger.add(self._ledger.runs, run)
-        if self.service == "model":
-            yield from self._stream(request)
-        else:
-            yield self._draw.uniform(*CALL_SECONDS)
-            yield scripted.answer(request, body_of(attempt, request.target))
+        whole = False
+        try:
+            if self.service == "model":
+                yield from self._stream(request)
+            else:
+                yield self._call_seconds(request)
+                yield scripted.answer(
+                    request, body_of(attempt, request.target)
+                )
+            whole = not self.crashed
+        finally:
+            # Also reached when the caller's side closes: the generator is
+            # closed then.
+            end = ledger_module.RunEnd(
+                attempt, self.name, time.monotonic(), whole
+            )
+            self._ledger.add(self._ledger.run_ends, end)
+
+    def _call_seconds(self, request):
+        if request.target.startswith(SLOW_PATHS):
+            return SLOW_CALL_SECONDS
+        return self._draw.uniform(*CALL_SECONDS)
 
     def _stream(self, request):
-        last = int(request.header_by_name.get("last-event-id", 0))
+        headers = request.header_by_name
+        last = int(headers.get("last-event-id", 0))
         yield scripted.stream_head(request)
         # An engine may repeat what the caller has already.
         first = max(1, last + self._draw.randint(0, 1))
-        for number in range(first, checks.LAST_EVENT + 1):
+        for number in range(first, _last_event(headers["token-usage"]) + 1):
             if self.crashed:
                 yield scripted.chunk(scripted.event(number)[:5])
                 yield scripted.RESET
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -2,16 +2,10 @@
 
 import collections
 
-# What a gateway that is left alone has, after trouble, to be right again.
-CALM_SECONDS = 4.0
-# The deployment's bounds as the gateways are told them, and slack for one
-# busy machine.
-LEAVING_SECONDS = 2.0
-CONFIGURATION_SECONDS = 2.0
-SLACK_SECONDS = 0.7
-TURN_SECONDS = 3.0
+from bench.soak import bounds
+from bench.soak import limits
+
 NOT_RUN = (408, 421, 429, 503)
-LAST_EVENT = 12
 
 
 def judge(ledger):
@@ -27,6 +21,7 @@
         *_late_at_leaving(ledger),
         *_old_configuration(ledger),
         *_conflicting_orders(ledger),
+        *limits.judge(ledger),
     ]
 
 
@@ -69,10 +64,13 @@
     gateway_by_attempt = {sent.attempt: sent.gateway for sent in asked}
     for run in ledger.runs:
         left = ledger.left_by_endpoint.get(run.endpoint)
-        if left is None or run.at < left + LEAVING_SECONDS + SLACK_SECONDS:
+        if (
+            left is None
+            or run.at < left + bounds.LEAVING_SECONDS + bounds.SLACK_SECONDS
+        ):
             continue
         gateway = gateway_by_attempt.get(run.attempt)
-        if ledger.is_calm(gateway, left - CALM_SECONDS, run.at):
+        if ledger.is_calm(gateway, left - bounds.CALM_SECONDS, run.at):
             late = f"{run.at - left:.1f} s"
             yield f"{gateway} sent to {run.endpoint} {late} after it left"
 
@@ -83,14 +81,15 @@
             (
                 version
                 for version, at in ledger.versions
-                if at + CONFIGURATION_SECONDS + SLACK_SECONDS < probe.at
+                if at + bounds.CONFIGURATION_SECONDS + bounds.SLACK_SECONDS
+                < probe.at
             ),
             default=None,
         )
         if wanted is None or probe.status is None:
             continue
         calm = ledger.is_calm(
-            probe.gateway, probe.at - 2 * CALM_SECONDS, probe.ended
+            probe.gateway, probe.at - 2 * bounds.CALM_SECONDS, probe.ended
         )
         if calm and int(probe.path.split("/")[1][3:]) <= wanted:
             if probe.status == 404:
@@ -105,7 +104,7 @@
         for before, after in zip(rows, rows[1:], strict=False):
             if before.holder == after.holder:
                 continue
-            if after.at - before.at < TURN_SECONDS:
+            if after.at - before.at < bounds.TURN_SECONDS:
                 yield f"{endpoint}: {before.holder}, then {after.holder}"
             if after.token <= before.token:
                 yield f"{endpoint}: token {after.token} after {before.token}"
--- /dev/null
+++ b/bench/soak/deployment.py
@@ -0,0 +1,220 @@
+"""The store, gateways and endpoints of a run, and what is done to them."""
+
+import random
+import threading
+import time
+
+import httpx
+
+from bench.soak import backends
+from bench.soak import bounds
+from bench.soak import callers
+from bench.soak import directory
+from bench.soak import ledger as ledger_module
+from standins import bringup
+from tests.integration import gateway_base
+
+NAMED_CALLERS = 6
+DIRECTORY_CALLERS = 4
+ENGINES = 4
+SERVICES = 3
+READINESS_SECONDS = 0.25
+
+
+class _Case(gateway_base.GatewayCase):
+    def runTest(self):
+        """Nothing is tested here; only the set-up is used."""
+
+
+class Deployment:
+    """All parts of one run; the kinds of fault act upon it."""
+
+    def __init__(self, seed, gateways):
+        """Prepare ``gateways`` gateways; :meth:`bring_up` starts them."""
+        self.draw = random.Random(seed)
+        self.gateways = [f"gateway-{n + 1}" for n in range(gateways)]
+        self.case = _Case()
+        self.ledger = ledger_module.Ledger()
+        self.backend_by_name = {}
+        self.proxies = []
+        self.stopping = threading.Event()
+        self._front_by_gateway = {}
+        self._busy = set()
+        self._lock = threading.Lock()
+        self._serial = 0
+        self._started = 0.0
+
+    def bring_up(self):
+        """Start everything and wait until the gateways are ready."""
+        case = self.case
+        case.setUp()
+        self.publish()
+        for number in range(SERVICES):
+            self.add_endpoint(f"app-{number}", "app")
+        for number in range(ENGINES):
+            self.add_endpoint(f"engine-{number}", "model", "decode")
+        for number, name in enumerate(self.gateways, 1):
+            store = case.store
+            case.store = self._proxy(f"store-{name}", store, name)
+            ip = f"127.0.0.{number}"
+            front = case.start_only(name, ip, grace_s=bounds.GRACE_SECONDS)
+            case.store = store
+            self._front_by_gateway[name] = self._proxy(
+                f"front-{name}", front, name
+            )
+        for name in self.gateways:
+            bringup.wait_until(lambda n=name: case.is_ready(n), what=name)
+        self._started = time.monotonic()
+
+    def close(self):
+        """End endpoints and processes."""
+        self.stopping.set()
+        for backend in self.backend_by_name.values():
+            backend.end()
+        self.case.doCleanups()
+
+    def start_clients(self):
+        """Start callers and readiness checks; return their threads."""
+        threads = [
+            callers.Caller(
+                seed, self.ledger, self._routing(seed), self.stopping
+            )
+            for seed in range(NAMED_CALLERS + DIRECTORY_CALLERS)
+        ]
+        threads += [
+            threading.Thread(target=self._watch, args=(name,), daemon=True)
+            for name in self.gateways
+        ]
+        for thread in threads:
+            thread.start()
+        return threads
+
+    def _routing(self, seed):
+        """Return what picks the gateways of a caller."""
+        if seed < NAMED_CALLERS:
+            return lambda draw: directory.NamedGateways(
+                draw, self._front_by_gateway
+            )
+        listen = self.case.listen_by_name
+        return lambda draw: directory.Directory(draw, listen)
+
+    def _watch(self, name):
+        while not self.stopping.wait(READINESS_SECONDS):
+            row = ledger_module.Readiness(
+                name, time.monotonic(), self.case.is_ready(name)
+            )
+            self.ledger.add(self.ledger.readiness, row)
+
+    # Endpoints and the store.
+
+    def _proxy(self, name, target, served):
+        """Put a proxy before ``target``; ``served`` depends on it."""
+        where = self.case.dep.proxy(name, target)
+        self.proxies.append((name, served))
+        return where
+
+    def add_endpoint(self, name, service, stage=None):
+        """Start an endpoint and register it."""
+        backend = backends.Backend(name, service, self.ledger, self.put, stage)
+        address = self._proxy(f"proxy-{name}", backend.endpoint.address, name)
+        backend.appear(address)
+        self.backend_by_name[name] = backend
+
+    def replace_endpoint(self, name, old):
+        """Bring a new endpoint in place of an old one, under a new id."""
+        fresh = f"{name.split('~')[0]}~{time.monotonic_ns()}"
+        self.add_endpoint(fresh, old.service, old.stage and "decode")
+        self.backend_by_name.pop(name, None)
+        self.release(name)
+
+    def put(self, name, row):
+        """Write or delete the record of an endpoint."""
+        try:
+            self.case.put(
+                gateway_base.ENDPOINTS_TOPIC, name, b"" if row is None else row
+            )
+        except httpx.HTTPError as exc:
+            print(f"record of {name} not written: {exc!r}")
+
+    def publish(self):
+        """Publish a version with a route that no earlier one had."""
+        with self._lock:
+            self._serial += 1
+            self.case.publish(*_routes(self._serial), version=self._serial)
+            row = (self._serial, time.monotonic())
+        self.ledger.add(self.ledger.versions, row)
+
+    # What the kinds of fault share.
+
+    def later(self, function, *arguments):
+        """Run a function in a thread and return the thread."""
+        thread = threading.Thread(target=function, args=arguments)
+        thread.start()
+        return thread
+
+    def reserve(self, name):
+        """Reserve a target: two faults at one would end each other."""
+        with self._lock:
+            if name in self._busy:
+                return False
+            self._busy.add(name)
+            return True
+
+    def release(self, name):
+        """Let other faults have a target."""
+        with self._lock:
+            self._busy.discard(name)
+
+    def is_reserved(self, name):
+        """Tell whether some fault has the target."""
+        return name in self._busy
+
+    def reserve_gateway(self):
+        """Draw and reserve a gateway, ``None`` if it is taken."""
+        name = self.draw.choice(self.gateways)
+        return name if self.reserve(name) else None
+
+    def reserve_endpoint(self):
+        """Draw and reserve an endpoint, ``None`` if it is taken."""
+        name = self.draw.choice(sorted(self.backend_by_name))
+        return name if self.reserve(name) else None
+
+    def note(self, what):
+        """Note a fault for the report."""
+        row = (time.monotonic() - self._started, what)
+        self.ledger.add(self.ledger.faults, row)
+
+    def process(self, name):
+        """Return the present process of a gateway."""
+        return self.case.dep.process_by_name[name]
+
+    def restart(self, name, after):
+        """Start a gateway anew after so many seconds, and release it."""
+        time.sleep(after)
+        self.case.dep.start(name)
+        self.wait_ready(name)
+        self.release(name)
+
+    def wait_ready(self, name):
+        """Wait for a gateway that was started, or for the end of the run."""
+        bringup.wait_until(
+            lambda: self.case.is_ready(name) or self.stopping.is_set(),
+            what=name,
+        )
+
+
+def _routes(serial):
+    route = gateway_base.route
+    stream_ms = int(callers.STREAM_LIMIT_SECONDS * 1_000)
+    slow_ms = int(callers.SLOW_LIMIT_SECONDS * 1_000)
+    return [
+        route("look", "app", "safe"),
+        route("book", "app", "unsafe"),
+        route("slow", "app", "safe", timeout_ms=slow_ms),
+        route("wait", "app", "safe"),
+        route("chat", "model", "stream", resumable=True, timeout_ms=stream_ms),
+        *(
+            route(f"new{number}", "app", "safe")
+            for number in range(1, serial + 1)
+        ),
+    ]
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,49 +1,19 @@
 """The soak's checks find what is broken, and only that."""
 
 import time
-import unittest
 
-from bench.soak import checks
+from bench.soak import bounds
 from bench.soak import ledger as ledger_module
+from tests.soak import base
 
-GATEWAY = "gateway-1"
+GATEWAY = base.GATEWAY
+run = base.run
+sent = base.sent
 
 
-def sent(attempt, kind="unsafe", status=200, right=True, **more):
-    """Return a request as a caller sent it."""
-    now = time.monotonic()
-    row = ledger_module.Sent(
-        attempt, kind, GATEWAY, "/book/x", now, now, status, right
-    )
-    return row._replace(**more)
-
-
-def run(attempt, endpoint="app-1", at=None):
-    """Return a run at an endpoint."""
-    at = time.monotonic() if at is None else at
-    return ledger_module.Run(attempt, endpoint, "/book/x", at)
-
-
-class Checks(unittest.TestCase):
+class Checks(base.LedgerCase):
     """One broken promise each."""
 
-    def setUp(self):
-        """Begin with nothing seen."""
-        self.ledger = ledger_module.Ledger()
-
-    def see(self, *rows):
-        """Note requests and runs."""
-        for row in rows:
-            self.ledger.begin(row.attempt)
-            is_run = isinstance(row, ledger_module.Run)
-            self.ledger.add(
-                self.ledger.runs if is_run else self.ledger.sent, row
-            )
-
-    def broken(self):
-        """Return how many promises are broken."""
-        return len(checks.judge(self.ledger))
-
     def test_a_sound_run(self):
         self.see(sent("a"), run("a"))
         self.assertEqual(self.broken(), 0)
@@ -75,7 +45,7 @@
     def test_work_at_an_endpoint_that_left(self):
         left = time.monotonic()
         self.ledger.left_by_endpoint["app-1"] = left
-        late = left + checks.LEAVING_SECONDS + checks.SLACK_SECONDS + 0.1
+        late = left + bounds.LEAVING_SECONDS + bounds.SLACK_SECONDS + 0.1
         self.see(sent("a"), run("a", at=late))
         self.assertEqual(self.broken(), 1)
         # A gateway that was paused meanwhile could not know.
