Let the soak find accepted requests that were lost

Cause: the soak judged seven promises, and that an accepted request ends with a whole answer or a refusal was not among them. It saw neither the streams that a stopping gateway cut nor the process that a signal ended in its drain.

Change: `losses.py`. A request that has reached an endpoint, or whose connection stayed open longer than one that crossed the close, must not end with a closed connection if only planned work was done to its gateway, its endpoints and the store from 4 s before it to its end. Excused: its deadline or the route's timeout was reached, or an engine was still at work in the last sixth of the grace on a request sent within 3/8 of the grace after SIGTERM.

Ruled out: calling every request on a closed connection lost.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,6 +4,7 @@
 
 from bench.soak import bounds
 from bench.soak import limits
+from bench.soak import losses
 
 NOT_RUN = (408, 421, 429, 503)
 
@@ -21,6 +22,7 @@
         *_late_at_leaving(ledger),
         *_old_configuration(ledger),
         *_conflicting_orders(ledger),
+        *losses.judge(ledger),
         *limits.judge(ledger),
     ]
 
