--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,9 +10,11 @@
 class SoakTest(unittest.TestCase):
     """Real gateways under random faults."""
 
-    def check(self, seed, *kinds):
+    maxDiff = None
+
+    def check(self, seed, *kinds, planned=False):
         """Run a seed and demand that every promise was kept."""
-        soak = faults.Soak(seed, SECONDS, only=kinds)
+        soak = faults.Soak(seed, SECONDS, only=kinds, planned=planned)
         self.assertEqual(soak.go(), [])
         self.assertGreater(len(soak.ledger.sent), 50)
 
@@ -26,3 +28,11 @@
 
     def test_stops_and_cut_connections(self):
         self.check(2, "term", "proxy", "store")
+
+    def test_planned_work_alone(self):
+        self.check(4, planned=True)
+
+    def test_signals_in_a_drain(self):
+        self.check(
+            3, "hup-in-drain", "stop-twice", "hup-and-stop", planned=True
+        )
