--- a/bench/soak/directory.py
+++ b/bench/soak/directory.py
@@ -40,9 +40,13 @@
 class Directory:
     """Follows the addresses that the gateways give out."""
 
-    def __init__(self, draw, listen_by_gateway):
-        """Ask at the ``directory`` address of any gateway."""
+    def __init__(self, draw, listen_by_gateway, now=time.monotonic):
+        """Ask at the ``directory`` address of any gateway.
+
+        ``now`` returns seconds.
+        """
         self._draw = draw
+        self._now = now
         self._listen_by_gateway = listen_by_gateway
         self._factor = draw.choice(KEEP_FACTORS)
         self._addresses = ()
@@ -55,7 +59,7 @@
         ``kept`` holds the places with an open connection, which are used as
         often as new ones.
         """
-        if time.monotonic() >= self._valid_until:
+        if self._now() >= self._valid_until:
             self._ask()
         known = [a for a in self._addresses if a not in self._failed]
         usable = sorted(p for p in kept if p.address in self._addresses)
@@ -98,7 +102,7 @@
                 keep = told["ttl_s"] * self._factor
                 self._addresses = tuple(told["addresses"])
                 self._failed.clear()
-                self._valid_until = time.monotonic() + keep
+                self._valid_until = self._now() + keep
                 return
         # The old answer stays in use; every address may be tried again.
         self._failed.clear()
