Test that a request half read at the listener's end is answered

What callers see: a caller whose body is still arriving when a stopping gateway closes its listener loses the connection without an answer, though time is left.

Cause: Callers.open counts a request only once it is read whole, and Gateway._drain ends the process as soon as that count is zero after the listener is closed.

Evidence: the test sends half a body 1.3 s after SIGTERM (grace 3 s, the listener closes at 1.8 s) and the rest at 2.2 s.

Ruled out: that the engine or the settings' timeouts end it; the same request without SIGTERM is answered, and header and idle timeouts are seconds longer.

--- a/tests/integration/test_gateway_life.py
+++ b/tests/integration/test_gateway_life.py
@@ -1,5 +1,6 @@
 """Starts, stops and outages of gateways under requests."""
 
+import socket
 import time
 
 import httpx
@@ -101,6 +102,23 @@
         )
         self.assertEqual(answer.status_code, 200)
 
+    def test_a_body_that_arrives_across_the_listeners_end_is_answered(self):
+        # The process must not end with a request half read and time left.
+        self.endpoint("one", slow(0))
+        front = self.gateway()
+        self.terminate()
+        time.sleep(1.3)
+        host, _, port = front.rpartition(":")
+        with socket.create_connection((host, int(port)), 5) as caller:
+            caller.sendall(
+                b"POST /book/x HTTP/1.1\r\nAttempt-Id: a1\r\n"
+                b"Host: shop.example\r\nContent-Length: 10\r\n\r\n12345"
+            )
+            time.sleep(0.9)
+            caller.sendall(b"67890")
+            status = caller.recv(65_536).partition(b" ")[2][:3]
+        self.assertIn(status, (b"200", b"503"))
+
     def test_a_stopping_gateway_leaves_the_answers(self):
         self.endpoint("one", slow(0))
         self.gateway()
