--- a/bench/kinds.py
+++ b/bench/kinds.py
@@ -8,7 +8,8 @@
   --journal=FOLDER  Where the entries are [default: journal].
   --since=TIME      Leave out entries begun before this time, in UTC and as in
                     the entries: 2026-12-03T07:40:00Z [default: 0].
-  --planned         Only days of planned work, by kind and variant.
+  --planned         Only days of planned work, by kind and variant. Trials are
+                    left out: their code is not that of a commit.
   --files=FOLDER    Where the days of planned work are [default: deploy/days].
 
 Prints a Markdown table: for each kind and site the days played with it, those
@@ -33,6 +34,7 @@
     kinds: tuple[str, ...]
     broken: bool
     worth: float
+    trial: bool
 
 
 def days(folder, since="0"):
@@ -50,6 +52,7 @@
                 tuple(row.get("troubles") or ()),
                 bool(row.get("rules") or row.get("fault")),
                 row["G"],
+                (entry.get("why") or "").startswith("trial"),
             )
 
 
@@ -93,6 +96,8 @@
     """Return the lines of the table of planned work."""
     by_cell = collections.defaultdict(list)
     for day in played:
+        if day.trial:
+            continue
         for label in work_by_name.get(day.name, ()):
             by_cell[label, day.site].append(day)
     return _lines("kind | how", by_cell, _counts)
--- a/tests/bench/test_kinds.py
+++ b/tests/bench/test_kinds.py
@@ -93,6 +93,15 @@
             ],
         )
 
+    def test_a_trial_is_not_counted_as_planned_work(self):
+        self.day_file("stops", 'kind = "hup"')
+        day = ROW | {"name": "stops"}
+        text = json.dumps(
+            {"site": "north", "why": "trial: waits less", "days": [day]}
+        )
+        (self.folder / "1.json").write_text(text)
+        self.assertEqual(self.planned_table(), [])
+
     def test_a_day_with_faults_is_not_planned_work(self):
         self.day_file("mixed", 'kind = "hup"', faults=['kind = "lossy"'])
         self.entry("1", "north", ROW | {"name": "mixed"})
