Leave real-time signals to runtimes, and close listeners before the last wait

The life cycle took over every signal that could end a process, the real-time ones too. Runtimes and libraries, timers and profilers among them, use those with handlers of their own, which a program must not replace; nobody else sends them.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -132,11 +132,7 @@
         )
         self._life.note(lifecycle.Event.STARTED)
         await self._stopping.wait()
-        await self._drain(front)
-        # A connection that is accepted once the tasks have ended has nobody
-        # to serve it.
-        for listener in others:
-            listener.close()
+        await self._drain(front, others)
         if self._callers.open:
             return lifecycle.Event.OUT_OF_TIME
         return lifecycle.Event.DRAINED
@@ -155,8 +151,11 @@
     def _known(self):
         return self._settings, self._now, self._beliefs
 
-    async def _drain(self, front):
-        """Leave the callers' answers, then end what is open."""
+    async def _drain(self, front, others):
+        """Leave the callers' answers, then end what is open.
+
+        ``front`` is the callers' listener, ``others`` are those for questions.
+        """
         grace_ms = self._settings.bounds.grace_ms
         started = self._now_with_suspend()
         left_ms = max(grace_ms * ACCEPT_PART, grace_ms - LAST_MS)
@@ -169,9 +168,14 @@
             started + left_ms + CUT_MS,
             lambda: not self._callers.is_busy,
         )
+        # A connection that is accepted once the tasks have ended has nobody
+        # to serve it.
+        for listener in others:
+            listener.close()
         # Requests that were read in part, or whole but not looked at yet, get
         # an answer before their connections end.
         self._callers.stop_reading()
+        await anyio.sleep(clock.seconds(POLL_MS))
         await self._until(
             self._now_with_suspend() + CUT_MS,
             lambda: not self._callers.is_connected,
--- a/clementinewall/signals.py
+++ b/clementinewall/signals.py
@@ -22,10 +22,10 @@
     "SIGSTKFLT",
 )
 # Every signal whose default action ends a process, but for SIGQUIT, which
-# operators use for a core dump, and those that tell of a fault.
-CAUGHT = (
-    *(getattr(signal, name) for name in _NAMES if hasattr(signal, name)),
-    *range(signal.SIGRTMIN, signal.SIGRTMAX + 1),
+# operators use for a core dump, those that tell of a fault, and the real-time
+# signals: runtimes and libraries use them and install handlers of their own.
+CAUGHT = tuple(
+    getattr(signal, name) for name in _NAMES if hasattr(signal, name)
 )
 _READ_BYTES = 4_096
 
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -26,6 +26,14 @@
 ORDER = tuple(State)
 
 
+class Handlers(unittest.TestCase):
+    """Which signals the package takes for itself."""
+
+    def test_real_time_signals_are_left_to_runtimes_and_libraries(self):
+        real_time = set(range(signal.SIGRTMIN, signal.SIGRTMAX + 1))
+        self.assertEqual(real_time & set(signals.CAUGHT), set())
+
+
 class Transitions(unittest.TestCase):
     """``next_state`` over all pairs."""
 
