--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -20,6 +20,7 @@
 import docopt
 
 from bench.soak import faults
+from bench.soak import lateness
 
 
 def main():
@@ -32,7 +33,10 @@
         tuple(options["--only"]),
         options["--planned"],
     )
+    watch = lateness.Watch()
+    watch.start()
     broken = run.go()
+    late = watch.stop()
     ledger = run.ledger
     told = collections.Counter(
         sent.failure.value if sent.failure else str(sent.status)
@@ -44,7 +48,8 @@
     print(
         f"seed {options['--seed']}: {len(ledger.faults)} faults, "
         f"{len(ledger.sent)} requests ({ends}), "
-        f"{len(ledger.orders)} orders, {len(broken)} promises broken"
+        f"{len(ledger.orders)} orders, {len(broken)} promises broken; "
+        f"own threads late by {late.seconds:.2f} s at {late.at:.1f} s"
     )
     for at, what in ledger.faults if broken else ():
         print(f"  {at:7.2f} s {what}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,9 +12,9 @@
 
     maxDiff = None
 
-    def check(self, seed, *kinds, planned=False):
+    def check(self, seed, *kinds, planned=False, seconds=SECONDS):
         """Run a seed and demand that every promise was kept."""
-        soak = faults.Soak(seed, SECONDS, only=kinds, planned=planned)
+        soak = faults.Soak(seed, seconds, only=kinds, planned=planned)
         self.assertEqual(soak.go(), [])
         self.assertGreater(len(soak.ledger.sent), 50)
 
@@ -32,6 +32,12 @@
     def test_planned_work_alone(self):
         self.check(4, planned=True)
 
+    def test_planned_work_that_held_requests_beyond_their_limits(self):
+        self.check(397, planned=True, seconds=18)
+
+    def test_planned_work_beside_which_callers_that_left_were_served(self):
+        self.check(396, planned=True, seconds=18)
+
     def test_signals_in_a_drain(self):
         self.check(
             3, "hup-in-drain", "stop-twice", "hup-and-stop", planned=True
