--- a/bench/soak/lateness.py
+++ b/bench/soak/lateness.py
@@ -22,7 +22,7 @@
         super().__init__(daemon=True)
         self._over = threading.Event()
         self._now = now
-        self._started = now()
+        self._began = now()
         self.worst = Late(0.0, 0.0)
 
     def run(self):
@@ -32,7 +32,7 @@
             now = self._now()
             late = now - before - PERIOD_SECONDS
             if late > self.worst.seconds:
-                self.worst = Late(late, now - self._started)
+                self.worst = Late(late, now - self._began)
             before = now
 
     def stop(self):
