--- a/tests/integration/test_gateway_draining.py
+++ b/tests/integration/test_gateway_draining.py
@@ -56,12 +56,10 @@
         self.assertEqual(asked.errors, [])
         return asked.results[0][1]
 
-    def test_a_long_stream_is_not_begun_on_a_route_of_short_ones(self):
-        self.publish_streams()
-        engine = self.engine("one", by_size)
-        front = self.gateway()
+    def check_long_one_is_refused(self, front, engine, usual):
+        """Ask for a long stream in a stop, after many of ``usual`` usage."""
         for number in range(25):
-            self.stream(front, "100,3", f"s{number}")
+            self.stream(front, usual, f"s{number}")
         before = len(engine.requests)
         self.terminate()
         time.sleep(1.5)
@@ -69,6 +67,12 @@
         self.assertEqual(answer.status_code, 503)
         self.assertEqual(len(engine.requests), before)
 
+    def test_a_long_stream_is_not_begun_on_a_route_of_short_ones(self):
+        self.publish_streams()
+        engine = self.engine("one", by_size)
+        front = self.gateway()
+        self.check_long_one_is_refused(front, engine, "100,3")
+
     def test_refusals_by_an_engine_teach_no_durations(self):
         self.publish_streams()
 
@@ -80,14 +84,7 @@
 
         engine = self.engine("one", script)
         front = self.gateway()
-        for number in range(25):
-            self.stream(front, "100,400", f"s{number}")
-        before = len(engine.requests)
-        self.terminate()
-        time.sleep(1.5)
-        answer = self.stream(front, "100,400")
-        self.assertEqual(answer.status_code, 503)
-        self.assertEqual(len(engine.requests), before)
+        self.check_long_one_is_refused(front, engine, "100,400")
 
     def test_a_stream_of_unknown_length_is_not_begun(self):
         self.publish_streams()
