Learn from the engines what they keep in their caches

Drops were never known at all: beliefs were bounded by the engine's memory alone, so prompts went where nothing was left. Engines that decode keep what they fetched, which nobody counted on either.

Each gateway asks each engine of its cell once for all that it keeps; one gateway an engine, by a hash, follows its changes and tells the others; what a decoding engine fetched counts as kept.

--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -145,6 +145,20 @@
     tokens: int
 
 
+class CacheChange(typing.NamedTuple):
+    """Parts of prompts as an engine keeps them, or those that changed.
+
+    ``tokens`` of a part are those that are kept now, none if it was dropped.
+    ``epoch`` is another one after a restart of the engine, ``next`` where the
+    changes go on, and ``is_gap`` tells that some are missing.
+    """
+
+    epoch: str
+    next: int
+    parts: tuple[PromptPart, ...]
+    is_gap: bool = False
+
+
 class Prompt(typing.NamedTuple):
     """What a request asks of a model engine."""
 
--- /dev/null
+++ b/clementinewall/gateway/caches.py
@@ -0,0 +1,175 @@
+"""Keeping what is believed of the engines' caches true, with their own words.
+
+A gateway that starts knows nothing of the caches, so it asks each engine of
+its cell once for all that it keeps.  Later on gateways tell each other what
+engines read for them, but not what engines drop: of the gateways that share an
+engine one follows its cache and tells the others.  Which one is told by a hash
+that all compute alike; two that follow cost some calls, none costs a belief
+that grows old.
+"""
+
+import math
+import zlib
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall.gateway import endpoints as endpoints_module
+from clementinewall.gateway import sending
+from clementinewall.http1 import client
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.platform import calls
+
+_log = logs.PartLog("cache")
+
+# How often a gateway that starts looks whether it knows enough to ask.
+START_MS = 20
+# How often engines are looked for that weren't asked yet, and how often the
+# caches that this gateway follows are asked for their changes.
+LOOK_MS = 250
+FOLLOW_MS = 500
+# How long an engine may wait for a change before it answers that there is
+# none, and how long its answer is awaited.
+WAIT_MS = 250
+TIMEOUT_MS = 750
+# An engine that doesn't tell its cache, or not in time, is asked again after
+# a pause; one that doesn't offer it isn't.
+PAUSE_MS = 3_000
+NOT_OFFERED = (404, 405, 501)
+
+
+class _NotOffered(errors.BadRecord):
+    """The engine has no such call."""
+
+
+class _Cursor:
+    """How far the changes of one engine's cache are known."""
+
+    def __init__(self):
+        self.epoch = None
+        self.next = None
+        self.due_at = 0
+        self.is_asking = False
+
+
+class Caches:
+    """Asks engines for what they keep, and follows some of them."""
+
+    def __init__(
+        self, settings, beliefs, endpoints, peers, membership, group, now
+    ):
+        """Use the gateway's parts; ``group`` runs the questions."""
+        self._ip = settings.ip
+        self._beliefs = beliefs
+        self._endpoints = endpoints
+        self._peers = peers
+        self._membership = membership
+        self._group = group
+        self._now = now
+        self._cursor_by_life = {}
+
+    async def run(self):
+        """Ask until cancelled."""
+        # Before the other gateways are known all engines seem to be of the
+        # own cell.
+        while not (self._beliefs.is_ready and self._peers.table.is_whole):
+            await anyio.sleep(clock.seconds(START_MS))
+        self._membership.update(self._peers.table.members())
+        while True:
+            self._look()
+            await anyio.sleep(clock.seconds(LOOK_MS))
+
+    def _look(self):
+        """Begin the questions that are due."""
+        cursor_by_life = {}
+        followers = self._followers()
+        for state in self._engines():
+            life = state.endpoint.life
+            cursor = self._cursor_by_life.get(life) or _Cursor()
+            cursor_by_life[life] = cursor
+            if cursor.is_asking or self._now() < cursor.due_at:
+                continue
+            if cursor.next is None or self._follows(state, followers):
+                cursor.is_asking = True
+                self._group.start_soon(self._ask, state, cursor)
+        self._cursor_by_life = cursor_by_life
+
+    def _engines(self):
+        configuration = self._beliefs.configuration
+        for service in configuration.service_by_name.values():
+            if service.engine is None:
+                continue
+            states = self._endpoints.of_service(service.name)
+            for state in self._membership.own_engines(states):
+                if endpoints_module.is_engine(state):
+                    yield state
+
+    def _followers(self):
+        """Return the gateways that share this one's engines."""
+        heard = [sign.ip for sign in self._peers.table.live() if sign.ready]
+        close = [ip for ip in heard if self._membership.is_close(ip)]
+        return sorted({self._ip, *close})
+
+    def _follows(self, state, followers):
+        name = state.endpoint.id
+        return self._ip == max(
+            followers, key=lambda ip: zlib.crc32(f"{name}/{ip}".encode())
+        )
+
+    async def _ask(self, state, cursor):
+        """Ask for what changed, or for everything where that isn't known."""
+        cursor.due_at = self._now() + FOLLOW_MS
+        try:
+            with anyio.fail_after(clock.seconds(TIMEOUT_MS)):
+                if cursor.next is None:
+                    await self._learn_whole(state, cursor)
+                else:
+                    await self._learn_changes(state, cursor)
+        except (client.LinkBroken, TimeoutError, errors.BadRecord) as exc:
+            cursor.due_at = self._now() + PAUSE_MS
+            if isinstance(exc, _NotOffered):
+                cursor.due_at = math.inf
+            _log.info(
+                "cache not told",
+                engine=state.endpoint.id,
+                why=getattr(exc, "message", repr(exc)),
+            )
+        finally:
+            cursor.is_asking = False
+
+    async def _learn_whole(self, state, cursor):
+        kept = calls.decode_kept_parts(
+            await self._body(state, calls.kept_parts())
+        )
+        cursor.epoch, cursor.next = kept.epoch, kept.next
+        dropped = self._endpoints.learn_whole_cache(state, kept.parts)
+        _log.info(
+            "cache learned",
+            engine=state.endpoint.id,
+            parts=len(kept.parts),
+            tokens=sum(part.tokens for part in kept.parts),
+            dropped=dropped,
+        )
+
+    async def _learn_changes(self, state, cursor):
+        body = await self._body(
+            state, calls.cache_changes(cursor.next, WAIT_MS)
+        )
+        changes = calls.decode_cache_changes(body)
+        if changes.epoch != cursor.epoch or changes.is_gap:
+            cursor.next = None
+            cursor.due_at = self._now()
+            return
+        cursor.next = changes.next
+        self._endpoints.follow_cache(state, changes.parts)
+
+    async def _body(self, state, request):
+        head, body = await state.pool.ask(request, sending.ANSWER_LIMIT)
+        metrics.count("cache_calls", status=head.status)
+        if head.status in NOT_OFFERED:
+            raise _NotOffered(f"answered with {head.status}")
+        if head.status != 200:
+            raise errors.BadRecord(f"answered with {head.status}")
+        return body
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -17,6 +17,9 @@
 CONNECT_TIMEOUT_MS = 200
 # With work open, an endpoint that says nothing for so long is taken for dead.
 SILENT_MS = 1_000
+# Engines keep parts in blocks of some tokens; a part of which so many are
+# missing is not kept whole, and what follows it is read again.
+KEPT_BLOCK = 64
 
 
 class State:
@@ -66,11 +69,30 @@
     def read(self, parts, capacity):
         """Note the parts of a prompt that are in the engine's cache now."""
         for part, tokens in parts:
-            if part in self._cached:
-                self._cached.move_to_end(part)
-                continue
-            self._cached[part] = tokens
-            self._cached_tokens += tokens
+            self._keep(part, tokens)
+            self._cached.move_to_end(part)
+        self._shrink(capacity)
+
+    def learn_part(self, part_id, tokens):
+        """Note how many tokens of a part the engine says it keeps now."""
+        self._cached_tokens += tokens - self._cached.get(part_id, 0)
+        if tokens:
+            self._cached[part_id] = tokens
+        else:
+            self._cached.pop(part_id, None)
+
+    def kept_tokens(self, part_id):
+        """Return how many tokens of a part are believed to be kept."""
+        return self._cached.get(part_id, 0)
+
+    def kept_ids(self):
+        """Return the ids of the parts that are believed to be kept."""
+        return set(self._cached)
+
+    def _keep(self, part_id, tokens):
+        self.learn_part(part_id, max(tokens, self.kept_tokens(part_id)))
+
+    def _shrink(self, capacity):
         while self._cached_tokens > capacity and self._cached:
             _, tokens = self._cached.popitem(last=False)
             self._cached_tokens -= tokens
@@ -79,9 +101,10 @@
         """Return how many leading tokens of a prompt are in the cache."""
         total = 0
         for part in parts:
-            if part.id not in self._cached:
+            kept = min(part.tokens, self._cached.get(part.id, 0))
+            total += kept
+            if part.tokens - kept >= KEPT_BLOCK:
                 break
-            total += part.tokens
         return total
 
     def begin_prompt(self, urgency, cost_ms):
@@ -112,6 +135,9 @@
         self._now = now
         self._state_by_life = {}
         self._read = []
+        # Parts that several requests may share, the last used at the end.
+        self._shared = collections.OrderedDict()
+        self._changed = []
         self.keepers = keepers.Keepers(now)
 
     def state(self, endpoint):
@@ -155,17 +181,71 @@
         endpoint = self._beliefs.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
             self.state(endpoint).read(parts, self._capacity(endpoint))
+            self._note_shared(parts)
             self.keepers.hear(endpoint_id, parts)
 
+    def learn_whole_cache(self, state, parts):
+        """Note all parts that an engine keeps; return how many it dropped."""
+        dropped = state.kept_ids() - {part.id for part in parts}
+        for part_id in dropped:
+            state.learn_part(part_id, 0)
+        for part in parts:
+            state.learn_part(part.id, part.tokens)
+        return len(dropped)
+
+    def follow_cache(self, state, parts):
+        """Note changes that an engine tells of its cache, for others too.
+
+        Most parts belong to a single request and concern nobody.
+        """
+        tokens_by_part = {part.id: part.tokens for part in parts}
+        for part_id, tokens in tokens_by_part.items():
+            if tokens == state.kept_tokens(part_id):
+                continue
+            if part_id in self._shared or not tokens:
+                state.learn_part(part_id, tokens)
+            if part_id in self._shared:
+                self._changed.append((state.endpoint.id, part_id, tokens))
+
+    def learn_changed(self, rows):
+        """Note changes of caches that another gateway follows.
+
+        :raises TypeError, ValueError: it is no such message.
+        """
+        for endpoint_id, part_id, tokens in rows:
+            state = self.find(str(endpoint_id))
+            if state is not None:
+                state.learn_part(str(part_id), max(0, int(tokens)))
+
+    def drain_changed(self):
+        """Return the changes of caches that weren't told yet."""
+        changed = self._changed
+        self._changed = []
+        return changed
+
+    def _note_shared(self, parts):
+        for part_id, _ in parts:
+            self._shared[part_id] = None
+            self._shared.move_to_end(part_id)
+        while len(self._shared) > keepers.LIMIT:
+            self._shared.popitem(last=False)
+
     def note_read(self, state, prompt):
         """Note a prompt that was read for this gateway, to tell others."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
         state.read(parts, self._capacity(state.endpoint))
         # The last part belongs to this request alone.
         shared = parts[:-1]
+        self._note_shared(shared)
         self._read.append((state.endpoint.id, shared))
         self.keepers.note(state.endpoint.id, shared)
 
+    def note_fetched(self, state, prompt):
+        """Note that an engine fetched the memory of a prompt and keeps it."""
+        parts = [(part.id, part.tokens) for part in prompt.parts]
+        state.read(parts, self._capacity(state.endpoint))
+        self._read.append((state.endpoint.id, parts[:-1]))
+
     def _capacity(self, endpoint):
         configuration = self._beliefs.configuration
         service = configuration and configuration.service_by_name.get(
--- a/clementinewall/gateway/following.py
+++ b/clementinewall/gateway/following.py
@@ -222,12 +222,16 @@
     return follower
 
 
-def peers_follower(settings, now, take):
-    """Return the task that follows the topic of the gateways."""
+def peers_follower(settings, now, take, on_whole):
+    """Return the task that follows the topic of the gateways.
+
+    ``on_whole`` is called when all that the store names were taken in.
+    """
 
     def take_all(batch):
         for record in batch.records:
             take(record)
+        on_whole()
 
     return Follower(
         settings,
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -2,10 +2,11 @@
 
 A datagram is a compressed JSON object with any of these keys: ``state`` (the
 sender's unfinished work), ``read`` (shared parts of prompts that engines read
-for it), ``marks`` (requests that crashed endpoints), ``signs`` (which
-gateways live), ``kept`` (long beginnings of prompts that engines read for the
-sender) and ``news`` (what was read of the store).  Times travel as ages,
-since clocks of two machines are never compared.
+or fetched for it), ``changed`` (parts that engines dropped or keep again),
+``marks`` (requests that crashed endpoints), ``signs`` (which gateways live),
+``kept`` (long beginnings of prompts that engines read for the sender) and
+``news`` (what was read of the store).  Times travel as ages, since clocks of
+two machines are never compared.
 """
 
 import json
--- a/clementinewall/gateway/peer_table.py
+++ b/clementinewall/gateway/peer_table.py
@@ -29,6 +29,8 @@
         self._sign_by_ip = {}
         self._state_by_ip = {}
         self._member_until_by_ip = {}
+        # Whether all gateways are known that the store names.
+        self.is_whole = False
 
     @property
     def ips(self):
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -185,11 +185,14 @@
         self._last_work = work
         self._last_at = now
         state = peer_messages.State(
-            self._own_sign(now), work, self._endpoints.away_by_endpoint()
+            self._own_sign(now),
+            work,
+            self._endpoints.away_by_endpoint(),
         )
         message = {
             "state": peer_messages.state(state, now),
             "read": self._endpoints.drain_read(),
+            "changed": self._endpoints.drain_changed(),
             "marks": self._guard.message(),
         }
         raw = peer_messages.dump(message)
@@ -263,6 +266,7 @@
         state = peer_messages.decode_state(message["state"], now)
         for endpoint_id, parts in message["read"]:
             self._endpoints.learn_read(endpoint_id, parts)
+        self._endpoints.learn_changed(message.get("changed", ()))
         for endpoint_id, ms in state.away_by_endpoint.items():
             self._endpoints.learn_away(endpoint_id, ms)
         self.table.take_state(ip, state)
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -7,6 +7,7 @@
 from clementinewall import clock
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import budgets
+from clementinewall.gateway import caches
 from clementinewall.gateway import callers
 from clementinewall.gateway import draining
 from clementinewall.gateway import endpoints
@@ -88,6 +89,15 @@
             self.is_ready,
             ticker,
         )
+        self._caches = caches.Caches(
+            settings,
+            self._beliefs,
+            self._endpoints,
+            self._peers,
+            self._membership,
+            group,
+            now,
+        )
         self._callers = callers.Callers(
             self._beliefs,
             self._budgets,
@@ -116,6 +126,7 @@
         start(self._meet_peers)
         start(self._peers.run)
         start(self._stages.run)
+        start(self._caches.run)
         start(self._sweep)
         front = await tcp.listen(
             settings.callers, self._callers.serve, self._group
@@ -145,9 +156,12 @@
         """
         await self._peers.register()
         await following.peers_follower(
-            self._settings, self._now, self._peers.take
+            self._settings, self._now, self._peers.take, self._met
         ).run()
 
+    def _met(self):
+        self._peers.table.is_whole = True
+
     def _known(self):
         return self._settings, self._now, self._beliefs
 
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -176,8 +176,11 @@
     def _first(self, exchange, plan, job):
         if job is not None:
             plan.decoder.end_prompt(job, True)
-        if job is not None and exchange.call.prompt:
-            self._endpoints.note_read(plan.decoder, exchange.call.prompt)
+        if exchange.call.prompt:
+            note = self._endpoints.note_read
+            if job is None:
+                note = self._endpoints.note_fetched
+            note(plan.decoder, exchange.call.prompt)
         took = exchange.waited_ms
         if exchange.first_ms is None:
             exchange.first_ms = took
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -165,6 +165,60 @@
     return messages.Request(b"GET", b"/report", ((b"Host", b"engine"),))
 
 
+def kept_parts():
+    """Return the request for the parts of prompts that an engine keeps."""
+    return messages.Request(b"GET", b"/kv-list", ((b"Host", b"engine"),))
+
+
+def decode_kept_parts(body):
+    """Return the parts that an engine keeps as :class:`domain.CacheChange`.
+
+    :raises BadRecord: it is no list of parts.
+    """
+    try:
+        data = json.loads(body)
+        return domain.CacheChange(
+            str(data["epoch"]),
+            int(data["next"]),
+            tuple(
+                domain.PromptPart(str(part), int(tokens))
+                for _, part, tokens, *_ in data["held"]
+            ),
+        )
+    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+        raise errors.BadRecord(f"no list of parts: {exc!r}") from exc
+
+
+def cache_changes(since, wait_ms):
+    """Return the request for the changes of an engine's cache.
+
+    The engine answers as soon as there are some, or after ``wait_ms``.
+    """
+    target = f"/kv-events?since={since}".encode()
+    headers = ((b"Host", b"engine"), (b"Wait-Ms", str(wait_ms).encode()))
+    return messages.Request(b"GET", target, headers)
+
+
+def decode_cache_changes(body):
+    """Return the changes of a cache as :class:`domain.CacheChange`.
+
+    :raises BadRecord: they are none.
+    """
+    try:
+        data = json.loads(body)
+        return domain.CacheChange(
+            str(data["epoch"]),
+            int(data["next"]),
+            tuple(
+                domain.PromptPart(str(part), int(tokens))
+                for _, _, _, part, tokens, *_ in data["events"]
+            ),
+            bool(data["lost"]),
+        )
+    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+        raise errors.BadRecord(f"no changes of a cache: {exc!r}") from exc
+
+
 def orders_accepted(body):
     """Return how many orders an engine has accepted, from its report.
 
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import json
 import socket
 import struct
 import threading
@@ -27,6 +28,10 @@
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
         self.requests = []
+        # What it says of its cache: tokens by part, and rows of changes.  It
+        # offers neither while ``kept`` is ``None``.
+        self.kept = None
+        self.changes = []
         self.connections = 0
         self.closed_by_peer = []
         threading.Thread(target=self._accept, daemon=True).start()
@@ -55,8 +60,9 @@
                 request = self._read(peer, parser)
                 if request is None:
                     return
-                self.requests.append(request)
-                if not self._play(peer, request):
+                if request.target.startswith(("/kv-list", "/kv-events")):
+                    peer.sendall(self._tell_cache(request))
+                elif not self._play_noted(peer, request):
                     return
                 parser = h11.Connection(h11.SERVER)
         except OSError:
@@ -83,6 +89,28 @@
             else:
                 return None
 
+    def _tell_cache(self, request):
+        if self.kept is None or request.method != "GET":
+            return answer(request, b"", 404)
+        told = {"epoch": "e1", "next": len(self.changes)}
+        if request.target == "/kv-list":
+            told["held"] = [
+                ["", part, n, "m"] for part, n in self.kept.items()
+            ]
+            return answer(request, json.dumps(told).encode())
+        since = int(request.target.partition("=")[2])
+        told["lost"] = False
+        told["events"] = [
+            [number, "+" if tokens else "-", "", part, tokens, "m"]
+            for number, (part, tokens) in enumerate(self.changes)
+            if number >= since
+        ]
+        return answer(request, json.dumps(told).encode())
+
+    def _play_noted(self, peer, request):
+        self.requests.append(request)
+        return self._play(peer, request)
+
     def _play(self, peer, request):
         for step in self._script(self, request):
             if step == RESET:
--- /dev/null
+++ b/tests/gateway/test_endpoints.py
@@ -0,0 +1,84 @@
+"""What a gateway believes of the engines' caches."""
+
+import unittest
+
+from clementinewall import clock
+from clementinewall import domain
+from clementinewall.gateway import beliefs
+from clementinewall.gateway import endpoints
+from clementinewall.http1 import server
+
+LIMITS = domain.EngineLimits(16, 100_000, 18_432, 370_000.0, 3_000)
+ENGINE = domain.Endpoint(
+    "e1", "model", "10.0.1.1:1", "a", 16, False, domain.DECODE, 1
+)
+SHARED = domain.PromptPart("s", 8_000)
+OWN = domain.PromptPart("o", 400)
+PROMPT = domain.Prompt("m", 8_400, 20, (SHARED, OWN))
+
+
+def gateway_view():
+    """Return what one gateway knows: an engine, nothing of its cache."""
+    ticker = clock.ManualClock(100_000)
+    known = beliefs.Beliefs(ticker.now)
+    known.endpoint_by_id = {"e1": ENGINE}
+    known.configuration = domain.Configuration(
+        1, {}, {"model": domain.Service("model", LIMITS)}, server.Limits()
+    )
+    return endpoints.Endpoints(known, ticker.now)
+
+
+class CacheBeliefs(unittest.TestCase):
+    """Two gateways, of which the first one follows the engine's cache."""
+
+    def setUp(self):
+        """Have the engine read one prompt for the first gateway."""
+        self.first = gateway_view()
+        self.second = gateway_view()
+        self.first.note_read(self.first.state(ENGINE), PROMPT)
+        for name, parts in self.first.drain_read():
+            self.second.learn_read(name, parts)
+
+    def cached(self, view):
+        """Return how much of the prompt a gateway believes to be kept."""
+        return view.state(ENGINE).cached_tokens((SHARED,))
+
+    def tell(self, *parts):
+        """Let the first gateway hear of changes, and tell the second one."""
+        self.first.follow_cache(self.first.state(ENGINE), parts)
+        self.second.learn_changed(self.first.drain_changed())
+
+    def test_a_part_that_was_dropped_is_known_to_be_gone_at_all(self):
+        self.assertEqual(self.cached(self.second), 8_000)
+        self.tell(SHARED._replace(tokens=0))
+        self.assertEqual(self.cached(self.first), 0)
+        self.assertEqual(self.cached(self.second), 0)
+
+    def test_a_part_that_was_dropped_and_read_again_is_kept(self):
+        self.tell(SHARED._replace(tokens=0), SHARED)
+        self.assertEqual(self.cached(self.first), 8_000)
+        self.assertEqual(self.cached(self.second), 8_000)
+
+    def test_parts_of_single_requests_are_not_told(self):
+        self.first.follow_cache(
+            self.first.state(ENGINE), [OWN, OWN._replace(id="other")]
+        )
+        self.assertEqual(self.first.drain_changed(), [])
+
+    def test_a_part_that_is_kept_in_part_ends_the_beginning(self):
+        self.tell(SHARED._replace(tokens=4_096))
+        after = domain.PromptPart("t", 100)
+        state = self.second.state(ENGINE)
+        state.read([("t", 100)], 100_000)
+        self.assertEqual(state.cached_tokens((SHARED, after)), 4_096)
+
+    def test_changes_of_an_engine_that_has_left_are_passed_over(self):
+        self.second.learn_changed([["gone", "s", 0]])
+        self.assertEqual(self.cached(self.second), 8_000)
+
+    def test_a_whole_list_replaces_what_was_believed(self):
+        state = self.second.state(ENGINE)
+        other = domain.PromptPart("p", 300)
+        self.assertEqual(self.second.learn_whole_cache(state, [other]), 1)
+        self.assertEqual(state.cached_tokens((SHARED,)), 0)
+        self.assertEqual(state.cached_tokens((other,)), 300)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -103,3 +103,30 @@
 
 def _lower(headers):
     return [(name.lower(), value) for name, value in headers]
+
+
+class Caches(unittest.TestCase):
+    """What engines tell of the parts that they keep."""
+
+    def test_whole_list(self):
+        body = b'{"epoch":"x","next":7,"held":[["","5c1e",800,"m"]]}'
+        found = calls.decode_kept_parts(body)
+        part = domain.PromptPart("5c1e", 800)
+        self.assertEqual(found, domain.CacheChange("x", 7, (part,)))
+
+    def test_changes(self):
+        body = (
+            b'{"epoch":"x","next":9,"lost":true,"events":'
+            b'[[7,"+","","5c1e",800,"m"],[8,"-","","5c1e",0,"m"]]}'
+        )
+        found = calls.decode_cache_changes(body)
+        self.assertEqual([part.tokens for part in found.parts], [800, 0])
+        self.assertTrue(found.is_gap)
+
+    def test_anything_else_is_a_bad_record(self):
+        for body in (b"", b"[]", b"{}", b'{"epoch":1,"next":"x","held":[]}'):
+            with self.subTest(body=body):
+                with self.assertRaises(errors.BadRecord):
+                    calls.decode_kept_parts(body)
+                with self.assertRaises(errors.BadRecord):
+                    calls.decode_cache_changes(body)
