Refuse at once while no engine decodes, and fill the stage at once

The planner counted the crashed engine as one that decodes. An engine left alone that reads was never asked to decode.

While all decoding engines are gone (nothing listens, they are silent or change their stage) a request is refused at once, to come back in a second or a third of its time; one request in half a second tries. The planner leaves out engines that don't answer and orders the missing stage after 250 ms.

The check that no change empties a stage is narrowed: the last engine that reads may become one that decodes where none does, since it reads as well and nothing is served otherwise. Emptying the decoding stage stays forbidden.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -59,12 +59,17 @@
 
     def is_usable(self):
         """Tell whether new work may go there."""
+        return not self.is_gone() and self.health.is_usable(self._now())
+
+    def is_gone(self):
+        """Tell whether nothing that is sent there would be answered."""
+        return self._now() < self.away_until or self.is_lost()
+
+    def is_lost(self):
+        """Tell whether the endpoint doesn't answer at all."""
         now = self._now()
-        if now < self.away_until:
-            return False
-        if self.open and now - self._quiet_since > SILENT_MS:
-            return False
-        return self.health.is_usable(now)
+        is_silent = self.open and now - self._quiet_since > SILENT_MS
+        return bool(is_silent) or self.health.is_absent(now)
 
     def read(self, parts, capacity):
         """Note the parts of a prompt that are in the engine's cache now."""
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -19,6 +19,8 @@
 RETRY_SPREAD = 0.5
 # Engines of other cells that are tried where those of the cell fail.
 HELPERS = 2
+# While all engines that decode are gone, one request in this time tries one.
+PROBE_MS = 500
 # An engine that failed or fell silent is used only if all others are worse.
 UNUSABLE_SLOWNESS = 10.0
 
@@ -48,6 +50,7 @@
         self._peers = peers
         self._membership = membership
         self._now = now
+        self._probed_at = None
 
     def place(self, exchange, last):
         """Choose the engines.
@@ -78,6 +81,8 @@
         ]
         keeper = self._keeper(prompt, states)
         chosen = placement.choose(known, demand, keeper)
+        if not isinstance(chosen, placement.Refusal) and demand.is_probe:
+            self._probed(known, chosen)
         if isinstance(chosen, placement.Refusal):
             if last is None or not _may_come_late(chosen, exchange):
                 self._refuse(exchange, demand, chosen, last)
@@ -154,8 +159,20 @@
             link_mbps=limits.link_mbps,
             tokens_out=prompt.tokens_out,
             send_ms=self._send_ms(exchange.call.body),
+            is_probe=self._may_probe(),
         )
 
+    def _may_probe(self):
+        return (
+            self._probed_at is None
+            or self._now() - self._probed_at >= PROBE_MS
+        )
+
+    def _probed(self, known, chosen):
+        """Note that a request tries an engine that is gone."""
+        if any(e.gone for e in known if e.id == chosen.decode):
+            self._probed_at = self._now()
+
     def _send_ms(self, body):
         """Return how long this instance's link takes for a body."""
         if not self._link_mbps:
@@ -184,6 +201,7 @@
             slowness=state.health.slowness
             if state.is_usable()
             else UNUSABLE_SLOWNESS,
+            gone=state.is_gone(),
         )
 
     def _refuse(self, exchange, demand, refusal, last):
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -110,6 +110,7 @@
             stage == domain.PREFILL,
             streams,
             max(1, state.endpoint.slots),
+            state.is_lost() and not self._is_resting(state),
         )
 
     def _is_resting(self, state):
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -50,6 +50,8 @@
 # more urgent and reads its prompt again, and its caller sees a pause.
 LAST_SLOTS = 6
 MIN_RETRY_MS = 50
+# Engines that crash or change their stage are away for seconds.
+EMPTY_RETRY_MS = 1_000
 # A fetch takes this long before the first byte (operators' figure for moves),
 # and is worth it up to this part of the reading that it saves: what a source
 # keeps is known from what was sent there, and at times is gone.
@@ -64,6 +66,7 @@
 
     ``wait_ms`` is the prompt reading ahead of the request at its urgency,
     ``cached`` how many leading tokens of the prompt are in its cache.
+    ``gone`` tells that it wouldn't answer.
     """
 
     id: str
@@ -73,6 +76,7 @@
     slots: int
     cached: int
     slowness: float = 1.0
+    gone: bool = False
 
 
 class Demand(typing.NamedTuple):
@@ -80,6 +84,7 @@
 
     ``tokens_out`` is how many tokens its answer has at the most, ``send_ms``
     how long its body takes on the gateway's link each time it is sent.
+    ``is_probe`` lets it try an engine that is gone.
     """
 
     tokens: int
@@ -89,6 +94,7 @@
     link_mbps: float = 0.0
     tokens_out: int = 0
     send_ms: float = 0.0
+    is_probe: bool = False
 
 
 class Way(typing.NamedTuple):
@@ -128,6 +134,12 @@
 
     ``keeper`` is a :class:`Source` that is none of ``engines``.
     """
+    decoding = [engine for engine in engines if not engine.prefill]
+    if decoding and all(engine.gone for engine in decoding):
+        if not demand.is_probe:
+            return Refusal("no engine decodes", EMPTY_RETRY_MS, None)
+        # Prompts would be read for it in vain.
+        engines = decoding
     ways = list(_ways(engines, demand, keeper))
     if not ways:
         return Refusal("no engine takes work", MIN_RETRY_MS, None)
--- a/clementinewall/policy/speed.py
+++ b/clementinewall/policy/speed.py
@@ -26,8 +26,13 @@
         self.slowness = 1.0
         self._failures = 0
         self._paused_until = None
+        self._absent_until = None
         self._pause_ms = FIRST_PAUSE_MS
 
+    def is_absent(self, now):
+        """Tell whether nothing was there when it was last tried."""
+        return self._absent_until is not None and now < self._absent_until
+
     def is_usable(self, now):
         """Tell whether work may go there now."""
         return self._paused_until is None or now >= self._paused_until
@@ -39,7 +44,7 @@
         another one answered.
         """
         if absent:
-            self._paused_until = now + ABSENT_PAUSE_MS
+            self._paused_until = self._absent_until = now + ABSENT_PAUSE_MS
             return ABSENT_PAUSE_MS
         self._failures += 1
         if self._failures < FAILURES_TO_PAUSE or not self.is_usable(now):
@@ -52,7 +57,7 @@
     def worked(self, seen_ms=None, expected_ms=None):
         """Count an answer, and how its speed compares to the promise."""
         self._failures = 0
-        self._paused_until = None
+        self._paused_until = self._absent_until = None
         self._pause_ms = FIRST_PAUSE_MS
         if seen_ms is not None and expected_ms:
             ratio = min(SLOWEST, max(FASTEST, seen_ms / expected_ms))
--- a/clementinewall/policy/stages.py
+++ b/clementinewall/policy/stages.py
@@ -8,6 +8,10 @@
 A change takes an engine away for seconds, so there are few: up to half at
 the start, one back when the streams need the slots, and one after an engine
 was lost or replaced.
+
+An engine that decodes can read prompts too, while one that reads runs nothing.
+So the loss of the last decoding engine refuses all callers until another one
+has changed, which is ordered at once.
 """
 
 import math
@@ -28,15 +32,21 @@
 # this part of the other engines: at the start, or in a lull.
 ROOM_PART = 0.35
 LASTING_MS = 1_000
+# Without a decoding engine nothing is served, so the change is made at once.
+EMPTY_LASTING_MS = 250
 
 
 class Engine(typing.NamedTuple):
-    """An engine with the streams of all gateways on it."""
+    """An engine with the streams of all gateways on it.
+
+    ``lost`` tells that it doesn't answer.
+    """
 
     id: str
     prefill: bool
     streams: int
     slots: int
+    lost: bool = False
 
 
 class Change(typing.NamedTuple):
@@ -53,12 +63,15 @@
 
 def plan(engines):
     """Return the one :class:`Change` to make next, or ``None``."""
+    engines = [e for e in engines if not e.lost]
     reading = [e for e in engines if e.prefill]
     decoding = [e for e in engines if not e.prefill]
+    if reading and not decoding:
+        return Change(
+            _least(reading).id, False, "none decodes", EMPTY_LASTING_MS
+        )
     if len(engines) < 2:
         return None
-    if not decoding:
-        return Change(_least(reading).id, False, "none decodes")
     if not reading:
         return Change(_least(decoding).id, True, "none reads prompts")
     streams = sum(e.streams for e in decoding)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -13,6 +13,7 @@
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import placing
 from clementinewall.http1 import server
+from clementinewall.policy import placement
 
 GATEWAYS = [f"10.0.0.{n}" for n in range(1, 33)]
 SERVICE = domain.Service(
@@ -132,3 +133,16 @@
         state.health.failed(self.ticker.now(), absent=True)
         changed = state.endpoint._replace(stage=domain.PREFILL)
         self.assertTrue(self.endpoints.state(changed).is_usable())
+
+    def test_callers_are_not_sent_to_dead_engines_one_after_the_other(self):
+        for state in self.endpoints.of_service("model"):
+            if state.endpoint.stage == domain.DECODE:
+                state.health.failed(self.ticker.now(), absent=True)
+        self.place()
+        with self.assertRaises(errors.Overloaded) as caught:
+            self.place()
+        self.assertGreaterEqual(
+            caught.exception.retry_after_ms, placement.EMPTY_RETRY_MS
+        )
+        self.ticker.advance(placing.PROBE_MS)
+        self.place()
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -98,6 +98,18 @@
         way = placement.choose(fleet, demand(12_000))
         self.assertEqual((way.prefill, way.decode), ("p", "sound"))
 
+    def test_no_prompt_is_read_for_decoding_engines_that_are_gone(self):
+        fleet = [engine("p", True), engine("d", gone=True, slowness=10.0)]
+        refused = placement.choose(fleet, demand(12_000))
+        self.assertEqual(refused.why, "no engine decodes")
+        self.assertEqual(refused.retry_ms, placement.EMPTY_RETRY_MS)
+
+    def test_a_probe_finds_out_whether_an_engine_is_back(self):
+        fleet = [engine("p", True), engine("d", gone=True, slowness=10.0)]
+        probe = demand(600)._replace(is_probe=True)
+        way = placement.choose(fleet, probe)
+        self.assertEqual((way.prefill, way.decode), (None, "d"))
+
     def test_no_slot_is_no_way(self):
         fleet = [engine("p", True), engine("d", streams=96)]
         refused = placement.choose(fleet, demand(600))
