Give the lab's engines figures of their own

The lab computed its engines' times with the functions that gateways predict with, so a wrong belief was right by construction there.

A deployment file names how fast its engines read and decode; the former figures are the defaults, so the earlier samples play as before.

--- a/clementinewall/lab/deployment.py
+++ b/clementinewall/lab/deployment.py
@@ -55,7 +55,13 @@
 
 
 class Engines(typing.NamedTuple):
-    """The engines; what they have in common stands in ``engine_time``."""
+    """The engines, with the figures that their operators publish.
+
+    A prompt takes ``prompt_base_ms``, a millisecond for ``tokens_a_ms`` new
+    tokens, ``pairs_ms_a_million`` for the pairs of a new token and each one
+    before it, and a step for each ``piece_tokens``.  A decoding engine reads
+    in smaller pieces and ``decode_slowdown`` times as slowly.
+    """
 
     count: _Count
     slots: _Count
@@ -63,6 +69,15 @@
     kv_token_bytes: _Count = 18_432
     link_mbps: _Positive = 370_000.0
     reading_part: _Part = 0.5
+    tokens_a_ms: _Positive = 157.0
+    pairs_ms_a_million: _Positive = 0.109
+    piece_tokens: _Count = 2_048
+    decode_piece_tokens: _Count = 512
+    decode_slowdown: _Positive = 2.0
+    prompt_base_ms: _Positive = 1.5
+    first_event_ms: _Positive = 26.0
+    step_ms: _Positive = 3.55
+    step_ms_a_stream: _Positive = 0.0462
 
 
 class Gateways(typing.NamedTuple):
--- a/clementinewall/lab/engine.py
+++ b/clementinewall/lab/engine.py
@@ -4,9 +4,8 @@
 waits.  A decoding engine runs a batch of streams: the more of them, the
 longer each step; a prompt that it reads itself goes between the steps, at
 half speed.  Prefix parts are kept until memory is needed, the least recently
-used go first.  The figures are those of ``policy/engine_time.py``, which the
-gateways predict with; what engines know and gateways don't is the order, the
-caches and the load of the moment.
+used go first.  The figures are those of the deployment file; gateways predict
+with their own.
 
 Left out: preemption for want of memory, prompts larger than the memory,
 holds, pins and backups.
@@ -16,7 +15,7 @@
 import heapq
 import itertools
 
-from clementinewall.policy import engine_time
+from clementinewall.lab import figures
 
 # Before a move or fetch of memory begins, as operators say.
 SETUP_MS = 5.0
@@ -71,9 +70,9 @@
 
     def _reading_ms(self, prompt, cached):
         if self.reads:
-            return engine_time.prompt_ms(prompt.tokens_in, cached)
-        return engine_time.prompt_ms_beside(
-            prompt.tokens_in, cached, len(self._running)
+            return figures.prompt_ms(self._row, prompt.tokens_in, cached)
+        return figures.prompt_ms_beside(
+            self._row, prompt.tokens_in, cached, len(self._running)
         )
 
     def _was_read(self, prompt, done):
@@ -123,9 +122,7 @@
 
     def fetch(self, tokens, done):
         """Take ``tokens`` of memory from elsewhere, one move at a time."""
-        took = SETUP_MS + engine_time.transfer_ms(
-            tokens, self._row.kv_token_bytes, self._row.link_mbps
-        )
+        took = SETUP_MS + figures.transfer_ms(self._row, tokens)
         start = max(self._loop.now, self._link_free_at)
         self._link_free_at = start + took
         self._loop.after(start + took - self._loop.now, done)
@@ -145,15 +142,15 @@
             end = self._progress + prompt.tokens_out
             heapq.heappush(self._running, (end, serial, prompt, on_end))
             self._in_use += prompt.tokens_in + prompt.tokens_out
-            self._loop.after(engine_time.FIRST_EVENT_MS, on_first)
+            self._loop.after(self._row.first_event_ms, on_first)
         self._replan()
 
     def _step_ms(self):
-        step = engine_time.step_ms(len(self._running))
+        step = figures.step_ms(self._row, len(self._running))
         if self._reading is None or self.reads:
             return step
-        piece = engine_time.DECODE_CHUNK / engine_time.PROMPT_TOKENS_A_MS
-        return step + piece * engine_time.DECODE_SLOWDOWN
+        piece = self._row.decode_piece_tokens / self._row.tokens_a_ms
+        return step + piece * self._row.decode_slowdown
 
     def _advance(self):
         """Move all streams to the present."""
--- a/clementinewall/lab/report.py
+++ b/clementinewall/lab/report.py
@@ -4,7 +4,8 @@
 import json
 import typing
 
-from clementinewall.policy import engine_time
+from clementinewall.lab import figures
+
 
 # A request's worth grows with its size against the mean of its class.
 SIZE_BASE = 0.3
@@ -180,8 +181,9 @@
     prompt = arrival.prompt
     slots = deployment.engines.slots
     own = prompt.parts[-1].tokens
-    reading = engine_time.prompt_ms(prompt.tokens_in, prompt.tokens_in - own)
-    decoding = prompt.tokens_out * engine_time.step_ms(slots) / slots
+    row = deployment.engines
+    reading = figures.prompt_ms(row, prompt.tokens_in, prompt.tokens_in - own)
+    decoding = prompt.tokens_out * figures.step_ms(row, slots) / slots
     return _Need(arrival.work_class, prompt.tokens_in, reading + decoding)
 
 
--- a/tests/lab/test_engine.py
+++ b/tests/lab/test_engine.py
@@ -8,8 +8,8 @@
 from clementinewall import domain
 from clementinewall.lab import deployment
 from clementinewall.lab import engine as engines
+from clementinewall.lab import figures
 from clementinewall.lab import loop as loops
-from clementinewall.policy import engine_time
 
 ROW = deployment.Engines(count=1, slots=2, kv_tokens=10_000)
 
@@ -40,9 +40,17 @@
     def test_one_prompt_takes_what_the_figures_say(self):
         self.read("a", 4_000)
         self.loop.run(10_000)
-        expected = engine_time.prompt_ms(4_000, 0)
+        expected = figures.prompt_ms(ROW, 4_000, 0)
         self.assertEqual(self.ends, [("a", expected)])
 
+    def test_an_engine_takes_what_its_own_figures_say(self):
+        slow = ROW._replace(tokens_a_ms=ROW.tokens_a_ms / 3)
+        self.engine = engines.Engine("e", slow, True, self.loop)
+        self.read("a", 4_000)
+        self.loop.run(10_000)
+        usual = figures.prompt_ms(ROW, 4_000, 0)
+        self.assertGreater(self.ends[0][1], 2 * usual)
+
     def test_urgent_prompts_go_first_but_interrupt_nothing(self):
         self.read("begun", 4_000, 2)
         self.read("patient", 1_000, 2)
@@ -102,24 +110,24 @@
         self.run_stream("a", 50)
         self.loop.run(10_000)
         name, at = self.ends[0]
-        self.assertAlmostEqual(at, 50 * engine_time.step_ms(1))
+        self.assertAlmostEqual(at, 50 * figures.step_ms(ROW, 1))
 
     def test_streams_beyond_the_slots_wait(self):
         for name in "abc":
             self.run_stream(name, 100)
         self.loop.run(10_000)
-        both = 100 * engine_time.step_ms(2)
+        both = 100 * figures.step_ms(ROW, 2)
         at = dict(self.ends)
         self.assertAlmostEqual(at["a"], both)
         self.assertAlmostEqual(at["b"], both)
-        self.assertAlmostEqual(at["c"], both + 100 * engine_time.step_ms(1))
+        self.assertAlmostEqual(at["c"], both + 100 * figures.step_ms(ROW, 1))
 
     def test_reading_slows_the_streams(self):
         self.run_stream("a", 100)
         self.engine.read(prompt(("p", 3_000)), 1, lambda: None)
         self.loop.run(10_000)
         _, at = self.ends[0]
-        self.assertGreater(at, 100 * engine_time.step_ms(1) + 20)
+        self.assertGreater(at, 100 * figures.step_ms(ROW, 1) + 20)
 
     def test_moves_of_memory_go_one_after_another(self):
         ends = []
