Learn how many times as long as predicted engines read

Cause. engine_time has the figures of one model on one accelerator.

Each gateway follows a low quantile of the ratio of seen to predicted reading, for prompts that didn't have to wait; gateways tell each other the estimate with its weight, and predictions, the queues that are followed and urgency are multiplied by it.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -8,6 +8,7 @@
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall.policy import reading_queue
+from clementinewall.policy import reading_scale
 from clementinewall.policy import speed
 
 _log = logs.PartLog("endpoint")
@@ -143,6 +144,7 @@
         # Parts that several requests may share, the last used at the end.
         self._shared = collections.OrderedDict()
         self._changed = []
+        self._scale_by_service = {}
         self.keepers = keepers.Keepers(now)
 
     def state(self, endpoint):
@@ -290,6 +292,33 @@
                 work[state.endpoint.id] = own
         return work
 
+    def note_reading(self, service, seen_ms, predicted_ms):
+        """Learn from a prompt that didn't have to wait for its reading."""
+        scale = self._scale_by_service.get(service)
+        if scale is None:
+            scale = reading_scale.ReadingScale()
+            self._scale_by_service[service] = scale
+        scale.note(seen_ms, predicted_ms)
+
+    def estimate_by_service(self):
+        """Return what this gateway learned of how engines read."""
+        return {
+            name: scale.estimate
+            for name, scale in self._scale_by_service.items()
+        }
+
+    def reading_scale(self, service, peers):
+        """Return how many times as long as predicted engines read."""
+        found = [
+            peer.estimate_by_service[service]
+            for peer in peers
+            if service in peer.estimate_by_service
+        ]
+        own = self._scale_by_service.get(service)
+        if own is not None:
+            found.append(own.estimate)
+        return reading_scale.combined(found)
+
     def sweep(self):
         """Close what is left of endpoints that are gone, and old links."""
         current = {
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -15,6 +15,7 @@
 
 from clementinewall import clock
 from clementinewall.policy import reading_queue
+from clementinewall.policy import reading_scale
 
 
 class Work(typing.NamedTuple):
@@ -43,12 +44,14 @@
     """A gateway's sign of life, with its work and the engines it changes.
 
     ``away_by_endpoint`` tells for how many ms engines that change their
-    stage take no work.
+    stage take no work, ``estimate_by_service`` what the gateway learned of
+    how engines read.
     """
 
     sign: Sign
     work_by_endpoint: dict[str, Work]
     away_by_endpoint: dict[str, float]
+    estimate_by_service: dict[str, reading_scale.Estimate] = {}
 
 
 # The fastest level.  Bytes between data centres are paid for.
@@ -84,6 +87,10 @@
 def state(value, now):
     """Return a gateway's state as plain data."""
     return {
+        "scales": {
+            name: [round(number, 2) for number in estimate]
+            for name, estimate in value.estimate_by_service.items()
+        },
         "sign": sign(value.sign, now),
         "away": value.away_by_endpoint,
         "work": {
@@ -129,4 +136,24 @@
         for name, (streams, end_age, jobs) in data["work"].items()
     }
     away = {str(name): ms + 0 for name, ms in data["away"].items()}
-    return State(decode_sign(data["sign"], now), work, away)
+    return State(
+        decode_sign(data["sign"], now),
+        work,
+        away,
+        _estimates(data.get("scales")),
+    )
+
+
+def _estimates(rows):
+    """Return the estimates in a message.
+
+    :raises AttributeError, TypeError, ValueError: they are none.
+    """
+    found = {}
+    for name, (log_scale, weight) in (rows or {}).items():
+        if not abs(log_scale) <= reading_scale.MOST:
+            raise ValueError(f"scale of {name}: {log_scale}")
+        if not 0 <= weight <= reading_scale.MOST_WEIGHT:
+            raise ValueError(f"weight of {name}: {weight}")
+        found[str(name)] = reading_scale.Estimate(log_scale, weight)
+    return found
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -29,7 +29,8 @@
     """The engines chosen for one send; ``reader`` is set for a split.
 
     ``source`` is an engine from which the beginning of the prompt is fetched,
-    ``run_urgency`` the urgency at the engine that runs the request.
+    ``run_urgency`` the urgency at the engine that runs the request, and
+    ``reading_scale`` what the predicted reading was multiplied by.
     """
 
     reader: endpoints_module.State | None
@@ -38,6 +39,7 @@
     urgency: int
     source: endpoints_module.State | None = None
     run_urgency: int = placement.PATIENT
+    reading_scale: float = 1.0
 
 
 class Placer:
@@ -57,7 +59,8 @@
 
         :raises Overloaded: the request cannot be served in time.
         """
-        demand = self._demand(exchange)
+        peers = self._peers.table.states()
+        demand = self._demand(exchange, peers)
         engines = [
             state
             for state in self._endpoints.of_service(exchange.service.name)
@@ -68,7 +71,6 @@
             for state in self._candidates(engines)
             if state.endpoint.id not in exchange.tried
         }
-        peers = self._peers.table.states()
         prompt = exchange.call.prompt or NO_PROMPT
         cached = max(
             (s.cached_tokens(prompt.parts[:-1]) for s in states.values()),
@@ -102,6 +104,7 @@
             tokens=demand.tokens,
             tokens_out=demand.tokens_out,
             left_ms=round(demand.left_ms),
+            scale=round(demand.reading_scale, 2),
         )
         reader = states.get(chosen.prefill)
         source = chosen.fetch and self._endpoints.find(chosen.fetch)
@@ -113,6 +116,7 @@
             urgency,
             source,
             placement.run_urgency(decoder, urgency),
+            demand.reading_scale,
         )
 
     def _candidates(self, engines):
@@ -148,7 +152,7 @@
             return None
         return placement.Source(keeper.endpoint_id, keeper.tokens)
 
-    def _demand(self, exchange):
+    def _demand(self, exchange, peers):
         prompt = exchange.call.prompt or NO_PROMPT
         limits = exchange.service.engine
         return placement.Demand(
@@ -160,6 +164,9 @@
             tokens_out=prompt.tokens_out,
             send_ms=self._send_ms(exchange.call.body),
             is_probe=self._may_probe(),
+            reading_scale=self._endpoints.reading_scale(
+                exchange.service.name, peers
+            ),
         )
 
     def _may_probe(self):
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -12,6 +12,7 @@
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import calls
+from clementinewall.policy import engine_time
 from clementinewall import verdicts
 
 _log = logs.PartLog("stream")
@@ -233,12 +234,19 @@
                 verdicts.Verdict.NOT_RUN, exc.message, reader.endpoint.id
             ) from exc
         reader.health.worked()
+        took_ms = self._now() - started
         self._endpoints.note_read(reader, exchange.call.prompt)
+        if not plan.way.wait_ms and plan.source is None:
+            self._endpoints.note_reading(
+                exchange.service.name,
+                took_ms - engine_time.READ_ANSWER_MS,
+                prompt_ms / plan.reading_scale,
+            )
         _log.info(
             "prompt read",
             request=exchange.call.attempt,
             engine=reader.endpoint.id,
-            took_ms=self._now() - started,
+            took_ms=took_ms,
             wait_ms=round(plan.way.wait_ms),
             prompt_ms=round(prompt_ms),
             urgency=plan.urgency,
--- a/clementinewall/lab/gateway.py
+++ b/clementinewall/lab/gateway.py
@@ -94,7 +94,12 @@
         self._last_work = work
         self._sent_at = self._loop.now
         sign = peer_messages.Sign(self.ip, "", "", True, self._loop.now)
-        state = peer_messages.State(sign, work, {})
+        state = peer_messages.State(
+            sign,
+            work,
+            {},
+            estimate_by_service=self.endpoints.estimate_by_service(),
+        )
         read = self.endpoints.drain_read()
         for ip in self.close_ips():
             self._network(ip, lambda peer: peer.hear(self.ip, state, read))
--- a/clementinewall/lab/simulation.py
+++ b/clementinewall/lab/simulation.py
@@ -116,10 +116,18 @@
         """Return the virtual time."""
         return self._loop
 
+    @property
+    def _hop_ms(self):
+        return self._deployment.gateways.one_way_ms + gateways.STEP_MS
+
+    @property
+    def answer_ms(self):
+        """Return what a prompt's reading takes besides the reading."""
+        return 2 * self._hop_ms + engines.ANSWER_MS
+
     def hop(self, function, *arguments):
         """Call a function after the way to an engine or back."""
-        delay = self._deployment.gateways.one_way_ms + gateways.STEP_MS
-        self._loop.after(delay, function, *arguments)
+        self._loop.after(self._hop_ms, function, *arguments)
 
     def some_gateway(self):
         """Return the gateway that a caller happens to use."""
@@ -260,6 +268,11 @@
 
     def _was_read(self):
         self._end_reading(self._plan.reader)
+        way = self._plan.way
+        if not way.wait_ms and self._plan.source is None:
+            took = self._sim.loop.now - self._began - self._sim.answer_ms
+            predicted = way.prompt_ms / self._plan.reading_scale
+            self._gateway.endpoints.note_reading(SERVICE, took, predicted)
         self._plan.decoder.streams += 1
         self._sim.hop(
             self._decoder.fetch, self._prompt.tokens_in, self._run_fetched
--- a/clementinewall/policy/engine_time.py
+++ b/clementinewall/policy/engine_time.py
@@ -15,6 +15,8 @@
 FIRST_EVENT_MS = 26.0
 # A request to an engine and its answer.
 HOP_MS = 8.0
+# From the end of a prompt's reading to the answer at the gateway.
+READ_ANSWER_MS = HOP_MS + FIRST_EVENT_MS
 # A decoding engine reads prompts at half speed, in pieces of 512 tokens
 # between the steps of its streams.
 DECODE_SLOWDOWN = 2.0
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -84,7 +84,8 @@
 
     ``tokens_out`` is how many tokens its answer has at the most, ``send_ms``
     how long its body takes on the gateway's link each time it is sent.
-    ``is_probe`` lets it try an engine that is gone.
+    ``is_probe`` lets it try an engine that is gone, ``reading_scale`` is how
+    many times as long as :mod:`engine_time` says prompts are read.
     """
 
     tokens: int
@@ -95,6 +96,7 @@
     tokens_out: int = 0
     send_ms: float = 0.0
     is_probe: bool = False
+    reading_scale: float = 1.0
 
 
 class Way(typing.NamedTuple):
@@ -177,7 +179,7 @@
     first.  Of the others one that fills most of its target comes late behind
     any other, while a usual one can wait for it.
     """
-    prompt_ms = engine_time.prompt_ms(demand.tokens, cached)
+    prompt_ms = _prompt_ms(demand, cached)
     if prompt_ms <= demand.goal_ms * CHEAP_PART:
         return CHEAP
     own_ms = prompt_ms + 2 * (engine_time.HOP_MS + engine_time.FIRST_EVENT_MS)
@@ -229,12 +231,16 @@
     cost = FETCH_SETUP_MS + engine_time.transfer_ms(
         tokens, demand.token_bytes, demand.link_mbps
     )
-    saved = tokens / engine_time.PROMPT_TOKENS_A_MS
+    saved = tokens / engine_time.PROMPT_TOKENS_A_MS * demand.reading_scale
     if cost > saved * FETCH_PART:
         return None, 0.0, reader.cached
     return source.id, cost, source.cached
 
 
+def _prompt_ms(demand, cached):
+    return demand.reading_scale * engine_time.prompt_ms(demand.tokens, cached)
+
+
 def _has_slot(engine, demand):
     part = (
         LONG_STREAMS_PART if demand.tokens_out > LONG_TOKENS else STREAMS_PART
@@ -244,7 +250,7 @@
 
 def _direct(engine, sources, demand):
     fetch, fetch_ms, cached = _fetch(engine, sources, demand)
-    prompt = engine_time.prompt_ms_beside(
+    prompt = demand.reading_scale * engine_time.prompt_ms_beside(
         demand.tokens, cached, engine.streams
     )
     wait = engine.wait_ms * engine.slowness
@@ -256,12 +262,12 @@
 
 def _split(reader, decoding, sources, demand):
     fetch, fetch_ms, cached = _fetch(reader, sources, demand)
-    prompt = engine_time.prompt_ms(demand.tokens, cached)
+    prompt = _prompt_ms(demand, cached)
+    wait = reader.wait_ms * reader.slowness
+    begin = max(wait, fetch_ms + demand.send_ms)
     transfer = engine_time.transfer_ms(
         demand.tokens, demand.token_bytes, demand.link_mbps
     )
-    wait = reader.wait_ms * reader.slowness
-    begin = max(wait, fetch_ms + demand.send_ms)
     ready = begin + prompt * reader.slowness + transfer + demand.send_ms
     target = min(decoding, key=lambda engine: _target_rank(engine, ready))
     own = engine_time.HOP_MS + engine_time.FIRST_EVENT_MS * (
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -1,11 +1,13 @@
 """What a gateway believes of the engines' caches."""
 
+import json
 import unittest
 
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall.gateway import beliefs
 from clementinewall.gateway import endpoints
+from clementinewall.gateway import peer_messages
 from clementinewall.http1 import server
 
 LIMITS = domain.EngineLimits(16, 100_000, 18_432, 370_000.0, 3_000)
@@ -82,3 +84,32 @@
         self.assertEqual(self.second.learn_whole_cache(state, [other]), 1)
         self.assertEqual(state.cached_tokens((SHARED,)), 0)
         self.assertEqual(state.cached_tokens((other,)), 300)
+
+
+class ReadingScale(unittest.TestCase):
+    """What gateways learn of how fast engines read."""
+
+    def test_a_gateway_that_starts_learns_from_those_that_run(self):
+        first = gateway_view()
+        for _ in range(30):
+            first.note_reading("model", 150.0, 100.0)
+        sign = peer_messages.Sign("10.0.0.9", "", "a", True, 0)
+        told = peer_messages.State(
+            sign, {}, {}, estimate_by_service=first.estimate_by_service()
+        )
+        data = json.loads(json.dumps(peer_messages.state(told, 0)))
+        peers = [peer_messages.decode_state(data, 0)]
+        self.assertEqual(gateway_view().reading_scale("model", []), 1.0)
+        scale = gateway_view().reading_scale("model", peers)
+        self.assertAlmostEqual(scale, 1.5, delta=0.15)
+
+    def test_estimates_that_are_none_are_refused(self):
+        rows = ([0.1], [99, 1], [0.1, -1], ["x", 1], [float("nan"), 1])
+        for row in rows:
+            data = {"work": {}, "away": {}, "scales": {"model": row}}
+            data["sign"] = ["10.0.0.9", "", "a", True, 0]
+            with (
+                self.subTest(row=row),
+                self.assertRaises((TypeError, ValueError)),
+            ):
+                peer_messages.decode_state(data, 0)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -305,3 +305,13 @@
             placement.choose(busy, demand(12_000)).first_ms,
             placement.choose(idle, demand(12_000)).first_ms,
         )
+
+
+class Scales(unittest.TestCase):
+    """Engines that read at another speed than predicted."""
+
+    def test_engines_that_read_slower_than_predicted_are_seen_so(self):
+        fleet = [engine("p", True), engine("d", streams=60)]
+        usual = placement.choose(fleet, demand(12_000))
+        slow = placement.choose(fleet, demand(12_000, reading_scale=1.5))
+        self.assertAlmostEqual(slow.prompt_ms, 1.5 * usual.prompt_ms)
