Let more engines read while they are busy and slots stay empty

The planner also took the streams of its own cell for those of all.

The planner is told how busy the reading engines of its cell are, over 3 s. From 0.6 on, if that lasts 3 s and the streams would fill no more than a third of what is left, one more engine reads, up to three quarters and with two left at least. Of engines of other cells, whose work isn't known, the own cell's filling is assumed.

On five engines nothing changes.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -86,6 +86,7 @@
             self._beliefs,
             self._endpoints,
             self._peers,
+            self._membership,
             self.is_ready,
             ticker,
         )
--- a/tests/policy/test_stages.py
+++ b/tests/policy/test_stages.py
@@ -129,3 +129,49 @@
     def test_nothing_changes_while_no_engine_answers(self):
         fleet = [engine(n, n == "a")._replace(lost=True) for n in "abc"]
         self.assertIsNone(stages.plan(fleet))
+
+
+class Busy(unittest.TestCase):
+    """``plan`` where engines that read are hardly ever idle."""
+
+    def fleet(self, reading, decoding, streams, **more):
+        """Return a fleet of so many engines of each stage."""
+        fleet = [engine(f"p{n}", True) for n in range(reading)]
+        fleet += [engine(f"d{n}", False, streams) for n in range(decoding)]
+        return [e._replace(**more) if not e.prefill else e for e in fleet]
+
+    def test_idle_slots_are_given_to_reading(self):
+        change = stages.plan(self.fleet(23, 22, 8), busy_part=0.85)
+        self.assertTrue(change.prefill)
+        self.assertGreater(change.lasting_ms, stages.LASTING_MS)
+
+    def test_nothing_changes_while_engines_that_read_rest(self):
+        self.assertIsNone(stages.plan(self.fleet(23, 22, 8), busy_part=0.4))
+
+    def test_streams_that_fill_their_slots_keep_them(self):
+        self.assertIsNone(stages.plan(self.fleet(23, 22, 40), busy_part=0.85))
+
+    def test_the_work_of_other_cells_is_taken_for_the_own(self):
+        fleet = self.fleet(23, 21, 0, known=False)
+        fleet.append(engine("own", False, 60))
+        self.assertIsNone(stages.plan(fleet, busy_part=0.85))
+
+    def test_two_engines_decode_at_least(self):
+        for reading, decoding in ((3, 2), (4, 2)):
+            with self.subTest(reading=reading):
+                fleet = self.fleet(reading, decoding, 0)
+                change = stages.plan(fleet, busy_part=1.0)
+                self.assertIsNone(change)
+
+    def test_engines_that_stay_busy_do_not_take_all(self):
+        fleet = self.fleet(23, 22, 0)
+        for _ in range(45):
+            change = stages.plan(fleet, busy_part=1.0)
+            if change is None:
+                break
+            fleet = [
+                e._replace(prefill=True) if e.id == change.id else e
+                for e in fleet
+            ]
+        reading = sum(e.prefill for e in fleet)
+        self.assertEqual(reading, int(45 * stages.MOST_PREFILL_PART))
