Let no endless number in a message end a gateway

A datagram from anybody, or an engine's answer, with a number such as 1e999 raised OverflowError, which nobody caught: the process ended. The tests failed before.

--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -244,6 +244,7 @@
             TypeError,
             KeyError,
             AttributeError,
+            OverflowError,
             RecursionError,
         ) as exc:
             # Anybody may send to this port.  An error here would end the
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -15,6 +15,8 @@
 _LOAD = b"server-load"
 _ENCODED = b"content-encoding"
 _MISDIRECTED = 421
+# What decoding a malformed body raises; its numbers may be infinite.
+_MALFORMED = (KeyError, TypeError, ValueError, OverflowError, RecursionError)
 
 # These are the system's to set.  A caller that sends them would choose its
 # engine, jump queues or continue from the memory of somebody else's prompt,
@@ -181,11 +183,11 @@
             str(data["epoch"]),
             int(data["next"]),
             tuple(
-                domain.PromptPart(str(part), int(tokens))
+                domain.PromptPart(str(part), max(0, int(tokens)))
                 for _, part, tokens, *_ in data["held"]
             ),
         )
-    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+    except _MALFORMED as exc:
         raise errors.BadRecord(f"no list of parts: {exc!r}") from exc
 
 
@@ -210,12 +212,12 @@
             str(data["epoch"]),
             int(data["next"]),
             tuple(
-                domain.PromptPart(str(part), int(tokens))
+                domain.PromptPart(str(part), max(0, int(tokens)))
                 for _, _, _, part, tokens, *_ in data["events"]
             ),
             bool(data["lost"]),
         )
-    except (KeyError, TypeError, ValueError, RecursionError) as exc:
+    except _MALFORMED as exc:
         raise errors.BadRecord(f"no changes of a cache: {exc!r}") from exc
 
 
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -101,3 +101,29 @@
         self.ticker.advance(self.peers._gap_ms())
         self.peers._send()
         self.assertEqual(self.jobs_told(), [1, 5])
+
+
+class Forged(unittest.TestCase):
+    """Datagrams from whoever sends to the port."""
+
+    def test_numbers_without_end_do_not_end_the_process(self):
+        now = clock.ManualClock(100_000).now
+        known = beliefs.Beliefs(now)
+        known.endpoint_by_id = {"e1": ENGINE}
+        found = peers.Peers(
+            SETTINGS,
+            now,
+            lambda: True,
+            endpoints.Endpoints(known, now),
+            guard.Guard(now),
+            membership.Membership(SETTINGS, known),
+        )
+        sign = ["10.0.0.2", "", "a", True, 0]
+        state = {"sign": sign, "work": {}, "away": {}}
+        endless = float("inf")
+        for message in (
+            {"kept": [["p", "e1", endless, 0]]},
+            {"state": state, "read": [], "changed": [["e1", "p", endless]]},
+        ):
+            with self.subTest(message=message):
+                found._receive(peer_messages.dump(message), OTHER)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -124,7 +124,15 @@
         self.assertTrue(found.is_gap)
 
     def test_anything_else_is_a_bad_record(self):
-        for body in (b"", b"[]", b"{}", b'{"epoch":1,"next":"x","held":[]}'):
+        bodies = (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"epoch":1,"next":"x","held":[]}',
+            b'{"epoch":1,"next":1e999,"held":[],"events":[],"lost":false}',
+            b'{"epoch":1,"next":1,"held":[["","a"]],"events":[1],"lost":0}',
+        )
+        for body in bodies:
             with self.subTest(body=body):
                 with self.assertRaises(errors.BadRecord):
                     calls.decode_kept_parts(body)
