--- a/tests/lab/test_simulation.py
+++ b/tests/lab/test_simulation.py
@@ -120,6 +120,32 @@
         self.assertGreater(row.largest, row.credit / 2)
 
 
+class OtherEngines(unittest.TestCase):
+    """Engines that read at another speed than gateways predict."""
+
+    UNLEARNED = "gateway:reading_scale.FIRST_STEP=0,reading_scale.LAST_STEP=0"
+
+    def both(self, tokens_a_ms, pairs_ms_a_million, factor):
+        """Return the credit with what gateways learn, and without."""
+        where = times(factor)
+        engines = where.engines._replace(
+            tokens_a_ms=tokens_a_ms, pairs_ms_a_million=pairs_ms_a_million
+        )
+        where = where._replace(engines=engines)
+        return [
+            sum(play(text, where, seed).credit for seed in (1, 2, 3)) / 3
+            for text in ("gateway", self.UNLEARNED)
+        ]
+
+    def test_prompts_are_not_sent_to_slow_engines_that_still_read(self):
+        learned, unlearned = self.both(60.0, 0.3, 0.6)
+        self.assertGreater(learned, unlearned + 0.01)
+
+    def test_nothing_is_lost_where_predictions_hold(self):
+        learned, unlearned = self.both(157.0, 0.109, 1.0)
+        self.assertGreater(learned, unlearned - 0.03)
+
+
 class Policies(unittest.TestCase):
     """Policies as they are named on the command line."""
 
