Take no engine for gone because one answer got lost

An engine with work open that says nothing for a second counted as gone, for refusals and for the planner. One answer that is lost keeps its request open until the caller's time is over, so at a few requests a second an engine that answers all others falls in and out of that state.

Gone is an engine where nothing listens, that changes its stage, or that is silent and fails. The test failed before.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -60,17 +60,29 @@
 
     def is_usable(self):
         """Tell whether new work may go there."""
-        return not self.is_gone() and self.health.is_usable(self._now())
+        now = self._now()
+        is_away = now < self.away_until
+        return not (is_away or self._is_silent()) and self.health.is_usable(
+            now
+        )
 
     def is_gone(self):
         """Tell whether nothing that is sent there would be answered."""
         return self._now() < self.away_until or self.is_lost()
 
     def is_lost(self):
-        """Tell whether the endpoint doesn't answer at all."""
+        """Tell whether the endpoint doesn't answer at all.
+
+        Silence alone doesn't tell: a single answer that got lost keeps a
+        request open while the endpoint answers all others.
+        """
         now = self._now()
-        is_silent = self.open and now - self._quiet_since > SILENT_MS
-        return bool(is_silent) or self.health.is_absent(now)
+        if self.health.is_absent(now):
+            return True
+        return self._is_silent() and not self.health.is_usable(now)
+
+    def _is_silent(self):
+        return bool(self.open) and self._now() - self._quiet_since > SILENT_MS
 
     def read(self, parts, capacity):
         """Note the parts of a prompt that are in the engine's cache now."""
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -113,3 +113,31 @@
                 self.assertRaises((TypeError, ValueError)),
             ):
                 peer_messages.decode_state(data, 0)
+
+
+class Lost(unittest.TestCase):
+    """Which engines count as gone."""
+
+    def setUp(self):
+        """Begin with an engine that has answered nothing for a while."""
+        self.ticker = clock.ManualClock(100_000)
+        self.state = endpoints.State(ENGINE, self.ticker.now)
+        self.state.begin()
+        self.ticker.advance(endpoints.SILENT_MS + 1)
+
+    def test_an_answer_that_got_lost_does_not_make_its_engine_gone(self):
+        self.assertFalse(self.state.is_usable())
+        self.assertFalse(self.state.is_gone())
+
+    def test_an_engine_that_is_silent_and_fails_is_gone(self):
+        for _ in range(2):
+            self.state.health.failed(self.ticker.now())
+        self.assertTrue(self.state.is_gone())
+
+    def test_an_engine_that_nothing_listens_for_is_gone(self):
+        self.state.health.failed(self.ticker.now(), absent=True)
+        self.assertTrue(self.state.is_gone())
+
+    def test_an_engine_that_changes_its_stage_is_gone(self):
+        self.state.away_until = self.ticker.now() + 1
+        self.assertTrue(self.state.is_gone())
