Keep the standing claim in sight, and hurry while no engine decodes

The holder of the lease had been replaced; whoever comes next has to see a claim stand for nine seconds, looked at it for the first time when it needed it, and all gateways were killed before the time was over. The next in line waited three seconds more for each gateway before it.

The first eight gateways in line look at the claim every eight seconds. Callers of an empty stage are told to come back in a second, as while all its engines are gone.

The tests of lease and refusal failed before.

--- a/clementinewall/gateway/lease.py
+++ b/clementinewall/gateway/lease.py
@@ -65,6 +65,14 @@
         """Return the fencing token of the lease that is held."""
         return self._held.token
 
+    async def look(self):
+        """Note which claim stands, so that its age is known when it matters.
+
+        :raises LogUnavailable: the store doesn't answer.
+        """
+        batch = await self._store.newest(records.LEASES_TOPIC)
+        self._look(_newest(batch.records))
+
     async def claim(self):
         """Try to get or renew the lease; return whether it is held.
 
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -27,8 +27,13 @@
 # So many engines, one of this number, may be away for a change at a time:
 # of six engines a second one away costs more than the change gains.
 AWAY_PART = 6
-# The next gateway in line acts when a change stays undone for so long more.
+# So many gateways, the first in line, look so often which claim stands.
+LOOKERS = 8
+CLAIM_LOOK_MS = 8_000
+# The next gateway in line acts when a change stays undone for so long more, or
+# sooner where it presses: after so many times as it has to last.
 TURN_MS = 3_000
+TURN_LASTING = 3
 # An order without an answer may be carried out up to 12 s later.
 UNANSWERED_MS = 14_000
 # After an order its effect has to show in the engine's record, which is
@@ -72,6 +77,7 @@
         self._lease = lease_module.Lease(settings, ticker)
         self._wanted_since = None
         self._why = None
+        self._look_at = 0
         self._rest_until_by_id = {}
         self._ordered_by_id = {}
 
@@ -83,6 +89,7 @@
             # gateway that stops.
             if not self._is_ready():
                 continue
+            await self._look_ahead()
             self._observe()
             found = self._plan()
             now = self._clock.now()
@@ -92,12 +99,30 @@
             if self._wanted_since is None or found[1].why != self._why:
                 self._wanted_since = now
                 self._why = found[1].why
-            patience = (
-                found[1].lasting_ms + self._peers.place_in_line() * TURN_MS
-            )
-            if now - self._wanted_since >= patience:
+            if now - self._wanted_since >= self._patience_ms(found[1]):
                 await self._act(*found)
 
+    def _patience_ms(self, change):
+        """Return how long a change has to be needed before it is made here."""
+        turn_ms = min(TURN_MS, TURN_LASTING * change.lasting_ms)
+        return change.lasting_ms + self._peers.place_in_line() * turn_ms
+
+    async def _look_ahead(self):
+        """Keep the claim that stands in sight.
+
+        A gateway that sees a claim for the first time has to wait until it
+        has surely ended, and nothing is served meanwhile if the last engine
+        that decodes has left together with the holder.
+        """
+        now = self._clock.now()
+        if now < self._look_at or self._peers.place_in_line() >= LOOKERS:
+            return
+        self._look_at = now + CLAIM_LOOK_MS
+        try:
+            await self._lease.look()
+        except errors.LogUnavailable as exc:
+            _log.info("lease not looked at", why=exc.message)
+
     def _observe(self):
         """Note which engines of the cell have prompts to read."""
         configuration = self._beliefs.configuration
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -137,8 +137,8 @@
     ``keeper`` is a :class:`Source` that is none of ``engines``.
     """
     decoding = [engine for engine in engines if not engine.prefill]
-    if decoding and all(engine.gone for engine in decoding):
-        if not demand.is_probe:
+    if all(engine.gone for engine in decoding):
+        if not decoding or not demand.is_probe:
             return Refusal("no engine decodes", EMPTY_RETRY_MS, None)
         # Prompts would be read for it in vain.
         engines = decoding
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -62,6 +62,22 @@
         for ticker in self.clocks:
             ticker.advance(ms)
 
+    def test_who_saw_a_claim_stand_need_not_wait_when_its_holder_is_gone(self):
+        self.assertTrue(self.claim(self.first))
+        anyio.run(self.second.look)
+        self.advance(self.second._wait_ms - 1)
+        self.assertFalse(self.claim(self.second))
+        self.advance(1)
+        self.assertTrue(self.claim(self.second))
+
+    def test_a_claim_that_was_renewed_meanwhile_is_waited_out(self):
+        self.assertTrue(self.claim(self.first))
+        anyio.run(self.second.look)
+        self.advance(self.second._wait_ms - 1)
+        self.assertTrue(self.claim(self.first))
+        self.advance(1)
+        self.assertFalse(self.claim(self.second))
+
     def test_second_claimant_waits_out_the_first(self):
         # Engines that ignore fencing tokens obey whoever orders.  Two
         # holders within three seconds could give one engine conflicting
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -98,6 +98,11 @@
         way = placement.choose(fleet, demand(12_000))
         self.assertEqual((way.prefill, way.decode), ("p", "sound"))
 
+    def test_callers_of_an_empty_stage_do_not_come_back_at_once(self):
+        refused = placement.choose([engine("p", True)], demand(12_000))
+        self.assertEqual(refused.why, "no engine decodes")
+        self.assertEqual(refused.retry_ms, placement.EMPTY_RETRY_MS)
+
     def test_no_prompt_is_read_for_decoding_engines_that_are_gone(self):
         fleet = [engine("p", True), engine("d", gone=True, slowness=10.0)]
         refused = placement.choose(fleet, demand(12_000))
