Give a drain's refusals a time in which callers surely see them

Cause: work of 1,500 ms is refused from 2,500 ms of the drain on, and from that very moment on the entry ends as soon as a poll finds it idle. Whether anybody saw a refusal hung on four callers overlapping at that poll; beside load they didn't. The entry is right. With 2,000 ms refusals begin half a second before it may end.

--- a/tests/integration/test_entry_drain.py
+++ b/tests/integration/test_entry_drain.py
@@ -32,7 +32,7 @@
                 "kind": "model",
                 "first_ms": 1_000,
                 "gap_ms": 200,
-                "deadline_ms": 1_500,
+                "deadline_ms": 2_000,
             },
             quick={
                 "kind": "service",
