--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -86,7 +86,6 @@
             self._beliefs,
             self._endpoints,
             self._peers,
-            self._membership,
             self.is_ready,
             ticker,
         )
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -22,8 +22,6 @@
 _log = logs.PartLog("stage")
 
 LOOK_MS = 250
-# Over this time it is averaged how busy engines are.
-BUSY_MS = 3_000
 # So many engines, one of this number, may be away for a change at a time:
 # of six engines a second one away costs more than the change gains.
 AWAY_PART = 6
@@ -42,32 +40,11 @@
 ORDER_TIMEOUT_MS = 1_000
 
 
-def _has_prompts(state, peers):
-    """Tell whether an engine has prompts to read, of any gateway."""
-    name = state.endpoint.id
-    return bool(state.jobs) or any(
-        peer.work_by_endpoint[name].jobs
-        for peer in peers
-        if name in peer.work_by_endpoint
-    )
-
-
 class StageKeeper:
     """Watches the stages of all model services and changes them."""
 
-    def __init__(
-        self,
-        settings,
-        beliefs,
-        endpoints,
-        peers,
-        membership,
-        is_ready,
-        ticker,
-    ):
+    def __init__(self, settings, beliefs, endpoints, peers, is_ready, ticker):
         """Use the gateway's parts; order only while it ``is_ready()``."""
-        self._membership = membership
-        self._busy_part_by_service = {}
         self._is_ready = is_ready
         self._settings = settings
         self._beliefs = beliefs
@@ -90,7 +67,6 @@
             if not self._is_ready():
                 continue
             await self._look_ahead()
-            self._observe()
             found = self._plan()
             now = self._clock.now()
             if found is None:
@@ -123,24 +99,6 @@
         except errors.LogUnavailable as exc:
             _log.info("lease not looked at", why=exc.message)
 
-    def _observe(self):
-        """Note which engines of the cell have prompts to read."""
-        configuration = self._beliefs.configuration
-        peers = self._peers.table.states()
-        for service in configuration.service_by_name.values():
-            states = self._endpoints.of_service(service.name)
-            readers = [
-                state
-                for state in self._membership.own_engines(states)
-                if state.endpoint.stage == domain.PREFILL
-            ]
-            if not readers:
-                continue
-            busy = sum(_has_prompts(state, peers) for state in readers)
-            known = self._busy_part_by_service.get(service.name, 0.0)
-            known += (busy / len(readers) - known) * LOOK_MS / BUSY_MS
-            self._busy_part_by_service[service.name] = known
-
     def _plan(self):
         """Return a service and the change it needs, or ``None``."""
         configuration = self._beliefs.configuration
@@ -157,7 +115,6 @@
                     for state in states
                     if state.endpoint.stage in domain.STAGES
                 ],
-                self._busy_part_by_service.get(service.name, 0.0),
             )
             if change is not None:
                 return service, change
@@ -179,7 +136,6 @@
             streams,
             max(1, state.endpoint.slots),
             state.is_lost() and not self._is_resting(state),
-            self._membership.is_own(state),
         )
 
     def _is_resting(self, state):
--- a/clementinewall/policy/stages.py
+++ b/clementinewall/policy/stages.py
@@ -6,9 +6,8 @@
 sooner first events come, as long as the streams find slots.
 
 A change takes an engine away for seconds, so there are few: up to half at
-the start, more while the streams leave most of the slots empty and the
-reading engines are hardly ever idle, one back when the streams need the slots,
-and one after an engine was lost or replaced.
+the start, one back when the streams need the slots, and one after an engine
+was lost or replaced.
 
 An engine that decodes can read prompts too, while one that reads runs nothing.
 So the loss of the last decoding engine refuses all callers until another one
@@ -33,12 +32,6 @@
 # this part of the other engines: at the start, or in a lull.
 ROOM_PART = 0.35
 LASTING_MS = 1_000
-# Engines that read prompts for this part of the time or more make callers
-# wait.  Up to so many of all engines read then, and two at least decode.
-BUSY_PART = 0.6
-BUSY_LASTING_MS = 3_000
-MOST_PREFILL_PART = 0.75
-LEAST_DECODING = 2
 # Without a decoding engine nothing is served, so the change is made at once.
 EMPTY_LASTING_MS = 250
 
@@ -46,8 +39,7 @@
 class Engine(typing.NamedTuple):
     """An engine with the streams of all gateways on it.
 
-    ``lost`` tells that it doesn't answer.  The work of an engine that isn't
-    ``known`` is taken for that of the others.
+    ``lost`` tells that it doesn't answer.
     """
 
     id: str
@@ -55,7 +47,6 @@
     streams: int
     slots: int
     lost: bool = False
-    known: bool = True
 
 
 class Change(typing.NamedTuple):
@@ -70,12 +61,8 @@
     lasting_ms: int = LASTING_MS
 
 
-def plan(engines, busy_part=0.0):
-    """Return the one :class:`Change` to make next, or ``None``.
-
-    ``busy_part`` is the part of the time for which engines that read had
-    something to read lately.
-    """
+def plan(engines):
+    """Return the one :class:`Change` to make next, or ``None``."""
     engines = [e for e in engines if not e.lost]
     reading = [e for e in engines if e.prefill]
     decoding = [e for e in engines if not e.prefill]
@@ -87,8 +74,8 @@
         return None
     if not reading:
         return Change(_least(decoding).id, True, "none reads prompts")
+    streams = sum(e.streams for e in decoding)
     slots = sum(e.slots for e in decoding)
-    streams = _streams_part(decoding) * slots
     wanted = math.floor(len(engines) * _prefill_part(engines) + 0.5)
     if len(reading) > wanted and streams > UNEVEN_PART * slots:
         return Change(_least(reading).id, False, "more than half read prompts")
@@ -99,27 +86,12 @@
             "decoding slots are full",
             FULL_LASTING_MS,
         )
-    if len(decoding) < 2:
+    if len(reading) >= wanted or len(decoding) < 2:
         return None
     chosen = _least(decoding)
     if streams > ROOM_PART * (slots - chosen.slots):
         return None
-    if len(reading) < wanted:
-        return Change(chosen.id, True, "fewer than half read prompts")
-    most = math.floor(len(engines) * MOST_PREFILL_PART)
-    most = min(most, len(engines) - LEAST_DECODING)
-    if busy_part < BUSY_PART or len(reading) >= most:
-        return None
-    return Change(
-        chosen.id, True, "engines that read are busy", BUSY_LASTING_MS
-    )
-
-
-def _streams_part(decoding):
-    """Return the part of the slots that streams take, where it is known."""
-    known = [e for e in decoding if e.known]
-    slots = sum(e.slots for e in known)
-    return sum(e.streams for e in known) / slots if slots else 0.0
+    return Change(chosen.id, True, "fewer than half read prompts")
 
 
 def _prefill_part(engines):
