Tell the others of each drop that they may count on, and sort caches out

A part that came with an engine's list at the start, and that nobody had asked for since, was dropped without a word to the other gateways, who had it from the same list: the shape of the 40,000 tokens read by the only decoding engine. And what a list after a gap in the changes lacked was learned by the follower alone. Before: the other gateway went on believing in 40,000 and 8,000 tokens; after: in none. The list at a start takes nothing back any more: what peers told meanwhile may be newer.

Written again: the hash that says who follows an engine was membership's rendezvous order. Decoding a list and decoding changes of a cache were the same lines. The condition under which a prompt shows its engine's speed stood in the gateway and in the lab.

In the wrong place: beliefs of caches and of speeds had grown into endpoints.py. They are gateway/cache.py and policy/reading_scale.py now.

engine_time.py still said that an engine that differs is told by its measured speed; nothing measured it then.

--- a/clementinewall/gateway/caches.py
+++ b/clementinewall/gateway/caches.py
@@ -9,7 +9,6 @@
 """
 
 import math
-import zlib
 
 import anyio
 
@@ -19,6 +18,7 @@
 from clementinewall.gateway import sending
 from clementinewall.http1 import client
 from clementinewall import logs
+from clementinewall.membership import members
 from clementinewall import metrics
 from clementinewall.platform import calls
 
@@ -110,13 +110,10 @@
         """Return the gateways that share this one's engines."""
         heard = [sign.ip for sign in self._peers.table.live() if sign.ready]
         close = [ip for ip in heard if self._membership.is_close(ip)]
-        return sorted({self._ip, *close})
+        return {self._ip, *close}
 
     def _follows(self, state, followers):
-        name = state.endpoint.id
-        return self._ip == max(
-            followers, key=lambda ip: zlib.crc32(f"{name}/{ip}".encode())
-        )
+        return self._ip == members.rendezvous(state.endpoint.id, followers)[0]
 
     async def _ask(self, state, cursor):
         """Ask for what changed, or for everything where that isn't known."""
@@ -143,8 +140,13 @@
         kept = calls.decode_kept_parts(
             await self._body(state, calls.kept_parts())
         )
+        dropped = 0
+        if cursor.epoch is None:
+            # What peers told since the start may be newer than the list.
+            self._endpoints.learn_kept(state, kept.parts)
+        else:
+            dropped = self._endpoints.replace_cache(state, kept.parts)
         cursor.epoch, cursor.next = kept.epoch, kept.next
-        dropped = self._endpoints.learn_whole_cache(state, kept.parts)
         _log.info(
             "cache learned",
             engine=state.endpoint.id,
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -1,8 +1,7 @@
 """The endpoints as this gateway uses them: connections, work, caches."""
 
-import collections
-
 from clementinewall import domain
+from clementinewall.gateway import cache
 from clementinewall.gateway import keepers
 from clementinewall.gateway import peer_messages
 from clementinewall.http1 import client
@@ -18,9 +17,6 @@
 CONNECT_TIMEOUT_MS = 200
 # With work open, an endpoint that says nothing for so long is taken for dead.
 SILENT_MS = 1_000
-# Engines keep parts in blocks of some tokens; a part of which so many are
-# missing is not kept whole, and what follows it is read again.
-KEPT_BLOCK = 64
 
 
 class State:
@@ -41,8 +37,7 @@
         self.load_at = None
         # Until when the engine changes its stage and takes no work.
         self.away_until = 0
-        self._cached = collections.OrderedDict()
-        self._cached_tokens = 0
+        self.cache = cache.Cache()
 
     def begin(self):
         """Count a request that is sent now."""
@@ -61,10 +56,9 @@
     def is_usable(self):
         """Tell whether new work may go there."""
         now = self._now()
-        is_away = now < self.away_until
-        return not (is_away or self._is_silent()) and self.health.is_usable(
-            now
-        )
+        if now < self.away_until or self._is_silent():
+            return False
+        return self.health.is_usable(now)
 
     def is_gone(self):
         """Tell whether nothing that is sent there would be answered."""
@@ -84,47 +78,6 @@
     def _is_silent(self):
         return bool(self.open) and self._now() - self._quiet_since > SILENT_MS
 
-    def read(self, parts, capacity):
-        """Note the parts of a prompt that are in the engine's cache now."""
-        for part, tokens in parts:
-            self._keep(part, tokens)
-            self._cached.move_to_end(part)
-        self._shrink(capacity)
-
-    def learn_part(self, part_id, tokens):
-        """Note how many tokens of a part the engine says it keeps now."""
-        self._cached_tokens += tokens - self._cached.get(part_id, 0)
-        if tokens:
-            self._cached[part_id] = tokens
-        else:
-            self._cached.pop(part_id, None)
-
-    def kept_tokens(self, part_id):
-        """Return how many tokens of a part are believed to be kept."""
-        return self._cached.get(part_id, 0)
-
-    def kept_ids(self):
-        """Return the ids of the parts that are believed to be kept."""
-        return set(self._cached)
-
-    def _keep(self, part_id, tokens):
-        self.learn_part(part_id, max(tokens, self.kept_tokens(part_id)))
-
-    def _shrink(self, capacity):
-        while self._cached_tokens > capacity and self._cached:
-            _, tokens = self._cached.popitem(last=False)
-            self._cached_tokens -= tokens
-
-    def cached_tokens(self, parts):
-        """Return how many leading tokens of a prompt are in the cache."""
-        total = 0
-        for part in parts:
-            kept = min(part.tokens, self._cached.get(part.id, 0))
-            total += kept
-            if part.tokens - kept >= KEPT_BLOCK:
-                break
-        return total
-
     def begin_prompt(self, urgency, cost_ms):
         """Note a prompt that is sent now; return it for its end."""
         job = reading_queue.Job(urgency, cost_ms, self._now())
@@ -153,10 +106,8 @@
         self._now = now
         self._state_by_life = {}
         self._read = []
-        # Parts that several requests may share, the last used at the end.
-        self._shared = collections.OrderedDict()
-        self._changed = []
-        self._scale_by_service = {}
+        self._changes = cache.Changes()
+        self.scales = reading_scale.Scales()
         self.keepers = keepers.Keepers(now)
 
     def state(self, endpoint):
@@ -199,70 +150,62 @@
         """Note prompts that another gateway had read."""
         endpoint = self._beliefs.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
-            self.state(endpoint).read(parts, self._capacity(endpoint))
-            self._note_shared(parts)
+            self.state(endpoint).cache.use(parts, self._capacity(endpoint))
+            self._changes.note_shared(parts)
             self.keepers.hear(endpoint_id, parts)
 
-    def learn_whole_cache(self, state, parts):
-        """Note all parts that an engine keeps; return how many it dropped."""
-        dropped = state.kept_ids() - {part.id for part in parts}
-        for part_id in dropped:
-            state.learn_part(part_id, 0)
+    def learn_kept(self, state, parts):
+        """Note parts that an engine says it keeps."""
         for part in parts:
-            state.learn_part(part.id, part.tokens)
-        return len(dropped)
+            state.cache.put(part.id, part.tokens)
 
-    def follow_cache(self, state, parts):
-        """Note changes that an engine tells of its cache, for others too.
+    def replace_cache(self, state, parts):
+        """Note that an engine keeps these parts only, for others too.
 
-        Most parts belong to a single request and concern nobody.
+        Return how many others it was believed to keep.
         """
+        dropped = state.cache.part_ids - {part.id for part in parts}
+        for part_id in dropped:
+            change = cache.Change(state.endpoint.id, part_id, 0)
+            self._changes.take(state.cache, change)
+        self.learn_kept(state, parts)
+        return len(dropped)
+
+    def follow_cache(self, state, parts):
+        """Note changes that an engine tells of its cache, oldest first."""
         tokens_by_part = {part.id: part.tokens for part in parts}
         for part_id, tokens in tokens_by_part.items():
-            if tokens == state.kept_tokens(part_id):
-                continue
-            if part_id in self._shared or not tokens:
-                state.learn_part(part_id, tokens)
-            if part_id in self._shared:
-                self._changed.append((state.endpoint.id, part_id, tokens))
+            change = cache.Change(state.endpoint.id, part_id, tokens)
+            self._changes.take(state.cache, change)
 
     def learn_changed(self, rows):
         """Note changes of caches that another gateway follows.
 
-        :raises TypeError, ValueError: it is no such message.
+        :raises TypeError, ValueError, OverflowError: it is no such message.
         """
         for endpoint_id, part_id, tokens in rows:
             state = self.find(str(endpoint_id))
             if state is not None:
-                state.learn_part(str(part_id), max(0, int(tokens)))
+                state.cache.put(str(part_id), max(0, int(tokens)))
 
     def drain_changed(self):
-        """Return the changes of caches that weren't told yet."""
-        changed = self._changed
-        self._changed = []
-        return changed
-
-    def _note_shared(self, parts):
-        for part_id, _ in parts:
-            self._shared[part_id] = None
-            self._shared.move_to_end(part_id)
-        while len(self._shared) > keepers.LIMIT:
-            self._shared.popitem(last=False)
+        """Return the changes of caches that others weren't told yet."""
+        return self._changes.drain()
 
     def note_read(self, state, prompt):
         """Note a prompt that was read for this gateway, to tell others."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
-        state.read(parts, self._capacity(state.endpoint))
+        state.cache.use(parts, self._capacity(state.endpoint))
         # The last part belongs to this request alone.
         shared = parts[:-1]
-        self._note_shared(shared)
+        self._changes.note_shared(shared)
         self._read.append((state.endpoint.id, shared))
         self.keepers.note(state.endpoint.id, shared)
 
     def note_fetched(self, state, prompt):
         """Note that an engine fetched the memory of a prompt and keeps it."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
-        state.read(parts, self._capacity(state.endpoint))
+        state.cache.use(parts, self._capacity(state.endpoint))
         self._read.append((state.endpoint.id, parts[:-1]))
 
     def _capacity(self, endpoint):
@@ -304,33 +247,6 @@
                 work[state.endpoint.id] = own
         return work
 
-    def note_reading(self, service, seen_ms, predicted_ms):
-        """Learn from a prompt that didn't have to wait for its reading."""
-        scale = self._scale_by_service.get(service)
-        if scale is None:
-            scale = reading_scale.ReadingScale()
-            self._scale_by_service[service] = scale
-        scale.note(seen_ms, predicted_ms)
-
-    def estimate_by_service(self):
-        """Return what this gateway learned of how engines read."""
-        return {
-            name: scale.estimate
-            for name, scale in self._scale_by_service.items()
-        }
-
-    def reading_scale(self, service, peers):
-        """Return how many times as long as predicted engines read."""
-        found = [
-            peer.estimate_by_service[service]
-            for peer in peers
-            if service in peer.estimate_by_service
-        ]
-        own = self._scale_by_service.get(service)
-        if own is not None:
-            found.append(own.estimate)
-        return reading_scale.combined(found)
-
     def sweep(self):
         """Close what is left of endpoints that are gone, and old links."""
         current = {
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -188,7 +188,7 @@
             self._own_sign(now),
             work,
             self._endpoints.away_by_endpoint(),
-            self._endpoints.estimate_by_service(),
+            self._endpoints.scales.estimate_by_service(),
         )
         message = {
             "state": peer_messages.state(state, now),
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -41,6 +41,17 @@
     run_urgency: int = placement.PATIENT
     reading_scale: float = 1.0
 
+    @property
+    def shows_speed(self):
+        """Tell whether nothing but its engine's speed delays the reading."""
+        is_alone = not self.way.wait_ms and self.source is None
+        return is_alone and self.reader is not None
+
+    @property
+    def unscaled_ms(self):
+        """Return how long the reading takes by the prediction alone."""
+        return self.way.prompt_ms / self.reading_scale
+
 
 class Placer:
     """Places requests for models."""
@@ -73,7 +84,10 @@
         }
         prompt = exchange.call.prompt or NO_PROMPT
         cached = max(
-            (s.cached_tokens(prompt.parts[:-1]) for s in states.values()),
+            (
+                s.cache.leading_tokens(prompt.parts[:-1])
+                for s in states.values()
+            ),
             default=0,
         )
         urgency = placement.urgency(demand, cached)
@@ -83,8 +97,7 @@
         ]
         keeper = self._keeper(prompt, states)
         chosen = placement.choose(known, demand, keeper)
-        if not isinstance(chosen, placement.Refusal) and demand.is_probe:
-            self._probed(known, chosen)
+        self._note_probe(known, chosen)
         if isinstance(chosen, placement.Refusal):
             if last is None or not _may_come_late(chosen, exchange):
                 self._refuse(exchange, demand, chosen, last)
@@ -164,8 +177,9 @@
             tokens_out=prompt.tokens_out,
             send_ms=self._send_ms(exchange.call.body),
             is_probe=self._may_probe(),
-            reading_scale=self._endpoints.reading_scale(
-                exchange.service.name, peers
+            reading_scale=self._endpoints.scales.scale(
+                exchange.service.name,
+                [peer.estimate_by_service for peer in peers],
             ),
         )
 
@@ -175,9 +189,10 @@
             or self._now() - self._probed_at >= PROBE_MS
         )
 
-    def _probed(self, known, chosen):
-        """Note that a request tries an engine that is gone."""
-        if any(e.gone for e in known if e.id == chosen.decode):
+    def _note_probe(self, known, chosen):
+        """Note if a request tries an engine that is gone."""
+        gone = {engine.id for engine in known if engine.gone}
+        if isinstance(chosen, placement.Way) and chosen.decode in gone:
             self._probed_at = self._now()
 
     def _send_ms(self, body):
@@ -204,7 +219,7 @@
             wait_ms=waiting,
             streams=streams,
             slots=max(1, endpoint.slots),
-            cached=state.cached_tokens(prompt.parts[:-1]),
+            cached=state.cache.leading_tokens(prompt.parts[:-1]),
             slowness=state.health.slowness
             if state.is_usable()
             else UNUSABLE_SLOWNESS,
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -114,7 +114,7 @@
                     self._engine(state)
                     for state in states
                     if state.endpoint.stage in domain.STAGES
-                ],
+                ]
             )
             if change is not None:
                 return service, change
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -236,11 +236,11 @@
         reader.health.worked()
         took_ms = self._now() - started
         self._endpoints.note_read(reader, exchange.call.prompt)
-        if not plan.way.wait_ms and plan.source is None:
-            self._endpoints.note_reading(
+        if plan.shows_speed:
+            self._endpoints.scales.note(
                 exchange.service.name,
                 took_ms - engine_time.READ_ANSWER_MS,
-                prompt_ms / plan.reading_scale,
+                plan.unscaled_ms,
             )
         _log.info(
             "prompt read",
--- a/clementinewall/lab/gateway.py
+++ b/clementinewall/lab/gateway.py
@@ -98,7 +98,7 @@
             sign,
             work,
             {},
-            estimate_by_service=self.endpoints.estimate_by_service(),
+            estimate_by_service=self.endpoints.scales.estimate_by_service(),
         )
         read = self.endpoints.drain_read()
         for ip in self.close_ips():
--- a/clementinewall/lab/simulation.py
+++ b/clementinewall/lab/simulation.py
@@ -268,11 +268,12 @@
 
     def _was_read(self):
         self._end_reading(self._plan.reader)
-        way = self._plan.way
-        if not way.wait_ms and self._plan.source is None:
-            took = self._sim.loop.now - self._began - self._sim.answer_ms
-            predicted = way.prompt_ms / self._plan.reading_scale
-            self._gateway.endpoints.note_reading(SERVICE, took, predicted)
+        if self._plan.shows_speed:
+            self._gateway.endpoints.scales.note(
+                SERVICE,
+                self._sim.loop.now - self._began - self._sim.answer_ms,
+                self._plan.unscaled_ms,
+            )
         self._plan.decoder.streams += 1
         self._sim.hop(
             self._decoder.fetch, self._prompt.tokens_in, self._run_fetched
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -16,7 +16,15 @@
 _ENCODED = b"content-encoding"
 _MISDIRECTED = 421
 # What decoding a malformed body raises; its numbers may be infinite.
-_MALFORMED = (KeyError, TypeError, ValueError, OverflowError, RecursionError)
+_MALFORMED = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+)
 
 # These are the system's to set.  A caller that sends them would choose its
 # engine, jump queues or continue from the memory of somebody else's prompt,
@@ -177,18 +185,7 @@
 
     :raises BadRecord: it is no list of parts.
     """
-    try:
-        data = json.loads(body)
-        return domain.CacheChange(
-            str(data["epoch"]),
-            int(data["next"]),
-            tuple(
-                domain.PromptPart(str(part), max(0, int(tokens)))
-                for _, part, tokens, *_ in data["held"]
-            ),
-        )
-    except _MALFORMED as exc:
-        raise errors.BadRecord(f"no list of parts: {exc!r}") from exc
+    return _cache_change(body, "held", 1)
 
 
 def cache_changes(since, wait_ms):
@@ -206,19 +203,24 @@
 
     :raises BadRecord: they are none.
     """
+    return _cache_change(body, "events", 3)
+
+
+def _cache_change(body, name, first):
+    """Decode rows of parts, in which ``first`` is the place of the id."""
     try:
         data = json.loads(body)
         return domain.CacheChange(
             str(data["epoch"]),
             int(data["next"]),
             tuple(
-                domain.PromptPart(str(part), max(0, int(tokens)))
-                for _, _, _, part, tokens, *_ in data["events"]
+                domain.PromptPart(str(row[first]), max(0, int(row[first + 1])))
+                for row in data[name]
             ),
-            bool(data["lost"]),
+            bool(data.get("lost", False)),
         )
     except _MALFORMED as exc:
-        raise errors.BadRecord(f"no changes of a cache: {exc!r}") from exc
+        raise errors.BadRecord(f"no {name} of a cache: {exc!r}") from exc
 
 
 def orders_accepted(body):
--- a/clementinewall/policy/engine_time.py
+++ b/clementinewall/policy/engine_time.py
@@ -1,7 +1,7 @@
 """How long engines take, from the figures that their operators publish.
 
-All figures are for the engines of both deployments (the same model on the
-same accelerators); an engine that differs is told by its measured speed.
+All figures are for one model on one accelerator, which two deployments have.
+How far others are off is learned: :mod:`clementinewall.policy.reading_scale`.
 """
 
 PROMPT_TOKENS_A_MS = 157.0
--- a/clementinewall/policy/reading_scale.py
+++ b/clementinewall/policy/reading_scale.py
@@ -63,3 +63,31 @@
     weight = PRIOR_WEIGHT + sum(each.weight for each in estimates)
     total = sum(each.weight * each.log_scale for each in estimates)
     return math.exp(total / weight)
+
+
+class Scales:
+    """What one gateway learned of the engines of each service."""
+
+    def __init__(self):
+        """Begin with no sample."""
+        self._scale_by_service = {}
+
+    def note(self, service, seen_ms, predicted_ms):
+        """Take in a prompt as :meth:`ReadingScale.note` does."""
+        scale = self._scale_by_service.setdefault(service, ReadingScale())
+        scale.note(seen_ms, predicted_ms)
+
+    def estimate_by_service(self):
+        """Return what is to be told to others."""
+        return {
+            name: scale.estimate
+            for name, scale in self._scale_by_service.items()
+        }
+
+    def scale(self, service, told):
+        """Return the scale of a service.
+
+        ``told`` are the estimates by service of the other gateways.
+        """
+        known = [*told, self.estimate_by_service()]
+        return combined([each[service] for each in known if service in each])
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -43,7 +43,7 @@
 
     def cached(self, view):
         """Return how much of the prompt a gateway believes to be kept."""
-        return view.state(ENGINE).cached_tokens((SHARED,))
+        return view.state(ENGINE).cache.leading_tokens((SHARED,))
 
     def tell(self, *parts):
         """Let the first gateway hear of changes, and tell the second one."""
@@ -67,23 +67,41 @@
         )
         self.assertEqual(self.first.drain_changed(), [])
 
+    def test_a_listed_part_that_nobody_asked_for_is_known_to_be_gone(self):
+        listed = domain.PromptPart("p", 40_000)
+        for view in (self.first, self.second):
+            view.learn_kept(view.state(ENGINE), [SHARED, listed])
+        self.tell(listed._replace(tokens=0))
+        state = self.second.state(ENGINE)
+        self.assertEqual(state.cache.leading_tokens((listed,)), 0)
+
+    def test_what_a_list_after_a_gap_lacks_is_told_too(self):
+        self.first.replace_cache(self.first.state(ENGINE), [])
+        self.second.learn_changed(self.first.drain_changed())
+        self.assertEqual(self.cached(self.second), 0)
+
     def test_a_part_that_is_kept_in_part_ends_the_beginning(self):
         self.tell(SHARED._replace(tokens=4_096))
         after = domain.PromptPart("t", 100)
         state = self.second.state(ENGINE)
-        state.read([("t", 100)], 100_000)
-        self.assertEqual(state.cached_tokens((SHARED, after)), 4_096)
+        state.cache.use([("t", 100)], 100_000)
+        self.assertEqual(state.cache.leading_tokens((SHARED, after)), 4_096)
 
     def test_changes_of_an_engine_that_has_left_are_passed_over(self):
         self.second.learn_changed([["gone", "s", 0]])
         self.assertEqual(self.cached(self.second), 8_000)
 
+    def test_the_list_at_a_start_takes_nothing_back(self):
+        other = domain.PromptPart("p", 300)
+        self.second.learn_kept(self.second.state(ENGINE), [other])
+        self.assertEqual(self.cached(self.second), 8_000)
+
     def test_a_whole_list_replaces_what_was_believed(self):
         state = self.second.state(ENGINE)
         other = domain.PromptPart("p", 300)
-        self.assertEqual(self.second.learn_whole_cache(state, [other]), 1)
-        self.assertEqual(state.cached_tokens((SHARED,)), 0)
-        self.assertEqual(state.cached_tokens((other,)), 300)
+        self.assertEqual(self.second.replace_cache(state, [other]), 1)
+        self.assertEqual(state.cache.leading_tokens((SHARED,)), 0)
+        self.assertEqual(state.cache.leading_tokens((other,)), 300)
 
 
 class ReadingScale(unittest.TestCase):
@@ -92,15 +110,20 @@
     def test_a_gateway_that_starts_learns_from_those_that_run(self):
         first = gateway_view()
         for _ in range(30):
-            first.note_reading("model", 150.0, 100.0)
+            first.scales.note("model", 150.0, 100.0)
         sign = peer_messages.Sign("10.0.0.9", "", "a", True, 0)
         told = peer_messages.State(
-            sign, {}, {}, estimate_by_service=first.estimate_by_service()
+            sign,
+            {},
+            {},
+            estimate_by_service=first.scales.estimate_by_service(),
         )
         data = json.loads(json.dumps(peer_messages.state(told, 0)))
         peers = [peer_messages.decode_state(data, 0)]
-        self.assertEqual(gateway_view().reading_scale("model", []), 1.0)
-        scale = gateway_view().reading_scale("model", peers)
+        started = gateway_view().scales
+        self.assertEqual(started.scale("model", []), 1.0)
+        told = [peer.estimate_by_service for peer in peers]
+        scale = started.scale("model", told)
         self.assertAlmostEqual(scale, 1.5, delta=0.15)
 
     def test_estimates_that_are_none_are_refused(self):
--- a/tests/integration/test_entry_drain.py
+++ b/tests/integration/test_entry_drain.py
@@ -32,6 +32,7 @@
                 "kind": "model",
                 "first_ms": 1_000,
                 "gap_ms": 200,
+                # Refused before the entry may end, so that callers see it.
                 "deadline_ms": 2_000,
             },
             quick={
