Log which change of stage a gateway wants and what keeps it waiting

The record of the incident can't tell the hypotheses apart: a gateway that wants a change returned in silence while the claim of another holder stood, and nothing said what it wanted. New lines: the change that is wanted, the claim that is seen and whose it is, the wait for it with the time left, and engines that are at rest. Each is written once for each cause, not each 250 ms.

No decision changes. A test asks for the line of the wait.

--- a/clementinewall/gateway/lease.py
+++ b/clementinewall/gateway/lease.py
@@ -38,6 +38,7 @@
 
 class _Seen(typing.NamedTuple):
     offset: int
+    holder: str
     boot: str
     at: clock.Millis
 
@@ -54,6 +55,7 @@
         self._wait_ms = LEASE_MS + settings.bounds.turn_ms + MARGIN_MS
         self._seen = None
         self._held = None
+        self._waited_for = None
 
     def is_held(self):
         """Tell whether orders may be sent at this moment."""
@@ -82,6 +84,7 @@
         newest = _newest(batch.records)
         self._look(newest)
         if not self._may_claim():
+            self._note_wait()
             return False
         started = self._clock.now_with_suspend()
         value = json.dumps({"holder": self._holder, "boot": self._boot})
@@ -103,17 +106,39 @@
         if self._seen is not None and self._seen.offset >= record.offset:
             return
         try:
-            boot = str(json.loads(record.value)["boot"])
+            data = json.loads(record.value)
+            holder, boot = str(data["holder"]), str(data["boot"])
         except (ValueError, KeyError, TypeError) as exc:
             _log.warning("unreadable claim", offset=record.offset, why=exc)
-            boot = ""
-        self._seen = _Seen(record.offset, boot, self._clock.now())
+            holder = boot = ""
+        self._seen = _Seen(record.offset, holder, boot, self._clock.now())
+        _log.info(
+            "claim seen",
+            token=record.offset,
+            holder=holder,
+            is_own=boot == self._boot,
+        )
 
     def _may_claim(self):
         seen = self._seen
         if seen is None or seen.boot == self._boot:
             return True
-        return self._clock.now() - seen.at >= self._wait_ms
+        return self._wait_left_ms() <= 0
+
+    def _wait_left_ms(self):
+        return self._seen.at + self._wait_ms - self._clock.now()
+
+    def _note_wait(self):
+        """Log, once for each claim, that it keeps this gateway waiting."""
+        if self._waited_for == self._seen.offset:
+            return
+        self._waited_for = self._seen.offset
+        _log.info(
+            "waits for the claim of another holder to end",
+            token=self._seen.offset,
+            holder=self._seen.holder,
+            left_ms=self._wait_left_ms(),
+        )
 
 
 def _newest(records):
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -57,6 +57,7 @@
         self._look_at = 0
         self._rest_until_by_id = {}
         self._ordered_by_id = {}
+        self._resting_by_service = {}
 
     async def run(self):
         """Look and act until cancelled."""
@@ -75,9 +76,20 @@
             if self._wanted_since is None or found[1].why != self._why:
                 self._wanted_since = now
                 self._why = found[1].why
+                self._note_wanted(*found)
             if now - self._wanted_since >= self._patience_ms(found[1]):
                 await self._act(*found)
 
+    def _note_wanted(self, service, change):
+        _log.info(
+            "change wanted",
+            service=service.name,
+            engine=change.id,
+            prefill=change.prefill,
+            why=change.why,
+            patience_ms=self._patience_ms(change),
+        )
+
     def _patience_ms(self, change):
         """Return how long a change has to be needed before it is made here."""
         turn_ms = min(TURN_MS, TURN_LASTING * change.lasting_ms)
@@ -106,9 +118,11 @@
             if service.engine is None:
                 continue
             states = self._endpoints.of_service(service.name)
-            resting = sum(self._is_resting(state) for state in states)
-            if resting >= max(1, len(states) // AWAY_PART):
+            resting = [s for s in states if self._is_resting(s)]
+            if len(resting) >= max(1, len(states) // AWAY_PART):
+                self._note_resting(service, resting)
                 continue
+            self._resting_by_service.pop(service.name, None)
             change = stages.plan(
                 [
                     self._engine(state)
@@ -120,6 +134,21 @@
                 return service, change
         return None
 
+    def _note_resting(self, service, resting):
+        """Log, once for each set of engines, that no other may be changed."""
+        names = [state.endpoint.id for state in resting]
+        if self._resting_by_service.get(service.name) == names:
+            return
+        self._resting_by_service[service.name] = names
+        now = self._clock.now()
+        _log.info(
+            "no change while engines are away for one",
+            service=service.name,
+            left_ms_by_engine={
+                name: self._rest_until_by_id[name] - now for name in names
+            },
+        )
+
     def _engine(self, state):
         streams = state.streams + sum(
             peer.work_by_endpoint[state.endpoint.id].streams
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -8,6 +8,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import lease
+from clementinewall import logs
 from clementinewall.platform import store
 
 
@@ -123,3 +124,17 @@
         self.assertFalse(self.claim(self.first))
         self.advance(lease.LEASE_MS + SETTINGS.bounds.turn_ms + 2_000)
         self.assertTrue(self.claim(self.first))
+
+    def test_log_names_the_claim_that_a_gateway_waits_for_and_how_long(self):
+        self.claim(self.first)
+        self.advance(500)
+        self.claim(self.second)
+        self.advance(500)
+        self.claim(self.second)
+        waits = [
+            line
+            for line in logs.recent("10.0.0.0")
+            if line["sentence"].startswith("waits")
+        ]
+        self.assertEqual(waits[-1]["token"], self.first.token)
+        self.assertEqual(waits[-1]["left_ms"], self.second._wait_ms)
