--- /dev/null
+++ b/tests/integration/test_gateway_stages.py
@@ -0,0 +1,122 @@
+"""Changes of engines' stages by gateways that are killed meanwhile."""
+
+import json
+import threading
+import time
+
+import httpx
+
+from standins import bringup
+from standins import scripted
+from tests.integration import gateway_base
+from tests.integration import test_gateway_streams
+
+NAMES = ("gateway-1", "gateway-2", "gateway-3")
+# The deployment's bound for service after the machines are back.
+RECOVER_SECONDS = 12.0
+# After an order was carried out, until nothing of it can be under way.
+SETTLED_SECONDS = 8.0
+GAP_SECONDS = 0.2
+
+
+class StagedEngine:
+    """An engine that obeys orders to change its stage."""
+
+    def __init__(self, case, name, stage="decode"):
+        """Start and register with the store of a test case."""
+        self._case = case
+        self.name = name
+        self.stage = stage
+        self.holders = []
+        self.endpoint = case.endpoint(name, self._script, "model", stage=stage)
+
+    def leave(self):
+        """Be gone: nothing listens and the record is removed."""
+        self.endpoint.close()
+        self._case.put(gateway_base.ENDPOINTS_TOPIC, self.name, b"")
+
+    def _script(self, _endpoint, request):
+        if request.target == "/report":
+            told = json.dumps({"sequence": len(self.holders)})
+            yield scripted.answer(request, told.encode())
+        elif request.target == "/order":
+            order = json.loads(request.body)
+            self.holders.append(order["holder_id"])
+            threading.Timer(
+                gateway_base.ENGINE["switch_s"], self._switch, [order["stage"]]
+            ).start()
+            yield scripted.answer(request, b"", 202)
+        elif self.stage != "decode":
+            yield scripted.answer(request, b"", 421)
+        else:
+            yield from test_gateway_streams.whole_stream(request, (1, 2))
+
+    def _switch(self, stage):
+        self.stage = stage
+        self._case.register(
+            self.name, self.endpoint.address, "model", stage=stage
+        )
+
+
+class Stages(gateway_base.GatewayCase):
+    """Three gateways and two engines, of which one decodes."""
+
+    def setUp(self):
+        """Let a gateway order one of two engines to read prompts."""
+        super().setUp()
+        self.publish(
+            gateway_base.route("chat", "model", "stream", resumable=True)
+        )
+        self.engines = [StagedEngine(self, name) for name in ("one", "two")]
+        self.fronts = [
+            self.start_only(name, f"127.0.0.{number}")
+            for number, name in enumerate(NAMES, 1)
+        ]
+        self.reading = bringup.wait_until(
+            lambda: self._with_stage("prefill"), what="an engine that reads"
+        )
+
+    def _with_stage(self, stage):
+        return next((e for e in self.engines if e.stage == stage), None)
+
+    def lose_decoding_engine_and(self, back):
+        """Kill all gateways as the engine goes; start those named again."""
+        for name in NAMES:
+            self.dep.kill(name)
+        self._with_stage("decode").leave()
+        for name in back:
+            self.dep.start(name)
+
+    def seconds_until_served(self, front):
+        """Return how long it takes until a stream is answered."""
+        start = time.monotonic()
+
+        def is_served():
+            try:
+                return self._stream(front).status_code == 200
+            except httpx.HTTPError:
+                return False
+
+        bringup.wait_until(is_served, what="an answer")
+        return time.monotonic() - start
+
+    def _stream(self, front):
+        time.sleep(GAP_SECONDS)
+        headers = test_gateway_streams.MODEL_HEADERS
+        return self.ask(front, "/chat/x", **headers)
+
+    def test_restart_of_all_gateways_soon_after_an_order(self):
+        # Guards against waiting for the lease of a process that has ended.
+        self.lose_decoding_engine_and(NAMES)
+        took = self.seconds_until_served(self.fronts[0])
+        self.assertLess(took, RECOVER_SECONDS)
+
+    def test_restart_without_the_gateway_that_held_the_lease(self):
+        # Guards against leases that outlive the order they were claimed for.
+        time.sleep(SETTLED_SECONDS)
+        (holder,) = self.reading.holders
+        back = [name for name in NAMES if name != holder]
+        self.lose_decoding_engine_and(back)
+        front = self.fronts[NAMES.index(back[0])]
+        took = self.seconds_until_served(front)
+        self.assertLess(took, RECOVER_SECONDS)
