Release the lease of stages, and let no instance wait for its own claim

What callers saw.

A claim stood in the store until somebody made the next one, hours later, and the next holder knew that it had ended only by watching it for nine seconds. A process that starts has watched for no time, and took a claim of its own instance for that of another. Class: authority that isn't given back when it is no longer needed, and whose end is known only to those who were there; a restart sets their watch back.

The holder releases its claim in the store, once its orders had effect and the span between two holders has passed since the last. An instance may claim over a claim of its own at once and doesn't stand in line for it; one that it finds at its start it releases likewise. The lease is 2 s instead of 4: a claim's answer, a report and an order fit, and the watch that is left, for a holder gone for good, is 7 s. A gateway that starts looks in any place in line. A stopping one releases.

Why it works.

--- a/clementinewall/gateway/lease.py
+++ b/clementinewall/gateway/lease.py
@@ -1,12 +1,17 @@
-"""The lease that one gateway holds while it gives orders to engines.
+"""The lease that one instance holds while its gateway orders engines.
 
-The claim is a record in the platform's store, appended only if nothing was
+A claim is a record in the platform's store, appended only if nothing was
 appended since the claimant read the topic.  Its offset is the fencing token.
 Engines here may ignore tokens, so time has to keep two holders apart as
-well: a holder counts its lease from before it sent the claim, and another
-gateway claims only after it has seen the same claim stand for the length of
-the lease and a span in which no order may come from two holders.  A holder
-that was paused notices by a clock that counts suspension too.
+well: a holder counts its lease from before it sent the claim, and releases it
+in the store once its last order can't meet one of the next holder any more.
+A holder that was paused notices by a clock that counts suspension too.
+
+A claim that isn't released was made by a process that is at work, or that
+ended.  Another instance claims only after it has seen the same claim stand for
+the length of the lease and a span in which no order may come from two
+holders.  The instance itself needn't wait: of its processes only the newest
+lives.
 """
 
 import json
@@ -21,8 +26,8 @@
 _log = logs.PartLog("lease")
 
 KEY = "stages"
-# Long enough for a report and an order to several engines in turn.
-LEASE_MS = 4_000
+# Long enough for the claim's answer, a report and an order.
+LEASE_MS = 2_000
 # Beyond the span between two holders' orders that the deployment demands:
 # for an order on its way, and for the drift of two clocks.
 MARGIN_MS = 2_000
@@ -37,9 +42,12 @@
 
 
 class _Seen(typing.NamedTuple):
+    """The newest record of the topic, and when it was first seen."""
+
     offset: int
     holder: str
     boot: str
+    is_released: bool
     at: clock.Millis
 
 
@@ -52,10 +60,14 @@
         self._clock = ticker
         self._holder = settings.ip
         self._boot = secrets.token_hex(BOOT_BYTES)
-        self._wait_ms = LEASE_MS + settings.bounds.turn_ms + MARGIN_MS
+        self._turn_ms = settings.bounds.turn_ms
+        self._wait_ms = LEASE_MS + self._turn_ms + MARGIN_MS
         self._seen = None
         self._held = None
         self._waited_for = None
+        # The offset of the claim that this instance has to release.
+        self._standing = None
+        self._ordered_at = None
 
     def is_held(self):
         """Tell whether orders may be sent at this moment."""
@@ -67,6 +79,15 @@
         """Return the fencing token of the lease that is held."""
         return self._held.token
 
+    @property
+    def is_standing(self):
+        """Tell whether a claim of this instance keeps others waiting."""
+        return self._standing is not None
+
+    def note_order(self):
+        """Note that an order is sent now, or may still have been."""
+        self._ordered_at = self._clock.now_with_suspend()
+
     async def look(self):
         """Note which claim stands, so that its age is known when it matters.
 
@@ -87,17 +108,50 @@
             self._note_wait()
             return False
         started = self._clock.now_with_suspend()
-        value = json.dumps({"holder": self._holder, "boot": self._boot})
         offset = await self._store.append(
-            records.LEASES_TOPIC, KEY, value.encode(), at=batch.end
+            records.LEASES_TOPIC, KEY, self._record(False), at=batch.end
         )
         if offset is None:
             _log.info("lease claimed by another gateway first", at=batch.end)
             return False
         self._held = Held(offset, started + LEASE_MS)
+        self._standing = offset
         _log.info("lease held", token=offset, for_ms=LEASE_MS)
         return self.is_held()
 
+    async def release(self):
+        """Let others claim at once, if no order of this instance forbids it.
+
+        :raises LogUnavailable: it isn't known whether it was released.
+        """
+        if self._standing is None or not self._is_settled():
+            return
+        # A release without an answer may be written later, so no order may
+        # follow it.
+        self._held = None
+        claim = self._standing
+        offset = await self._store.append(
+            records.LEASES_TOPIC, KEY, self._record(True), at=claim + 1
+        )
+        self._standing = None
+        if offset is not None:
+            _log.info("lease released", token=claim)
+
+    def _record(self, is_released):
+        value = {
+            "holder": self._holder,
+            "boot": self._boot,
+            "released": is_released,
+        }
+        return json.dumps(value).encode()
+
+    def _is_settled(self):
+        """Tell whether an order of the next holder can't be too close."""
+        if self._ordered_at is None:
+            return True
+        apart_ms = self._turn_ms + MARGIN_MS
+        return self._clock.now_with_suspend() >= self._ordered_at + apart_ms
+
     def _look(self, record):
         """Note the claim that stands, and since when it is seen."""
         if record is None:
@@ -105,23 +159,43 @@
             return
         if self._seen is not None and self._seen.offset >= record.offset:
             return
-        try:
-            data = json.loads(record.value)
-            holder, boot = str(data["holder"]), str(data["boot"])
-        except (ValueError, KeyError, TypeError) as exc:
-            _log.warning("unreadable claim", offset=record.offset, why=exc)
-            holder = boot = ""
-        self._seen = _Seen(record.offset, holder, boot, self._clock.now())
+        seen = self._decode(record)
+        self._seen = seen
         _log.info(
             "claim seen",
-            token=record.offset,
-            holder=holder,
-            is_own=boot == self._boot,
+            token=seen.offset,
+            holder=seen.holder,
+            released=seen.is_released,
+            is_own=seen.boot == self._boot,
         )
+        if seen.holder != self._holder or seen.is_released:
+            self._standing = None
+            return
+        # Also a claim whose answer got lost keeps others waiting.
+        self._standing = seen.offset
+        if seen.boot != self._boot:
+            # The process before this one may have ordered just before it
+            # ended.
+            self.note_order()
+
+    def _decode(self, record):
+        now = self._clock.now()
+        try:
+            data = json.loads(record.value)
+            return _Seen(
+                record.offset,
+                str(data["holder"]),
+                str(data["boot"]),
+                data.get("released") is True,
+                now,
+            )
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            _log.warning("unreadable claim", offset=record.offset, why=exc)
+            return _Seen(record.offset, "", "", False, now)
 
     def _may_claim(self):
         seen = self._seen
-        if seen is None or seen.boot == self._boot:
+        if seen is None or seen.is_released or seen.holder == self._holder:
             return True
         return self._wait_left_ms() <= 0
 
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -28,6 +28,7 @@
 # So many gateways, the first in line, look so often which claim stands.
 LOOKERS = 8
 CLAIM_LOOK_MS = 8_000
+RELEASE_RETRY_MS = 1_000
 # The next gateway in line acts when a change stays undone for so long more, or
 # sooner where it presses: after so many times as it has to last.
 TURN_MS = 3_000
@@ -55,6 +56,7 @@
         self._wanted_since = None
         self._why = None
         self._look_at = 0
+        self._release_at = 0
         self._rest_until_by_id = {}
         self._ordered_by_id = {}
         self._resting_by_service = {}
@@ -66,12 +68,14 @@
             # The lease and the wait for an order's effect would outlive a
             # gateway that stops.
             if not self._is_ready():
+                await self._release()
                 continue
             await self._look_ahead()
             found = self._plan()
             now = self._clock.now()
             if found is None:
                 self._wanted_since = None
+                await self._release()
                 continue
             if self._wanted_since is None or found[1].why != self._why:
                 self._wanted_since = now
@@ -80,6 +84,18 @@
             if now - self._wanted_since >= self._patience_ms(found[1]):
                 await self._act(*found)
 
+    async def _release(self):
+        """Give the lease back once the orders given under it had effect."""
+        now = self._clock.now()
+        ends = self._rest_until_by_id.values()
+        if now < max(ends, default=now) or now < self._release_at:
+            return
+        try:
+            await self._lease.release()
+        except errors.LogUnavailable as exc:
+            self._release_at = now + RELEASE_RETRY_MS
+            _log.info("lease not released", why=exc.message)
+
     def _note_wanted(self, service, change):
         _log.info(
             "change wanted",
@@ -91,9 +107,15 @@
         )
 
     def _patience_ms(self, change):
-        """Return how long a change has to be needed before it is made here."""
+        """Return how long a change has to be needed before it is made here.
+
+        Nobody else may claim sooner than the instance whose claim stands.
+        """
         turn_ms = min(TURN_MS, TURN_LASTING * change.lasting_ms)
-        return change.lasting_ms + self._peers.place_in_line() * turn_ms
+        in_line = self._peers.place_in_line()
+        if self._lease.is_standing:
+            in_line = 0
+        return change.lasting_ms + in_line * turn_ms
 
     async def _look_ahead(self):
         """Keep the claim that stands in sight.
@@ -103,7 +125,11 @@
         that decodes has left together with the holder.
         """
         now = self._clock.now()
-        if now < self._look_at or self._peers.place_in_line() >= LOOKERS:
+        # A gateway that starts looks in any place: the claim may be its own.
+        is_first = not self._look_at
+        if now < self._look_at:
+            return
+        if not is_first and self._peers.place_in_line() >= LOOKERS:
             return
         self._look_at = now + CLAIM_LOOK_MS
         try:
@@ -194,6 +220,8 @@
         except (client.LinkBroken, TimeoutError, errors.BadRecord) as exc:
             status = None
             _log.warning("order unanswered", engine=change.id, why=repr(exc))
+        # A process that was paused may have sent it long after it began to.
+        self._lease.note_order()
         self._rest(service, state, status)
 
     async def _send(self, state, change, report):
@@ -210,6 +238,7 @@
             self._lease.token,
             sequence,
         )
+        self._lease.note_order()
         head, _body = await self._ask(state, order)
         if head.status in (200, 202):
             self._ordered_by_id[change.id] = (
--- a/tests/gateway/test_lease.py
+++ b/tests/gateway/test_lease.py
@@ -125,6 +125,69 @@
         self.advance(lease.LEASE_MS + SETTINGS.bounds.turn_ms + 2_000)
         self.assertTrue(self.claim(self.first))
 
+    def restart(self, claimant):
+        """Return the next process of an instance."""
+        number = (self.first, self.second).index(claimant)
+        settings = SETTINGS._replace(ip=f"10.0.0.{number}")
+        restarted = lease.Lease(settings, self.clocks[number])
+        restarted._store = self.store
+        return restarted
+
+    def test_restarted_instance_does_not_wait_for_its_own_earlier_claim(self):
+        self.assertTrue(self.claim(self.first))
+        restarted = self.restart(self.first)
+        self.assertTrue(self.claim(restarted))
+        self.assertGreater(restarted.token, self.first.token)
+
+    def test_restarted_instance_waits_for_the_claim_of_another(self):
+        self.assertTrue(self.claim(self.first))
+        self.assertFalse(self.claim(self.restart(self.second)))
+
+    def test_nobody_waits_for_a_claim_that_was_released(self):
+        self.assertTrue(self.claim(self.first))
+        anyio.run(self.first.release)
+        self.assertFalse(self.first.is_held())
+        self.assertTrue(self.claim(self.restart(self.second)))
+
+    def test_claim_is_not_released_right_after_an_order(self):
+        self.claim(self.first)
+        self.first.note_order()
+        self.advance(SETTINGS.bounds.turn_ms + lease.MARGIN_MS - 1)
+        anyio.run(self.first.release)
+        self.assertFalse(self.claim(self.second))
+        self.advance(1)
+        anyio.run(self.first.release)
+        self.assertTrue(self.claim(self.second))
+
+    def test_restarted_instance_releases_what_it_finds_when_settled(self):
+        self.claim(self.first)
+        restarted = self.restart(self.first)
+        anyio.run(restarted.look)
+        anyio.run(restarted.release)
+        self.assertTrue(restarted.is_standing)
+        self.advance(SETTINGS.bounds.turn_ms + lease.MARGIN_MS)
+        anyio.run(restarted.release)
+        self.assertTrue(self.claim(self.second))
+
+    def test_claim_of_the_next_holder_is_not_released(self):
+        self.claim(self.first)
+        anyio.run(self.second.look)
+        self.advance(self.second._wait_ms)
+        self.assertTrue(self.claim(self.second))
+        anyio.run(self.first.release)
+        self.assertFalse(self.claim(self.first))
+
+    def test_release_without_an_answer_allows_no_order(self):
+        self.claim(self.first)
+        self.store.lose_answer = True
+        with self.assertRaises(errors.LogUnavailable):
+            anyio.run(self.first.release)
+        self.assertFalse(self.first.is_held())
+        self.store.lose_answer = False
+        self.assertTrue(self.claim(self.second))
+        anyio.run(self.first.release)
+        self.assertFalse(self.claim(self.first))
+
     def test_log_names_the_claim_that_a_gateway_waits_for_and_how_long(self):
         self.claim(self.first)
         self.advance(500)
--- a/tests/run.py
+++ b/tests/run.py
@@ -10,7 +10,7 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-KNOWN_RED_LIMIT = 5
+KNOWN_RED_LIMIT = 3
 KNOWN_RED_FIELDS = ("test", "cause", "command", "seed", "seen", "issue")
 
 
