Rest only the engine whose order may be under way, not its whole service

What callers saw. While no engine decodes, a gateway asks one that has just crashed.

Each order without an answer counted as one that may be carried out later: a refused connection, an engine that never told how many orders it had accepted, a lease that ended before the order was sent. And one engine at rest kept all others of a small fleet from being ordered, also where nothing was served. Class: not knowing is handled as the worst case although it is known that nothing was sent.

Three kinds of rest (gateway/rests.py): an engine that couldn't be asked is left out of the plan for 2 s; an order that may be under way rests its engine for 14 s and the others only while some engine decodes; an accepted one holds others back as before. Such an engine counts as failed for placing too.

A second order is safe: the engine checks the number of orders it had accepted when it carries one out.

--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -11,13 +11,16 @@
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall import errors
+from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import lease as lease_module
+from clementinewall.gateway import rests
 from clementinewall.gateway import sending
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import calls
 from clementinewall.policy import stages
+from clementinewall import verdicts
 
 _log = logs.PartLog("stage")
 
@@ -35,10 +38,13 @@
 TURN_LASTING = 3
 # An order without an answer may be carried out up to 12 s later.
 UNANSWERED_MS = 14_000
+# An engine that couldn't be asked is left out of the plan for so long.
+UNREACHABLE_MS = 2_000
 # After an order its effect has to show in the engine's record, which is
 # written about every 1,200 ms; then the next change is planned.
 SETTLE_MS = 1_500
 ORDER_TIMEOUT_MS = 1_000
+ACCEPTED = (200, 202)
 
 
 class StageKeeper:
@@ -57,38 +63,40 @@
         self._why = None
         self._look_at = 0
         self._release_at = 0
-        self._rest_until_by_id = {}
-        self._ordered_by_id = {}
+        self._rests = rests.Rests(ticker.now)
         self._resting_by_service = {}
 
     async def run(self):
         """Look and act until cancelled."""
         while True:
             await anyio.sleep(clock.seconds(LOOK_MS))
-            # The lease and the wait for an order's effect would outlive a
-            # gateway that stops.
-            if not self._is_ready():
-                await self._release()
-                continue
-            await self._look_ahead()
-            found = self._plan()
-            now = self._clock.now()
-            if found is None:
-                self._wanted_since = None
-                await self._release()
-                continue
-            if self._wanted_since is None or found[1].why != self._why:
-                self._wanted_since = now
-                self._why = found[1].why
-                self._note_wanted(*found)
-            if now - self._wanted_since >= self._patience_ms(found[1]):
-                await self._act(*found)
+            await self.look()
+
+    async def look(self):
+        """Make the change that is needed, if it is this gateway's turn."""
+        # The lease and the wait for an order's effect would outlive a
+        # gateway that stops.
+        if not self._is_ready():
+            await self._release()
+            return
+        await self._look_ahead()
+        found = self._plan()
+        now = self._clock.now()
+        if found is None:
+            self._wanted_since = None
+            await self._release()
+            return
+        if self._wanted_since is None or found[1].why != self._why:
+            self._wanted_since = now
+            self._why = found[1].why
+            self._note_wanted(*found)
+        if now - self._wanted_since >= self._patience_ms(found[1]):
+            await self._act(*found)
 
     async def _release(self):
         """Give the lease back once the orders given under it had effect."""
         now = self._clock.now()
-        ends = self._rest_until_by_id.values()
-        if now < max(ends, default=now) or now < self._release_at:
+        if self._rests.has_order or now < self._release_at:
             return
         try:
             await self._lease.release()
@@ -143,35 +151,46 @@
         for service in configuration.service_by_name.values():
             if service.engine is None:
                 continue
-            states = self._endpoints.of_service(service.name)
-            resting = [s for s in states if self._is_resting(s)]
-            if len(resting) >= max(1, len(states) // AWAY_PART):
-                self._note_resting(service, resting)
+            states = [
+                state
+                for state in self._endpoints.of_service(service.name)
+                if endpoints_module.is_engine(state)
+            ]
+            change = stages.plan([self._engine(state) for state in states])
+            if change is None:
                 continue
-            self._resting_by_service.pop(service.name, None)
-            change = stages.plan(
-                [
-                    self._engine(state)
-                    for state in states
-                    if state.endpoint.stage in domain.STAGES
-                ]
-            )
-            if change is not None:
-                return service, change
+            if self._is_held_back(service, states, change):
+                continue
+            return service, change
         return None
 
-    def _note_resting(self, service, resting):
+    def _is_held_back(self, service, states, change):
+        """Tell whether so many engines are away that no other may be."""
+        resting = {}
+        for state in states:
+            rest = self._rests.find(state.endpoint.id)
+            if rest and rest.kind is not rests.Kind.UNREACHABLE:
+                resting[state.endpoint.id] = rest
+        if len(resting) < max(1, len(states) // AWAY_PART):
+            self._resting_by_service.pop(service.name, None)
+            return False
+        if change.is_pressing and all(
+            rest.kind is rests.Kind.UNANSWERED for rest in resting.values()
+        ):
+            return False
+        self._note_resting(service, sorted(resting))
+        return True
+
+    def _note_resting(self, service, names):
         """Log, once for each set of engines, that no other may be changed."""
-        names = [state.endpoint.id for state in resting]
         if self._resting_by_service.get(service.name) == names:
             return
         self._resting_by_service[service.name] = names
-        now = self._clock.now()
         _log.info(
             "no change while engines are away for one",
             service=service.name,
             left_ms_by_engine={
-                name: self._rest_until_by_id[name] - now for name in names
+                name: self._rests.left_ms(name) for name in names
             },
         )
 
@@ -181,22 +200,21 @@
             for peer in self._peers.table.states()
             if state.endpoint.id in peer.work_by_endpoint
         )
+        rest = self._rests.find(state.endpoint.id)
         stage = state.endpoint.stage
-        if self._is_resting(state):
+        is_lost = state.is_lost()
+        if rest is not None:
             # Its record shows the new stage only when the change is over.
-            stage = self._ordered_by_id.get(state.endpoint.id, stage)
+            stage = rest.stage or stage
+            is_lost = rest.kind is not rests.Kind.SETTLING
         return stages.Engine(
             state.endpoint.id,
             stage == domain.PREFILL,
             streams,
             max(1, state.endpoint.slots),
-            state.is_lost() and not self._is_resting(state),
+            is_lost,
         )
 
-    def _is_resting(self, state):
-        until = self._rest_until_by_id.get(state.endpoint.id, 0)
-        return self._clock.now() < until
-
     async def _act(self, service, change):
         try:
             held = self._lease.is_held() or await self._lease.claim()
@@ -211,39 +229,41 @@
         await self._order(service, self._endpoints.state(endpoint), change)
 
     async def _order(self, service, state, change):
+        is_sent = False
         try:
             with anyio.fail_after(clock.seconds(ORDER_TIMEOUT_MS)):
-                head, report = await self._ask(state, calls.report())
-                if head.status != 200:
-                    raise errors.BadRecord(f"report with {head.status}")
+                report = await self._report(state)
+                # Asking took time; an order that leaves after the lease could
+                # meet one of the next holder.
+                if not self._lease.is_held():
+                    _log.info("lease over before the order", engine=change.id)
+                    return
+                is_sent = True
+                self._lease.note_order()
                 status = await self._send(state, change, report)
         except (client.LinkBroken, TimeoutError, errors.BadRecord) as exc:
-            status = None
-            _log.warning("order unanswered", engine=change.id, why=repr(exc))
-        # A process that was paused may have sent it long after it began to.
-        self._lease.note_order()
-        self._rest(service, state, status)
-
-    async def _send(self, state, change, report):
-        # Asking for the report took time; an order that leaves after the
-        # lease could meet one of the next holder.
-        if not self._lease.is_held():
-            return None
-        sequence = calls.orders_accepted(report)
-        self._ordered_by_id.pop(change.id, None)
+            self._note_failure(state, exc, is_sent)
+        else:
+            self._note_answer(service, state, change, status)
+        if is_sent:
+            # A process that was paused sent it long after it began to.
+            self._lease.note_order()
+
+    async def _report(self, state):
+        head, report = await self._ask(state, calls.report())
+        if head.status != 200:
+            raise errors.BadRecord(f"report with {head.status}")
+        return calls.orders_accepted(report)
+
+    async def _send(self, state, change, sequence):
         order = calls.stage_order(
             state.endpoint,
-            domain.PREFILL if change.prefill else domain.DECODE,
+            _stage(change),
             self._settings.instance,
             self._lease.token,
             sequence,
         )
-        self._lease.note_order()
         head, _body = await self._ask(state, order)
-        if head.status in (200, 202):
-            self._ordered_by_id[change.id] = (
-                domain.PREFILL if change.prefill else domain.DECODE
-            )
         metrics.count("orders", status=head.status)
         _log.info(
             "stage ordered",
@@ -256,16 +276,35 @@
         )
         return head.status
 
-    def _rest(self, service, state, status):
+    def _note_answer(self, service, state, change, status):
         """Leave the engine alone until the order has had its effect."""
-        rest_ms = UNANSWERED_MS
-        if status is not None:
-            rest_ms = SETTLE_MS
+        rest_ms = SETTLE_MS
         if status == 202:
             rest_ms += service.engine.switch_ms
             state.away_until = self._clock.now() + service.engine.switch_ms
             self._peers.tell()
-        self._rest_until_by_id[state.endpoint.id] = self._clock.now() + rest_ms
+        stage = _stage(change) if status in ACCEPTED else None
+        self._rests.begin(
+            state.endpoint.id, rests.Kind.SETTLING, rest_ms, stage
+        )
+
+    def _note_failure(self, state, exc, is_sent):
+        """Leave the engine alone, for long only if the order may arrive."""
+        kind, rest_ms = rests.Kind.UNREACHABLE, UNREACHABLE_MS
+        if is_sent and not _surely_not_run(exc):
+            kind, rest_ms = rests.Kind.UNANSWERED, UNANSWERED_MS
+        else:
+            is_absent = isinstance(exc, client.LinkBroken) and exc.absent
+            state.health.failed(self._clock.now(), is_absent)
+        metrics.count("orders", status=kind.value)
+        self._rests.begin(state.endpoint.id, kind, rest_ms)
+        _log.warning(
+            "order failed",
+            engine=state.endpoint.id,
+            kind=kind.value,
+            rest_ms=rest_ms,
+            why=getattr(exc, "why", None) or repr(exc),
+        )
 
     async def _ask(self, state, request):
         """Ask on a connection of its own.
@@ -274,3 +313,14 @@
         wasn't sent: an order that was given up must not arrive later.
         """
         return await state.pool.ask(request, sending.ANSWER_LIMIT, fresh=True)
+
+
+def _stage(change):
+    return domain.PREFILL if change.prefill else domain.DECODE
+
+
+def _surely_not_run(exc):
+    """Tell whether nothing of an order has reached the engine."""
+    if not isinstance(exc, client.LinkBroken):
+        return False
+    return verdicts.verdict_of(exc.progress) is verdicts.Verdict.NOT_RUN
--- a/clementinewall/policy/stages.py
+++ b/clementinewall/policy/stages.py
@@ -53,12 +53,14 @@
     """That an engine is to read prompts from now on, or to decode.
 
     The need has to last for ``lasting_ms`` before the change is made.
+    ``is_pressing`` tells that nothing is served until then.
     """
 
     id: str
     prefill: bool
     why: str
     lasting_ms: int = LASTING_MS
+    is_pressing: bool = False
 
 
 def plan(engines):
@@ -68,7 +70,7 @@
     decoding = [e for e in engines if not e.prefill]
     if reading and not decoding:
         return Change(
-            _least(reading).id, False, "none decodes", EMPTY_LASTING_MS
+            _least(reading).id, False, "none decodes", EMPTY_LASTING_MS, True
         )
     if len(engines) < 2:
         return None
--- /dev/null
+++ b/tests/gateway/test_stages.py
@@ -0,0 +1,145 @@
+"""Orders to engines that don't answer."""
+
+import json
+import types
+import unittest
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import domain
+from clementinewall.gateway import endpoints
+from clementinewall.gateway import stages
+from clementinewall.http1 import client
+from clementinewall.http1 import messages
+from clementinewall import verdicts
+
+SETTINGS = domain.Settings(
+    "i", "10.0.0.1", "a", "", "", "", 1, "10.0.0.9:1", domain.Bounds()
+)
+SERVICE = domain.Service("model", domain.EngineLimits(16, 1, 1, 1.0, 3_000))
+REFUSED = client.LinkBroken(
+    verdicts.Progress.NEVER_CONNECTED, "refused", absent=True
+)
+DARK = client.LinkBroken(verdicts.Progress.NEVER_CONNECTED, "no answer")
+RESET = client.LinkBroken(verdicts.Progress.SENT_WHOLE, "reset")
+
+
+class FakeLease:
+    """A lease that is always held."""
+
+    token = 1
+    is_standing = True
+
+    def is_held(self):
+        """Tell that it is held."""
+        return True
+
+    def note_order(self):
+        """Note nothing."""
+
+    async def look(self):
+        """See nothing."""
+
+    async def release(self):
+        """Release nothing."""
+
+
+class Keeper(unittest.TestCase):
+    """The stage keeper of one gateway, alone with some engines."""
+
+    def setUp(self):
+        """Make a keeper that knows no engine yet."""
+        self.clock = clock.ManualClock(100_000)
+        self.beliefs = types.SimpleNamespace(
+            configuration=types.SimpleNamespace(
+                service_by_name={SERVICE.name: SERVICE}
+            ),
+            endpoint_by_id={},
+        )
+        peers = types.SimpleNamespace(
+            place_in_line=lambda: 0,
+            tell=lambda: None,
+            table=types.SimpleNamespace(states=list),
+        )
+        self.keeper = stages.StageKeeper(
+            SETTINGS,
+            self.beliefs,
+            endpoints.Endpoints(self.beliefs, self.clock.now),
+            peers,
+            lambda: True,
+            self.clock,
+        )
+        self.keeper._lease = FakeLease()
+        self.keeper._ask = self.answer
+        # What asking for a report and ordering do, by engine.
+        self.report_by_id = {}
+        self.order_by_id = {}
+        self.ordered = []
+
+    def engine(self, name, stage, report=None, order=202):
+        """Register an engine with its answers: a status or an exception."""
+        self.beliefs.endpoint_by_id[name] = domain.Endpoint(
+            name, "model", f"10.1.0.1:{len(name)}", "a", 16, False, stage, 1
+        )
+        self.report_by_id[name] = report or {"sequence": 0}
+        self.order_by_id[name] = order
+
+    async def answer(self, state, request):
+        """Answer a report or an order."""
+        name = state.endpoint.id
+        answer = self.report_by_id[name]
+        if request.target == b"/order":
+            self.ordered.append(name)
+            answer = self.order_by_id[name]
+        if isinstance(answer, Exception):
+            raise answer
+        if isinstance(answer, dict):
+            return messages.Head(200, b"OK", ()), json.dumps(answer).encode()
+        return messages.Head(answer, b"", ()), b""
+
+    def look_for(self, ms):
+        """Let the keeper look as often as it does in so many ms."""
+        for _ in range(ms // stages.LOOK_MS):
+            self.clock.advance(stages.LOOK_MS)
+            anyio.run(self.keeper.look)
+
+    def test_an_engine_that_refuses_connections_delays_no_other_order(self):
+        for failure in (REFUSED, DARK, TimeoutError()):
+            with self.subTest(failure=repr(failure)):
+                self.setUp()
+                self.engine("a", domain.PREFILL, failure)
+                self.engine("b", domain.PREFILL)
+                self.look_for(1_000)
+                self.assertEqual(self.ordered, ["b"])
+
+    def test_an_order_that_never_connected_delays_no_other_order(self):
+        self.engine("a", domain.PREFILL, order=REFUSED)
+        self.engine("b", domain.PREFILL)
+        self.look_for(1_000)
+        self.assertEqual(self.ordered, ["a", "b"])
+
+    def test_an_unanswered_order_delays_no_other_while_none_decodes(self):
+        self.engine("a", domain.PREFILL, order=RESET)
+        self.engine("b", domain.PREFILL)
+        self.look_for(1_000)
+        self.assertEqual(self.ordered, ["a", "b"])
+
+    def test_an_unanswered_order_delays_others_while_some_engine_decodes(self):
+        for name in "abc":
+            self.engine(name, domain.DECODE, order=RESET)
+        self.look_for(4_000)
+        self.assertEqual(self.ordered, ["a"])
+
+    def test_an_engine_on_its_way_to_decode_gets_no_company(self):
+        self.engine("a", domain.PREFILL)
+        self.engine("b", domain.PREFILL)
+        self.look_for(4_000)
+        self.assertEqual(self.ordered, ["a"])
+
+    def test_an_engine_that_could_not_be_asked_is_tried_again(self):
+        self.engine("a", domain.PREFILL, DARK)
+        self.look_for(1_000)
+        self.report_by_id["a"] = {"sequence": 0}
+        self.look_for(2 * stages.UNREACHABLE_MS)
+        self.assertEqual(self.ordered, ["a"])
