Give no order to an engine that is at one already

What callers saw. Power goes 0.2 s after an engine was ordered to decode. The gateways that come back see its old stage and order it again, which begins the change anew: models are refused two seconds longer than needed.

Which orders are under way was known only to the process that gave them, the same class as the lease: what a restart forgets is taken for not there. The engine knows it, and says so in the report that is asked for before each order, but only its count of orders was read.

An engine whose report says that it is busy gets no order and is asked again after half a second; meanwhile it counts as what it was to become.

The new test failed before: the engine was ordered at once.

--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -200,6 +200,13 @@
         return f"{self.address}/{self.handle}"
 
 
+class EngineReport(typing.NamedTuple):
+    """How many orders an engine has accepted; whether it is at one now."""
+
+    orders: int
+    is_busy: bool
+
+
 class EndpointLoad(typing.NamedTuple):
     """The load that an endpoint says it has, with its answers."""
 
--- a/clementinewall/gateway/stages.py
+++ b/clementinewall/gateway/stages.py
@@ -45,6 +45,8 @@
 SETTLE_MS = 1_500
 ORDER_TIMEOUT_MS = 1_000
 ACCEPTED = (200, 202)
+# An engine that is at an order is asked again after so long.
+BUSY_MS = 500
 
 
 class StageKeeper:
@@ -233,6 +235,9 @@
         try:
             with anyio.fail_after(clock.seconds(ORDER_TIMEOUT_MS)):
                 report = await self._report(state)
+                if report.is_busy:
+                    self._note_busy(state, change)
+                    return
                 # Asking took time; an order that leaves after the lease could
                 # meet one of the next holder.
                 if not self._lease.is_held():
@@ -240,7 +245,7 @@
                     return
                 is_sent = True
                 self._lease.note_order()
-                status = await self._send(state, change, report)
+                status = await self._send(state, change, report.orders)
         except (client.LinkBroken, TimeoutError, errors.BadRecord) as exc:
             self._note_failure(state, exc, is_sent)
         else:
@@ -253,7 +258,17 @@
         head, report = await self._ask(state, calls.report())
         if head.status != 200:
             raise errors.BadRecord(f"report with {head.status}")
-        return calls.orders_accepted(report)
+        return calls.engine_report(report)
+
+    def _note_busy(self, state, change):
+        """Wait for an order that another process has given.
+
+        Given again, the same change would begin anew.
+        """
+        _log.info("engine is at an order already", engine=change.id)
+        self._rests.begin(
+            state.endpoint.id, rests.Kind.SETTLING, BUSY_MS, _stage(change)
+        )
 
     async def _send(self, state, change, sequence):
         order = calls.stage_order(
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -223,14 +223,17 @@
         raise errors.BadRecord(f"no {name} of a cache: {exc!r}") from exc
 
 
-def orders_accepted(body):
-    """Return how many orders an engine has accepted, from its report.
+def engine_report(body):
+    """Decode an engine's report on itself.
 
     :raises BadRecord: it is no report.
     """
     try:
-        return int(json.loads(body)["sequence"])
-    except (KeyError, TypeError, ValueError) as exc:
+        data = json.loads(body)
+        return domain.EngineReport(
+            int(data["sequence"]), data.get("busy") is True
+        )
+    except _MALFORMED as exc:
         raise errors.BadRecord(f"no report: {exc!r}") from exc
 
 
--- a/tests/gateway/test_stages.py
+++ b/tests/gateway/test_stages.py
@@ -143,3 +143,13 @@
         self.report_by_id["a"] = {"sequence": 0}
         self.look_for(2 * stages.UNREACHABLE_MS)
         self.assertEqual(self.ordered, ["a"])
+
+    def test_an_order_that_is_carried_out_is_not_given_again(self):
+        # The gateway that gave it has ended, and the record is an old one.
+        self.engine("a", domain.PREFILL, {"sequence": 1, "busy": True})
+        self.engine("b", domain.PREFILL)
+        self.look_for(2_000)
+        self.assertEqual(self.ordered, [])
+        self.report_by_id["a"] = {"sequence": 1, "busy": False}
+        self.look_for(1_000)
+        self.assertEqual(self.ordered, ["a"])
