Keep the sum of all retry budgets inside the bound over restarts

What callers saw. Nothing by themselves; the deployment's rule breaks.

Each process took its part of the fixed number by the gateways that it had heard. One that has just started has heard none, so each of 61 had the whole, 121 sends; and what its process before had spent was forgotten. By the logs of the further arrivals came after the restart, 330 to 620 second placements a second from 36 to 40 s (engines that refuse with 503: 230 to 650 a second; reading engines that were given up: 220 to 290), with next to no 'no budget' for six seconds.

Half of the ratio is earned by requests that this process saw; the fixed number is shared among all instances that ever registered; a process that isn't its instance's first has no share until it is a window old. Time counts suspension. Sends that reached nobody are given back, and a prompt whose reading was refused counts once, as the rule has it.

The soak judges the budget over all gateways.

--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -23,3 +23,7 @@
 # While two engines may work on one stream.
 TWO_ENGINES_SECONDS = 0.4
 MAX_ATTEMPTS = 2
+# Arrivals beyond the first of each request, for all gateways together.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 10
+RETRY_WINDOW_SECONDS = 10.0
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -5,6 +5,7 @@
 from bench.soak import bounds
 from bench.soak import limits
 from bench.soak import losses
+from bench.soak import retries
 
 NOT_RUN = (408, 421, 429, 503)
 
@@ -24,6 +25,7 @@
         *_conflicting_orders(ledger),
         *losses.judge(ledger),
         *limits.judge(ledger),
+        *retries.judge(ledger),
     ]
 
 
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -57,7 +57,14 @@
             store = case.store
             case.store = self._proxy(f"store-{name}", store, name)
             ip = f"127.0.0.{number}"
-            front = case.start_only(name, ip, grace_s=bounds.GRACE_SECONDS)
+            front = case.start_only(
+                name,
+                ip,
+                grace_s=bounds.GRACE_SECONDS,
+                budget_ratio=bounds.RETRY_RATIO,
+                budget_slack=bounds.RETRY_SLACK,
+                budget_window_s=bounds.RETRY_WINDOW_SECONDS,
+            )
             case.store = store
             self._front_by_gateway[name] = self._proxy(
                 f"front-{name}", front, name
--- a/clementinewall/gateway/budgets.py
+++ b/clementinewall/gateway/budgets.py
@@ -1,32 +1,68 @@
 """The retry budgets of all services at this gateway."""
 
 from clementinewall.gateway import retries
+from clementinewall import metrics
 
 
 class Budgets:
     """Finds the budget of a service."""
 
     def __init__(self, settings, peers, now):
-        """Share the slack with the live peers."""
+        """Share the fixed number with the instances that peers know."""
         self._settings = settings
         self._peers = peers
         self._now = now
-        self._by_service = {}
+        self._started = now()
+        self._budget_by_service = {}
         self._most = 1
 
     def _budget(self, service):
-        budget = self._by_service.get(service.name)
+        budget = self._budget_by_service.get(service.name)
         if budget is None:
             budget = retries.Budget(self._settings.bounds, self._now)
-            self._by_service[service.name] = budget
+            self._budget_by_service[service.name] = budget
         return budget
 
     def count_request(self, service):
         """Count a request of a caller for a service."""
         self._budget(service).count_request()
 
-    def spend(self, service, sends=1):
-        """Take further sends; return whether so many were left."""
-        # A gateway that isn't heard may be cut off and still send.
-        self._most = max(self._most, 1 + len(self._peers.table.live()))
-        return self._budget(service).spend(self._most, sends)
+    def has_left(self, service, sends):
+        """Tell whether further sends could be taken now."""
+        return self._budget(service).has_left(self._share(), sends)
+
+    def spend(self, service, sends, why):
+        """Take further sends for a reason; return whether they were left."""
+        is_left = self._budget(service).spend(self._share(), sends)
+        metrics.count(
+            "retries" if is_left else "retries_refused",
+            sends,
+            service=service.name,
+            why=why,
+        )
+        return is_left
+
+    def give_back(self, service, sends):
+        """Return sends that were taken last and reached nobody."""
+        self._budget(service).give_back(sends)
+        metrics.count("retries_given_back", sends, service=service.name)
+
+    def _share(self):
+        return retries.share(
+            self._settings.bounds,
+            self._gateways(),
+            self._now() - self._started,
+            self._peers.is_first_process,
+        )
+
+    def _gateways(self):
+        """Return how many instances share the fixed number, if known.
+
+        One that isn't heard may be cut off and still send, so all count that
+        ever registered.
+        """
+        table = self._peers.table
+        if not table.is_whole:
+            return None
+        self._most = max(self._most, 1 + len(table.ips))
+        return self._most
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -63,6 +63,8 @@
         self._guard = guard
         self._membership = membership
         self.table = peer_table.PeerTable(settings.ip, now)
+        # Whether the store names no earlier process of this instance.
+        self.is_first_process = False
         self._last_work = {}
         self._last_at = -UNCHANGED_MS
         self._again_at = None
@@ -121,8 +123,13 @@
     async def register(self):
         """Put this gateway's address into the store, once."""
         client = store.Store(self._settings.store, self._now)
+        known = None
         while True:
             try:
+                # Only the first answer tells: an append without an answer may
+                # have been this process's own.
+                if known is None:
+                    known = await client.newest(records.GATEWAYS_TOPIC)
                 await client.append(
                     records.GATEWAYS_TOPIC, self._settings.ip, b"1"
                 )
@@ -130,7 +137,13 @@
             except errors.LogUnavailable as exc:
                 _log.warning("not registered yet", why=exc.message)
                 await anyio.sleep(clock.seconds(REGISTER_RETRY_MS))
-        _log.info("registered", ip=self._settings.ip)
+        names = {record.key for record in known.records}
+        self.is_first_process = self._settings.ip not in names
+        _log.info(
+            "registered",
+            ip=self._settings.ip,
+            is_first_process=self.is_first_process,
+        )
         client.close()
 
     async def run(self):
--- a/clementinewall/gateway/plain.py
+++ b/clementinewall/gateway/plain.py
@@ -39,13 +39,20 @@
             state = self._pick(exchange)
             if state is None:
                 break
-            if exchange.arrivals and not self._budgets.spend(exchange.service):
-                _log.info("no budget", request=exchange.call.attempt)
+            spent = 1 if exchange.arrivals else 0
+            if spent and not self._budgets.spend(
+                exchange.service, spent, "send again"
+            ):
+                _log.info(
+                    "no budget", request=exchange.call.attempt, sends=spent
+                )
                 break
             try:
                 head, body = await self._attempt(exchange, state)
             except exchanges.AttemptFailed as exc:
                 last = exc
+                if spent and not exc.reached:
+                    self._budgets.give_back(exchange.service, spent)
                 self._note_failure(exchange, state, exc)
                 if not exchange.may_send_again():
                     break
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -64,7 +64,10 @@
             self._guard,
             self._membership,
         )
-        self._budgets = budgets.Budgets(settings, self._peers, now)
+        # What was earned before the machine was suspended is too old then.
+        self._budgets = budgets.Budgets(
+            settings, self._peers, ticker.now_with_suspend
+        )
         drain = draining.Drain(ticker)
         self._plain = plain.PlainRelay(
             settings, self._endpoints, self._budgets, self._guard, now
--- a/clementinewall/gateway/retries.py
+++ b/clementinewall/gateway/retries.py
@@ -2,21 +2,42 @@
 
 Sending a request to a second endpoint adds load just when endpoints fail.
 The deployment allows, for each service, a part of its requests and a fixed
-number besides, for all gateways together in a sliding window.  Each gateway
-uses its equal part of the fixed number and the ratio of its own requests;
-gateways that were not heard lately count too, since they may be cut off
-rather than gone.
+number besides, for all gateways together in a sliding window.
+
+Credit is earned by requests that this process has seen in the last window.
+A window of the deployment may hold what was earned in it and in the one
+before it, at other gateways or in an earlier process of this instance; so a
+request earns half of the ratio.  The fixed number is shared by all instances
+that ever registered.  A process that isn't its instance's first uses its share
+only when it is older than a window, since the one before it may have spent
+the same.  With both, no demand, restart or loss of gateways takes the sum over
+the bound.
 """
 
 import collections
 
-# Left unused, since the windows of the gateways are not the same and callers
-# may leave between the count here and the arrival.
-MARGIN = 0.75
+# What a request earns, of the deployment's ratio.
+EARNED_PART = 0.5
+# Of the fixed number.  The rest is for sends that arrive later than they were
+# counted, and for instances that others don't know yet.
+SHARED_PART = 0.9
+
+
+def share(bounds, gateways, age_ms, is_first):
+    """Return what one process may spend of the fixed number.
+
+    ``gateways`` is how many instances share it, ``None`` if that isn't known;
+    ``is_first`` tells that no process of this instance was there before.
+    """
+    if gateways is None:
+        return 0.0
+    if not is_first and age_ms < bounds.retry_window_ms:
+        return 0.0
+    return SHARED_PART * bounds.retry_slack / gateways
 
 
 class Budget:
-    """The budget of one service at one gateway."""
+    """The budget of one service in one process of a gateway."""
 
     def __init__(self, bounds, now):
         """Begin with no request."""
@@ -31,17 +52,27 @@
         self._requests.append(now)
         self._trim(now)
 
-    def spend(self, gateways, sends=1):
-        """Take further sends; return whether so many were left."""
-        now = self._now()
-        self._trim(now)
-        slack = self._bounds.retry_slack / max(1, gateways)
-        allowed = self._bounds.retry_ratio * len(self._requests) + slack
-        if len(self._extra) + sends > allowed * MARGIN:
+    def spend(self, share, sends=1):
+        """Take further sends; return whether so many were left.
+
+        ``share`` is what :func:`share` allows.
+        """
+        if not self.has_left(share, sends):
             return False
-        self._extra.extend([now] * sends)
+        self._extra.extend([self._now()] * sends)
         return True
 
+    def has_left(self, share, sends=1):
+        """Tell whether so many further sends could be taken."""
+        self._trim(self._now())
+        earned = EARNED_PART * self._bounds.retry_ratio * len(self._requests)
+        return len(self._extra) + sends <= earned + share
+
+    def give_back(self, sends):
+        """Return sends that were taken last and reached nobody."""
+        for _ in range(min(sends, len(self._extra))):
+            self._extra.pop()
+
     def _trim(self, now):
         start = now - self._bounds.retry_window_ms
         for times in (self._requests, self._extra):
--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -58,13 +58,21 @@
         while True:
             plan = self._placer.place(exchange, last)
             self._drain.check_stream(exchange, plan.way.first_ms)
-            if not self._spend(exchange, plan):
-                _log.info("no budget", request=exchange.call.attempt)
+            spent = _further_sends(exchange, plan)
+            if spent and not self._budgets.spend(
+                exchange.service, spent, _reason(exchange)
+            ):
+                _log.info(
+                    "no budget", request=exchange.call.attempt, sends=spent
+                )
                 break
             try:
                 await self._run_plan(exchange, stream, plan)
             except exchanges.AttemptFailed as exc:
                 last = exc
+                unused = _unused_sends(plan, spent, exc)
+                if unused:
+                    self._budgets.give_back(exchange.service, unused)
                 self._note_failure(exchange, exc, not stream.had_first)
                 if not exchange.may_send_again():
                     break
@@ -78,20 +86,6 @@
             return
         raise exchanges.final_error(exchange, last.why)
 
-    def _spend(self, exchange, plan):
-        """Take retries from the budget; reading the prompt again counts too.
-
-        Only the first reading of a prompt is free.  Retries that were
-        counted once went over the deployment's bound by 24 in 10 s when
-        decode engines were replaced under load.
-        """
-        sends = 0
-        if exchange.arrivals:
-            sends += 1
-        if exchange.reads and plan.reader is not None:
-            sends += 1
-        return not sends or self._budgets.spend(exchange.service, sends)
-
     async def _run_plan(self, exchange, stream, plan):
         prefilled = None
         if plan.reader is not None:
@@ -193,6 +187,11 @@
             predicted_ms=round(plan.way.first_ms),
         )
 
+    def _reading_silence_ms(self, exchange, plan):
+        """Return how long a reading engine may say nothing."""
+        expected = plan.way.wait_ms + plan.way.prompt_ms
+        return PREFILL_PATIENCE * expected + PREFILL_SLACK_MS
+
     async def _prefill(self, exchange, plan):
         reader = plan.reader
         prompt_ms = plan.way.prompt_ms
@@ -207,8 +206,7 @@
         job = reader.begin_prompt(plan.urgency, prompt_ms)
         was_read = False
         self._tell_prompt(job)
-        expected = plan.way.wait_ms + prompt_ms
-        silence_ms = PREFILL_PATIENCE * expected + PREFILL_SLACK_MS
+        silence_ms = self._reading_silence_ms(exchange, plan)
         try:
             async with sending.send(
                 exchange.call, reader, request, self._now, silence_ms
@@ -219,7 +217,7 @@
         except exchanges.AttemptFailed as exc:
             # Only the prompt was read, so the request itself has not run.
             exchange.sends += 1
-            if exc.reached:
+            if exc.reached and exc.verdict is not verdicts.Verdict.NOT_RUN:
                 exchange.reads += 1
             exchange.tried.add(reader.endpoint.id)
             exc.verdict = verdicts.Verdict.NOT_RUN
@@ -278,5 +276,37 @@
         )
 
 
+def _further_sends(exchange, plan):
+    """Return how many sends of a plan draw on the budget.
+
+    Only the first reading of a prompt is free.  Retries that were counted once
+    went over the deployment's bound when decode engines were replaced under
+    load.
+    """
+    sends = 0
+    if exchange.arrivals:
+        sends += 1
+    if exchange.reads and plan.reader is not None:
+        sends += 1
+    return sends
+
+
+def _unused_sends(plan, spent, failure):
+    """Return how many of the sends that were taken reached nobody."""
+    reached = 1 if failure.reached else 0
+    reader = plan.reader
+    if reader is not None and failure.endpoint_id == reader.endpoint.id:
+        # The stream itself was not asked for.
+        return max(0, spent - reached)
+    return min(spent, 1 - reached)
+
+
+def _reason(exchange):
+    """Return what further sends are for, as a label."""
+    if exchange.first_ms is not None:
+        return "resume"
+    return "read again" if exchange.reads else "send again"
+
+
 def _source(plan):
     return plan.source and plan.source.endpoint
