Give up no engine for silence while nothing may be sent elsewhere

What callers saw. With the budget kept inside its bound most could not be read again at all: their callers got a refusal for a prompt that an engine was about to have read.

The patience with a silent engine was decided without asking whether there is anything to do instead.

Without a budget for reading the prompt again and sending the request once more, the gateway waits until the request's own limit.

The new test failed before: the caller got no event.

--- a/clementinewall/gateway/streams.py
+++ b/clementinewall/gateway/streams.py
@@ -22,6 +22,8 @@
 # more, is read elsewhere: reading is no run, so this is always allowed.
 PREFILL_PATIENCE = 3.0
 PREFILL_SLACK_MS = 500
+# Reading a prompt again and sending the request once more.
+READ_AGAIN_SENDS = 2
 # Callers give up a stream after a pause of 2,000 ms or more.  Half of it is
 # left for another engine to read the prompt again.
 SILENCE_MS = 1_000
@@ -156,6 +158,8 @@
         route = exchange.route
         if not route.idempotent or exchange.arrivals >= route.max_attempts:
             return None
+        if not self._budgets.has_left(exchange.service, READ_AGAIN_SENDS):
+            return None
         others = [
             state
             for state in self._endpoints.of_service(exchange.service.name)
@@ -188,7 +192,13 @@
         )
 
     def _reading_silence_ms(self, exchange, plan):
-        """Return how long a reading engine may say nothing."""
+        """Return how long a reading engine may say nothing, or ``None``.
+
+        Given up without a budget to read it elsewhere, the prompt would have
+        been read in vain.
+        """
+        if not self._budgets.has_left(exchange.service, READ_AGAIN_SENDS):
+            return None
         expected = plan.way.wait_ms + plan.way.prompt_ms
         return PREFILL_PATIENCE * expected + PREFILL_SLACK_MS
 
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -222,6 +222,20 @@
         self.assertEqual(leaving.requests, [])
         self.assertEqual(len(staying.requests), 1)
 
+    def test_slow_reading_is_waited_for_if_it_may_not_be_done_elsewhere(self):
+        # Guards against giving up a prompt that no other engine may read.
+        def reader(_endpoint, request):
+            yield 1.6
+            body = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
+            yield scripted.answer(request, body)
+
+        self.engine("one", reader, "prefill")
+        self.engine("two", go_on)
+        front = self.gateway(budget_ratio=0, budget_slack=0)
+        usage = dict(MODEL_HEADERS, Token_Usage="30000,20")
+        answer = self.ask(front, "/chat/x", **usage)
+        self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
+
     def test_caller_that_leaves_ends_the_stream(self):
         def script(_endpoint, request):
             yield from whole_stream(request, (1,), end=False)
