Log what a draining gateway accepts, and answers ended by a failure

Why: a stream that the end of a process cuts leaves its end in the log, not why it was accepted; only refusals told the estimate. A stream that ends because its engine failed could not be told from a refusal. Change: the drain's line names the estimate, the caller's own time and the time that is left for accepted requests too; 'gateway: failed' says whether an answer had begun.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -238,6 +238,7 @@
             status=error.status,
             verdict=error.verdict.value,
             why=error.message,
+            answer_begun=connection.answer_started,
         )
         if connection.answer_started:
             # Closing before the end of the body shows the caller that the
--- a/clementinewall/gateway/draining.py
+++ b/clementinewall/gateway/draining.py
@@ -99,17 +99,19 @@
     def _check(self, exchange, slow_ms, usual):
         needed_ms = min(slow_ms, exchange.caller_left_ms)
         left_ms = self.left_ms
-        if needed_ms <= left_ms:
-            return
-        metrics.count("refused_leaving", route=exchange.route.name)
+        is_accepted = needed_ms <= left_ms
         _log.info(
-            "refused",
+            "accepted" if is_accepted else "refused",
             request=exchange.call.attempt,
             route=exchange.route.name,
             needed_ms=round(needed_ms),
+            caller_left_ms=round(exchange.caller_left_ms),
             usual=usual and round(usual, 3),
             left_ms=round(left_ms),
         )
+        if is_accepted:
+            return
+        metrics.count("refused_leaving", route=exchange.route.name)
         # Another instance can serve it at once.
         raise errors.Draining("this instance is stopping", retry_after_ms=0)
 
