Test that a late stream is not cut when its engine slows down

LOST, reproduced on the present code: after 25 quick streams of a route a gateway with 6 s between SIGTERM and SIGKILL accepts one 3.2 s after SIGTERM, whose engine then sends an event each half second. The caller's connection is closed in the middle of the answer: RemoteProtocolError, incomplete chunked read. A second test, which passes, asks that work whose own limit ends before the process is still served.

--- a/tests/integration/test_gateway_draining.py
+++ b/tests/integration/test_gateway_draining.py
@@ -86,6 +86,36 @@
         front = self.gateway()
         self.check_long_one_is_refused(front, engine, "100,400")
 
+    def test_late_stream_is_not_cut_when_its_engine_slows_down(self):
+        # Guards against a cut answer: late in a drain an estimate was enough.
+        self.publish_streams()
+
+        def script(_endpoint, request):
+            is_usual = request.header_by_name["attempt-id"].startswith("s")
+            gap_seconds = 0.004 if is_usual else 0.5
+            yield from long_answer(20, gap_seconds)(_endpoint, request)
+
+        engine = self.engine("one", script)
+        front = self.gateway(grace_s=6)
+        for number in range(25):
+            self.stream(front, "100,400", f"s{number}")
+        before = len(engine.requests)
+        self.terminate()
+        time.sleep(3.2)
+        answer = self.stream(front, "100,400", "late")
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(len(engine.requests), before)
+
+    def test_late_stream_that_ends_before_the_process_is_served(self):
+        # Guards against a refusal of work that the drain cannot cut.
+        self.publish_streams()
+        self.engine("one", long_answer(20, 0.004))
+        front = self.gateway(grace_s=6)
+        self.terminate()
+        time.sleep(3.2)
+        answer = self.stream(front, "100,400", Deadline_Ms="1500")
+        self.assertEqual(answer.status_code, 200)
+
     def test_drain_refuses_a_stream_of_unknown_length(self):
         self.publish_streams()
         engine = self.engine("one", long_answer(400, 0.004))
