Accept a late request in a drain only if its own limit ends in time

Cause: what a draining gateway accepts followed from a learned estimate however late a request came. An answer that is slower than the last ones of its route, such as one whose engine slows down after the admission, is cut when the process ends. Class: work is taken whose end lies beyond the life of its process; any estimate between a caller and a cut fails for some engine. Change: 2.5 s after SIGTERM the estimate no longer counts. A later request is accepted only if its deadline or its route's timeout ends before the process does, which holds for any speed of an engine; otherwise it is refused at once, 'not run', and another instance serves it. Operators excuse a cut only of what was sent within 3 s of the signal. Not changed: an early stream may still be cut if it outlasts the estimate.

--- a/clementinewall/gateway/draining.py
+++ b/clementinewall/gateway/draining.py
@@ -97,15 +97,17 @@
         return ratios
 
     def _check(self, exchange, slow_ms, usual):
-        needed_ms = min(slow_ms, exchange.caller_left_ms)
+        request = drain.Request(
+            slow_ms, exchange.caller_left_ms, self.taken_after_ms(exchange)
+        )
         left_ms = self.left_ms
-        is_accepted = needed_ms <= left_ms
+        is_accepted = drain.can_finish(request, left_ms)
         _log.info(
             "accepted" if is_accepted else "refused",
             request=exchange.call.attempt,
             route=exchange.route.name,
-            needed_ms=round(needed_ms),
-            caller_left_ms=round(exchange.caller_left_ms),
+            needed_ms=round(min(slow_ms, request.caller_left_ms)),
+            caller_left_ms=round(request.caller_left_ms),
             usual=usual and round(usual, 3),
             left_ms=round(left_ms),
         )
--- a/clementinewall/policy/drain.py
+++ b/clementinewall/policy/drain.py
@@ -1,8 +1,10 @@
-"""Upper estimates of request durations, for a process that is draining.
+"""Which requests a draining process accepts.
 
 A process that is asked to stop has a fixed time left.  Work that takes longer
-is cut off, so a request is accepted only if it ends by then even when slow,
-and is refused at once otherwise: another instance can serve it.
+is cut off, so a request is accepted only if it ends by then, and is refused
+at once otherwise: another instance can serve it.  The request's own time limit
+always holds; an estimate of its duration may be too short, so it counts only
+early in the drain.
 """
 
 import collections
@@ -15,6 +17,9 @@
 # the predicted time, plus the slack.
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 FIRST_EVENT_SLACK_MS = 500
+# Requests that come later after the stop signal must not be cut at all.
+# Operators excuse a cut only of those that were sent within 3 s of the signal.
+MAX_ESTIMATED_ARRIVAL_MS = 2_500
 # Assumed longest duration of a call to a plain service, in targets.
 MAX_CALL_TARGETS = 2.0
 # Samples kept per route, and how many are needed for an estimate.
@@ -38,6 +43,27 @@
     slots: int
 
 
+class Request(typing.NamedTuple):
+    """What decides whether a draining process accepts a request.
+
+    ``slow_ms`` estimates how long it takes when slow, ``caller_left_ms`` is
+    the time left by its own limits, ``arrival_ms`` how long after the stop
+    signal it came, negative if before.
+    """
+
+    slow_ms: float
+    caller_left_ms: float
+    arrival_ms: float
+
+
+def can_finish(request, left_ms):
+    """Tell whether a request ends before the process, in ``left_ms``."""
+    if request.caller_left_ms <= left_ms:
+        return True
+    is_early = request.arrival_ms <= MAX_ESTIMATED_ARRIVAL_MS
+    return is_early and request.slow_ms <= left_ms
+
+
 def stream_ms(stream, usual=None):
     """Return how long a slow stream takes, in ms.
 
--- a/tests/policy/test_drain.py
+++ b/tests/policy/test_drain.py
@@ -1,5 +1,6 @@
 """Estimates of how long a request may take at a draining process."""
 
+import itertools
 import math
 import unittest
 
@@ -35,6 +36,32 @@
         self.assertGreater(drain.call_ms(400, 2.0), drain.call_ms(400))
 
 
+class Acceptance(unittest.TestCase):
+    """Which requests a draining process accepts."""
+
+    def test_a_late_request_is_accepted_only_by_its_own_limit(self):
+        # Guards against cut answers: an estimate may be too short.
+        late_ms = drain.MAX_ESTIMATED_ARRIVAL_MS + 1
+        times = (0, 1, 999, 1_000, 1_001, 60_000)
+        for slow_ms, caller_left_ms, left_ms in itertools.product(
+            times, repeat=3
+        ):
+            request = drain.Request(slow_ms, caller_left_ms, late_ms)
+            self.assertEqual(
+                drain.can_finish(request, left_ms), caller_left_ms <= left_ms
+            )
+
+    def test_an_early_request_is_accepted_by_an_estimate_too(self):
+        for arrival_ms in (-500, 0, drain.MAX_ESTIMATED_ARRIVAL_MS):
+            request = drain.Request(900, 8_000, arrival_ms)
+            self.assertTrue(drain.can_finish(request, 901))
+            self.assertFalse(drain.can_finish(request, 899))
+
+    def test_an_early_request_is_accepted_by_its_own_limit(self):
+        request = drain.Request(math.inf, 900, 0)
+        self.assertTrue(drain.can_finish(request, 900))
+
+
 class DurationRatiosTest(unittest.TestCase):
     """Durations of the last requests."""
 
