Send an endpoint nothing in the span for which it asked for rest

Cause: nothing read Retry-After of an endpoint's refusal. Two refusals in a row paused the endpoint for a second, and any success, such as the end of a stream that had begun before, ended that pause. Class: an endpoint's own word is replaced by a guess from what was seen of it, and the guess is forgotten. Change: the span is read in the platform's folder and kept with the endpoint's incarnation, whatever succeeds meanwhile. Every send goes through the endpoint's state, which hands out no connection within the span: runs, prefills, calls, second sends, polls of caches, reports and orders; one that waited for its connection asks again. Placing leaves resting engines out, reads no prompt for them, and refuses at once if all that decode rest, with the time until the first one takes work. A handle is freed after the span. Refusals with a span cause no pause of our own after it.

--- a/clementinewall/gateway/cache_sync.py
+++ b/clementinewall/gateway/cache_sync.py
@@ -100,6 +100,8 @@
             cursor_by_incarnation[incarnation] = cursor
             if cursor.is_asking or self._now() < cursor.next_request_at:
                 continue
+            if state.rest_ms:
+                continue
             if cursor.next is None or self._is_poller(state, pollers):
                 cursor.is_asking = True
                 self._group.start_soon(self._ask, state, cursor)
@@ -183,7 +185,7 @@
         self._endpoints.apply_cache_changes(state, changes.parts)
 
     async def _body(self, state, request):
-        head, body = await state.pool.send_request(
+        head, body = await state.send_request(
             request, sending.MAX_ANSWER_BYTES
         )
         metrics.count("cache_calls", status=head.status)
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -1,14 +1,18 @@
 """This gateway's state for each endpoint: connections, work, cache."""
 
 from clementinewall import domain
+from clementinewall import errors
 from clementinewall.gateway import cache_holders
 from clementinewall.gateway import cache_view
 from clementinewall.gateway import peer_messages
 from clementinewall.http1 import client
 from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.platform import calls
 from clementinewall.policy import endpoint_health
 from clementinewall.policy import prefill_queue
 from clementinewall.policy import prefill_scale
+from clementinewall import verdicts
 
 _log = logs.PartLog("endpoint")
 
@@ -20,6 +24,16 @@
 RESPONSE_TIMEOUT_MS = 1_000
 
 
+class Withheld(client.LinkBroken):
+    """Nothing was sent, since the endpoint has asked for no requests."""
+
+    def __init__(self):
+        """Create the error for an endpoint that rests."""
+        super().__init__(
+            verdicts.Progress.NEVER_CONNECTED, "the endpoint asked for rest"
+        )
+
+
 class EndpointState:
     """The state of one incarnation of an endpoint."""
 
@@ -28,7 +42,8 @@
         self.endpoint = endpoint
         self._now = now
         self._last_response_at = None
-        self.pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
+        self._pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
+        self._rest_until = now()
         self.health = endpoint_health.Health()
         self.open = 0
         self.streams = 0
@@ -40,6 +55,80 @@
         self.unavailable_until = 0
         self.cache = cache_view.CacheView()
 
+    @property
+    def rest_ms(self):
+        """Return for how many ms the endpoint still wants no requests."""
+        return max(0, self._rest_until - self._now())
+
+    def apply_answer(self, head):
+        """Apply what the head of an answer says of the endpoint itself."""
+        try:
+            asked_ms = calls.decode_rest_ms(head)
+        except errors.BadRecord as exc:
+            _log.warning(
+                "request for rest ignored",
+                endpoint=self.endpoint.id,
+                why=exc.message,
+            )
+            return
+        if asked_ms and not self.rest_ms:
+            metrics.count("rests", service=self.endpoint.service)
+            _log.info(
+                "asked for rest",
+                endpoint=self.endpoint.id,
+                rest_ms=round(asked_ms),
+            )
+        self._rest_until = max(self._rest_until, self._now() + asked_ms)
+
+    async def acquire_link(self):
+        """Return a connection for one request.
+
+        :raises Withheld: the endpoint has asked for rest.
+        :raises LinkBroken: the connection could not be established.
+        """
+        self._check_rest()
+        link = await self._pool.acquire()
+        if self.rest_ms:
+            # It asked for rest while the connection was established.
+            self._pool.discard(link)
+            self._check_rest()
+        return link
+
+    def release_link(self, link):
+        """Return a connection whose answer was read to its end."""
+        self._pool.release(link)
+
+    def discard_link(self, link):
+        """Close a connection that cannot be used again."""
+        self._pool.discard(link)
+
+    async def send_request(self, request, max_bytes, fresh=False):
+        """Send a request and return the head and body of its answer.
+
+        ``fresh`` uses a new connection and closes it afterwards.
+
+        :raises Withheld: the endpoint has asked for rest.
+        :raises LinkBroken: the exchange failed, or the body is over
+            ``max_bytes`` bytes.
+        """
+        self._check_rest()
+        head, body = await self._pool.send_request(request, max_bytes, fresh)
+        self.apply_answer(head)
+        return head, body
+
+    def _check_rest(self):
+        if self.rest_ms:
+            metrics.count("withheld", service=self.endpoint.service)
+            raise Withheld()
+
+    def prune_links(self):
+        """Close the idle connections whose keep-alive time is over."""
+        self._pool.prune()
+
+    def close_links(self):
+        """Close all idle connections."""
+        self._pool.close()
+
     def begin(self):
         """Count a request as open."""
         if not self.open:
@@ -59,7 +148,15 @@
         now = self._now()
         if now < self.unavailable_until or self._is_timed_out():
             return False
-        return self.health.is_usable(now)
+        return not self.rest_ms and self.health.is_usable(now)
+
+    def record_failure(self, absent=False):
+        """Record a request that failed; ``absent`` if nothing listens there.
+
+        An endpoint that asked for rest has said itself when to try again.
+        """
+        if absent or not self.rest_ms:
+            self.health.record_failure(self._now(), absent)
 
     def is_unavailable(self):
         """Return whether requests to the endpoint would get no answer."""
@@ -141,8 +238,10 @@
             return None
         return self.state(endpoint)
 
-    def is_current(self, state):
+    def takes_work(self, state):
         """Return whether the endpoint still takes new work."""
+        if state.rest_ms:
+            return False
         known = self._fleet_view.endpoint_by_id.get(state.endpoint.id)
         return (
             known is not None
@@ -264,9 +363,9 @@
         }
         for incarnation, state in list(self._state_by_incarnation.items()):
             if incarnation in current:
-                state.pool.prune()
+                state.prune_links()
                 continue
-            state.pool.close()
+            state.close_links()
             if not state.open:
                 del self._state_by_incarnation[incarnation]
                 _log.info("endpoint state removed", endpoint=state.endpoint.id)
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -158,8 +158,11 @@
     return messages.Head(error.status, reason, tuple(headers)), body
 
 
-def final_error(exchange, why):
-    """Return the error for a request that is not sent again."""
+def final_error(exchange, why, retry_after_ms=None):
+    """Return the error for a request that is not sent again.
+
+    ``retry_after_ms`` is when it could be served, if that is known.
+    """
     if exchange.verdict is verdicts.Verdict.NOT_RUN:
-        return errors.NoEndpoint(why)
+        return errors.NoEndpoint(why, retry_after_ms=retry_after_ms)
     return errors.EndpointFailed(why, exchange.verdict)
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -236,6 +236,7 @@
             if state.is_usable()
             else UNUSABLE_SLOWNESS,
             unreachable=state.is_unavailable(),
+            rest_ms=state.rest_ms,
         )
 
     def _refuse(self, exchange, demand, refusal, last):
@@ -251,12 +252,11 @@
             tokens=demand.tokens,
         )
         metrics.count("refused", route=exchange.route.name)
-        if last is not None:
-            raise exchanges.final_error(exchange, last.why)
         jitter = 1 + RETRY_JITTER_FRACTION * random.random()
-        raise errors.Overloaded(
-            refusal.why, retry_after_ms=refusal.retry_ms * jitter
-        )
+        retry_ms = refusal.retry_ms * jitter
+        if last is not None:
+            raise exchanges.final_error(exchange, last.why, retry_ms)
+        raise errors.Overloaded(refusal.why, retry_after_ms=retry_ms)
 
 
 def _is_worth_serving_late(refusal, exchange):
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -66,13 +66,21 @@
             await exchange.connection.answer(calls.forwarded_head(head), body)
             return
         why = last.why if last else "no endpoint of the service is available"
-        raise exchanges.final_error(exchange, why)
+        raise exchanges.final_error(
+            exchange, why, self._min_rest_ms(exchange.service)
+        )
+
+    def _min_rest_ms(self, service):
+        """Return when the first endpoint takes work again, or ``None``."""
+        spans = [s.rest_ms for s in self._endpoints.of_service(service.name)]
+        return min(spans, default=0) or None
 
     def _choose_endpoint(self, exchange):
         states = [
             state
             for state in self._endpoints.of_service(exchange.service.name)
             if state.endpoint.id not in exchange.tried_ids
+            and not state.rest_ms
         ]
         usable = [s for s in states if s.is_usable()] or states
         if not usable:
@@ -140,7 +148,7 @@
     def _record_failure(self, exchange, state, exc):
         exchange.record_failure(exc)
         if exc.answer is None:
-            state.health.record_failure(self._now(), exc.absent)
+            state.record_failure(exc.absent)
         self._crash_guard.record_failure(exchange.call, state, exc, True)
         _log.info(
             "attempt failed",
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -81,7 +81,7 @@
     sent = None
     state.begin()
     try:
-        link = await state.pool.acquire()
+        link = await state.acquire_link()
         try:
             await link.send(request, silence_timeout_ms)
             head = await _matching_head(call, link, silence_timeout_ms)
@@ -93,6 +93,7 @@
             ) from exc
         state.record_response()
         sent = SentRequest(state, link, head)
+        state.apply_answer(head)
         _record_load(state, head, now())
         if calls.reports_not_run(head):
             await sent.read_all()
@@ -146,6 +147,6 @@
 
 def _release_link(state, link, sent):
     if sent is not None and sent.is_complete:
-        state.pool.release(link)
+        state.release_link(link)
     else:
-        state.pool.discard(link)
+        state.discard_link(link)
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -361,7 +361,7 @@
             )
         else:
             is_absent = isinstance(exc, client.LinkBroken) and exc.absent
-            state.health.record_failure(self._clock.now(), is_absent)
+            state.record_failure(is_absent)
         metrics.count("orders", status=cause.value)
         self._cooldowns.start(state.endpoint.id, cause, rest_ms)
         _log.warning(
@@ -378,7 +378,7 @@
         A pooled connection may be dead.  Closing a connection of its own
         discards unsent data, so that an abandoned order can't arrive later.
         """
-        return await state.pool.send_request(
+        return await state.send_request(
             request, sending.MAX_ANSWER_BYTES, fresh=True
         )
 
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -105,16 +105,16 @@
             self._check_drain(exchange, plan, prefilled)
         exchange.sends += 1
         decode_engine = plan.decode_engine
-        if not self._endpoints.is_current(decode_engine):
-            # It started draining during the prefill on another engine, and
-            # must get no new work.
+        if not self._endpoints.takes_work(decode_engine):
+            # It started draining or asked for rest during the prefill on
+            # another engine.
             if prefilled is not None:
                 self._group.start_soon(
                     self._free_handle, plan.prefill_engine, prefilled
                 )
             raise exchanges.AttemptFailed(
                 verdicts.Verdict.NOT_RUN,
-                "the engine is draining",
+                "the engine takes no new work",
                 decode_engine.endpoint.id,
                 reached=False,
             )
@@ -298,9 +298,10 @@
 
     async def _free_handle(self, prefill_engine, prefilled):
         request = calls.free_request(prefilled.handle)
+        await anyio.sleep(clock.seconds(prefill_engine.rest_ms))
         with anyio.move_on_after(clock.seconds(FREE_TIMEOUT_MS)):
             try:
-                await prefill_engine.pool.send_request(
+                await prefill_engine.send_request(
                     request, sending.MAX_ANSWER_BYTES
                 )
             except client.LinkBroken as exc:
@@ -313,7 +314,7 @@
         exchange.record_failure(exc)
         for state in self._endpoints.of_service(exchange.service.name):
             if state.endpoint.id == exc.endpoint_id and exc.answer is None:
-                state.health.record_failure(self._now(), exc.absent)
+                state.record_failure(exc.absent)
                 self._crash_guard.record_failure(
                     exchange.call, state, exc, before_first
                 )
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -1,6 +1,7 @@
 """Encoding and decoding of requests and answers of callers and endpoints."""
 
 import json
+import math
 import urllib.parse
 
 from clementinewall import domain
@@ -14,6 +15,10 @@
 _NOT_RUN_HEADER = b"not-executed"
 _LOAD_HEADER = b"server-load"
 _ENCODING_HEADER = b"content-encoding"
+_REST_HEADER = b"retry-after"
+_UNAVAILABLE_STATUS = 503
+# Endpoints ask for seconds.  A mistaken value must not exclude one for days.
+MAX_REST_MS = 600_000
 _MISDIRECTED_STATUS = 421
 # Raised when a malformed body is decoded.  Converting an infinite number to
 # an integer raises OverflowError.
@@ -327,6 +332,25 @@
     return head._replace(headers=messages.end_to_end(head.headers))
 
 
+def decode_rest_ms(head):
+    """Return for how many ms an endpoint asks for no further request.
+
+    It is 0 if it asks for none, and at most :data:`MAX_REST_MS`.
+
+    :raises BadRecord: the value is not a number of seconds.
+    """
+    value = head.header(_REST_HEADER)
+    if head.status != _UNAVAILABLE_STATUS or value is None:
+        return 0
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if not 0 <= seconds < math.inf:
+        raise errors.BadRecord(f"{value!r} is not a number of seconds")
+    return min(MAX_REST_MS, seconds * 1_000)
+
+
 def decode_load(head):
     """Return the load that an answer reports, or ``None``."""
     value = head.header(_LOAD_HEADER)
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -10,6 +10,7 @@
 that those that are served are served in time.
 """
 
+import math
 import typing
 
 from clementinewall.policy import engine_time
@@ -66,7 +67,8 @@
 
     ``wait_ms`` is the prefill time queued ahead of the request at its urgency,
     ``cached`` how many leading tokens of the prompt are in its cache.
-    ``slowness`` is the ratio of observed to predicted time.
+    ``slowness`` is the ratio of observed to predicted time.  An engine gets
+    nothing for the ``rest_ms`` for which it has asked for no requests.
     """
 
     id: str
@@ -77,6 +79,7 @@
     cached: int
     slowness: float = 1.0
     unreachable: bool = False
+    rest_ms: float = 0.0
 
 
 class Demand(typing.NamedTuple):
@@ -136,7 +139,12 @@
 
     ``holder`` is a :class:`CacheHolder` that is none of ``engines``.
     """
+    rests = [e.rest_ms for e in engines if e.rest_ms and not e.prefill]
+    engines = [engine for engine in engines if not engine.rest_ms]
     decode_engines = [engine for engine in engines if not engine.prefill]
+    if rests and not decode_engines:
+        retry_ms = max(MIN_RETRY_MS, math.ceil(min(rests)))
+        return Refusal("all engines that decode rest", retry_ms, None)
     if all(engine.unreachable for engine in decode_engines):
         if not decode_engines or not demand.is_probe:
             return Refusal("no engine decodes", NO_DECODE_RETRY_MS, None)
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -3,11 +3,14 @@
 import json
 import unittest
 
+import anyio
+
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import fleet_view
 from clementinewall.gateway import peer_messages
+from clementinewall.http1 import messages
 from clementinewall.http1 import server
 
 LIMITS = domain.EngineLimits(16, 100_000, 18_432, 370_000.0, 3_000)
@@ -166,3 +169,91 @@
     def test_an_engine_that_changes_its_stage_is_unavailable(self):
         self.state.unavailable_until = self.ticker.now() + 1
         self.assertTrue(self.state.is_unavailable())
+
+
+class Rest(unittest.TestCase):
+    """An endpoint that has asked for no requests for three seconds."""
+
+    def setUp(self):
+        """Have it ask for rest."""
+        self.view = gateway_view()
+        self.ticker = clock.ManualClock(100_000)
+        self.state = endpoints.EndpointState(ENGINE, self.ticker.now)
+        self.state.apply_answer(refusal(b"3"))
+
+    def check_withheld(self):
+        """Check that nothing can be sent, neither requests nor reports."""
+        request = messages.Request(b"GET", b"/report", ())
+        for send in (
+            self.state.acquire_link,
+            lambda: self.state.send_request(request, 100),
+            lambda: self.state.send_request(request, 100, True),
+        ):
+            with self.assertRaises(endpoints.Withheld):
+                anyio.run(send)
+
+    def test_nothing_is_sent_until_the_span_is_over(self):
+        self.ticker.advance(2_999)
+        self.check_withheld()
+        self.assertFalse(self.state.is_usable())
+        self.ticker.advance(1)
+        self.assertTrue(self.state.is_usable())
+
+    def test_a_success_does_not_end_the_span(self):
+        # Guards against a span that earlier requests end when they complete.
+        self.state.health.record_success()
+        self.state.apply_answer(messages.Head(200, b"", ()))
+        self.check_withheld()
+
+    def test_a_later_refusal_never_shortens_the_span(self):
+        self.state.apply_answer(refusal(b"0.1"))
+        self.ticker.advance(2_000)
+        self.check_withheld()
+
+    def test_an_unreadable_span_changes_nothing(self):
+        self.state.apply_answer(refusal(b"soon"))
+        self.assertEqual(self.state.rest_ms, 3_000)
+
+    def test_refusals_in_a_span_cause_no_pause_after_it(self):
+        for _ in range(5):
+            self.state.record_failure()
+        self.ticker.advance(3_000)
+        self.assertTrue(self.state.is_usable())
+
+    def test_a_connection_that_takes_long_is_not_used_in_the_span(self):
+        # Guards against requests that waited for a connection.
+        state = endpoints.EndpointState(ENGINE, self.ticker.now)
+        pool = SlowPool(lambda: state.apply_answer(refusal(b"3")))
+        state._pool = pool
+        with self.assertRaises(endpoints.Withheld):
+            anyio.run(state.acquire_link)
+        self.assertEqual(pool.discarded, 1)
+
+    def test_another_incarnation_has_asked_for_nothing(self):
+        self.view.state(ENGINE).apply_answer(refusal(b"3"))
+        started = ENGINE._replace(incarnation=2)
+        self.assertEqual(self.view.state(started).rest_ms, 0)
+        self.assertEqual(self.view.state(ENGINE).rest_ms, 3_000)
+
+
+def refusal(seconds):
+    """Return the head of a refusal that asks for rest."""
+    return messages.Head(503, b"", ((b"Retry-After", seconds),))
+
+
+class SlowPool:
+    """A pool of connections; something happens while one is established."""
+
+    def __init__(self, on_acquire):
+        """Call ``on_acquire`` in each ``acquire``."""
+        self._on_acquire = on_acquire
+        self.discarded = 0
+
+    async def acquire(self):
+        """Return a connection."""
+        self._on_acquire()
+        return object()
+
+    def discard(self, _link):
+        """Count a connection that was closed."""
+        self.discarded += 1
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -105,6 +105,33 @@
     return [(name.lower(), value) for name, value in headers]
 
 
+class Rest(unittest.TestCase):
+    """Decoding of the span for which an endpoint wants no requests."""
+
+    def rest_ms(self, value, status=503):
+        """Return the span that an answer asks for."""
+        headers = ((b"Retry-After", value),)
+        return calls.decode_rest_ms(messages.Head(status, b"", headers))
+
+    def test_seconds_may_have_fractions(self):
+        self.assertEqual(self.rest_ms(b"3"), 3_000)
+        self.assertEqual(self.rest_ms(b" 0.25 "), 250)
+
+    def test_only_a_refusal_asks_for_rest(self):
+        self.assertEqual(self.rest_ms(b"3", 200), 0)
+        head = messages.Head(503, b"", ())
+        self.assertEqual(calls.decode_rest_ms(head), 0)
+
+    def test_a_long_span_is_bounded(self):
+        self.assertEqual(self.rest_ms(b"1e9"), calls.MAX_REST_MS)
+
+    def test_malformed_spans_are_bad_records(self):
+        for value in (b"", b"-1", b"nan", b"inf", b"Wed, 21 Oct 2026"):
+            with self.subTest(value=value):
+                with self.assertRaises(errors.BadRecord):
+                    self.rest_ms(value)
+
+
 class Caches(unittest.TestCase):
     """Decoding of engines' lists of cached prompt parts."""
 
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -162,6 +162,51 @@
             self.assertTrue(by_id[option.prefill].prefill)
 
 
+class Resting(unittest.TestCase):
+    """Engines that have asked for no requests for some time."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.booleans(),
+                strategies.sampled_from((0, 1, 700, 3_000)),
+                strategies.sampled_from((0, 2_000, 5_000)),
+            ),
+            max_size=6,
+        ),
+        strategies.sampled_from((300, 6_000, 12_000)),
+    )
+    @hypothesis.settings(derandomize=True, max_examples=300)
+    def test_a_resting_engine_is_never_chosen(self, rows, tokens):
+        # Guards against requests that an overloaded engine turns away.
+        fleet = [
+            engine(f"e{n}", prefill, rest_ms=rest_ms, cached=cached)
+            for n, (prefill, rest_ms, cached) in enumerate(rows)
+        ]
+        found = placement.choose(fleet, demand(tokens, link_mbps=370_000.0))
+        option = found
+        if isinstance(found, placement.Refusal):
+            option = found.best
+        resting = {e.id for e in fleet if e.rest_ms}
+        if option is not None:
+            used = {option.prefill, option.decode, option.fetch}
+            self.assertFalse(used & resting)
+
+    def test_requests_are_refused_until_the_first_engine_takes_some(self):
+        fleet = [
+            engine("p", True),
+            engine("d1", rest_ms=2_400),
+            engine("d2", rest_ms=900.5),
+        ]
+        refused = placement.choose(fleet, demand(6_000))
+        self.assertEqual((refused.retry_ms, refused.best), (901, None))
+
+    def test_prompts_are_read_elsewhere_while_a_prefill_engine_rests(self):
+        fleet = [engine("p", True, rest_ms=500), engine("d")]
+        option = placement.choose(fleet, demand(3_000))
+        self.assertEqual((option.prefill, option.decode), (None, "d"))
+
+
 class Fetch(unittest.TestCase):
     """Prompts whose prefix is in some engine's cache."""
 
