Give an endpoint that reports that it leaves no new work

What callers would see (DRAIN): requests go to an endpoint that has said in its answers that it leaves, and are cut or turned away when it ends. Cause: only the endpoint's record in the store told that it drains; while the store is slow or away, or before the record arrives, nobody acted on its answers. Change: the word is decoded in the platform's folder and kept with the endpoint's incarnation, so that a new process under the same id gets work; an answer of another process at the address (421) tells nothing.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -44,6 +44,7 @@
         self._last_response_at = None
         self._pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
         self._rest_until = now()
+        self.is_leaving = False
         self.health = endpoint_health.Health()
         self.open = 0
         self.streams = 0
@@ -62,6 +63,10 @@
 
     def apply_answer(self, head):
         """Apply what the head of an answer says of the endpoint itself."""
+        if calls.reports_leaving(head) and not self.is_leaving:
+            self.is_leaving = True
+            metrics.count("leaving", service=self.endpoint.service)
+            _log.info("reports that it leaves", endpoint=self.endpoint.id)
         try:
             asked_ms = calls.decode_rest_ms(head)
         except errors.BadRecord as exc:
@@ -224,23 +229,25 @@
         return state
 
     def of_service(self, service):
-        """Return the states of the endpoints that take new work."""
-        return [
+        """Return the states of the endpoints that don't leave."""
+        states = [
             self.state(endpoint)
             for endpoint in self._fleet_view.endpoint_by_id.values()
             if endpoint.service == service and not endpoint.draining
         ]
+        return [state for state in states if not state.is_leaving]
 
     def find(self, endpoint_id):
-        """Return the state of an endpoint that takes new work, or ``None``."""
+        """Return the state of an endpoint that doesn't leave, or ``None``."""
         endpoint = self._fleet_view.endpoint_by_id.get(endpoint_id)
         if endpoint is None or endpoint.draining:
             return None
-        return self.state(endpoint)
+        state = self.state(endpoint)
+        return None if state.is_leaving else state
 
     def takes_work(self, state):
         """Return whether the endpoint still takes new work."""
-        if state.rest_ms:
+        if state.rest_ms or state.is_leaving:
             return False
         known = self._fleet_view.endpoint_by_id.get(state.endpoint.id)
         return (
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -106,7 +106,7 @@
         exchange.sends += 1
         decode_engine = plan.decode_engine
         if not self._endpoints.takes_work(decode_engine):
-            # It started draining or asked for rest during the prefill on
+            # It started to leave or asked for rest during the prefill on
             # another engine.
             if prefilled is not None:
                 self._group.start_soon(
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -16,6 +16,7 @@
 _LOAD_HEADER = b"server-load"
 _ENCODING_HEADER = b"content-encoding"
 _REST_HEADER = b"retry-after"
+_LEAVING_HEADER = b"server-leaving"
 _UNAVAILABLE_STATUS = 503
 # Endpoints ask for seconds.  A mistaken value must not exclude one for days.
 MAX_REST_MS = 600_000
@@ -351,6 +352,12 @@
     return min(MAX_REST_MS, seconds * 1_000)
 
 
+def reports_leaving(head):
+    """Tell whether the expected endpoint reports that it is leaving."""
+    value = head.header(_LEAVING_HEADER) or b""
+    return value.strip() == b"1" and not is_misdirected(head)
+
+
 def decode_load(head):
     """Return the load that an answer reports, or ``None``."""
     value = head.header(_LOAD_HEADER)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -132,6 +132,31 @@
                     self.rest_ms(value)
 
 
+class Leaving(unittest.TestCase):
+    """Answers of endpoints that report that they leave."""
+
+    def reports_leaving(self, status, *headers):
+        """Return what is decoded from the head of an answer."""
+        return calls.reports_leaving(messages.Head(status, b"", headers))
+
+    def test_each_kind_of_answer_may_report_it(self):
+        for status in (200, 404, 500, 503):
+            with self.subTest(status=status):
+                header = (b"Server-Leaving", b"1")
+                self.assertTrue(self.reports_leaving(status, header))
+
+    def test_other_values_report_nothing(self):
+        self.assertFalse(self.reports_leaving(200))
+        for value in (b"", b"0", b"soon"):
+            header = (b"Server-Leaving", value)
+            self.assertFalse(self.reports_leaving(200, header))
+
+    def test_another_endpoint_at_the_address_reports_only_of_itself(self):
+        # Guards against a new endpoint that is left alone for the old one.
+        header = (b"Server-Leaving", b"1")
+        self.assertFalse(self.reports_leaving(421, header))
+
+
 class Caches(unittest.TestCase):
     """Decoding of engines' lists of cached prompt parts."""
 
