Answer a refused HEAD request without a body

What callers saw (found while looking for LOST beside a change of the configuration): a HEAD request for a path without a route got no answer, and all other open requests of that gateway ended with their connections: the process stopped. Any failure that a gateway answers itself did this, such as 404 after a route was removed, and so did HEAD to its addresses for operators if that answer has a body (by reading, not run).

Cause: an answer of the gateway's own has a body, and the parser refuses to send a body in the answer to HEAD. The exception arose while another one was handled, left the connection's task and ended the task group that holds the whole gateway.

Evidence: test_refused_head_request_does_not_end_the_gateway errors before the change (the connections of both callers are closed without an answer; the log ends with LocalProtocolError, 'Too much data for declared Content-Length') and passes with it.

Change: the connection leaves out the body if the request was HEAD; its length is still announced.

--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -50,6 +50,7 @@
         self._h11 = _new_h11(limits)
         self._closing = False
         self._closes_after_answer = False
+        self._is_head_request = False
         self.answer_started = False
 
     @property
@@ -82,6 +83,7 @@
             head = await self._read_head()
             if head is None:
                 return None
+            self._is_head_request = head.method == b"HEAD"
             body = await self._read_body()
         except h11.RemoteProtocolError as exc:
             raise Refused(exc.error_status_hint, str(exc)) from exc
@@ -174,7 +176,10 @@
         await self._send(h11.EndOfMessage())
 
     async def answer(self, head, body):
-        """Send a complete answer in one write."""
+        """Send a complete answer in one write.
+
+        To a HEAD request, ``body`` only determines the length.
+        """
         headers = list(head.headers)
         headers.append((b"Content-Length", str(len(body)).encode()))
         self._add_close(headers)
@@ -188,7 +193,7 @@
                 )
             )
         ]
-        if body:
+        if body and not self._is_head_request:
             parts.append(self._h11.send(h11.Data(data=body)))
         parts.append(self._h11.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
--- a/tests/integration/test_gateway_verdicts.py
+++ b/tests/integration/test_gateway_verdicts.py
@@ -42,6 +42,23 @@
         self.assertEqual(seen.header_by_name["expect-instance"], "one")
         self.assertLessEqual(int(seen.header_by_name["deadline-ms"]), 2_000)
 
+    def test_refused_head_request_does_not_end_the_gateway(self):
+        # Guards against the loss of all open requests of a gateway.
+        def slow(_endpoint, request):
+            yield 0.5
+            yield scripted.answer(request, b"done")
+
+        self.endpoint("one", slow)
+        front = self.gateway()
+        asked = base.Background(self.ask, [(front, "/book/x", "a1")])
+        time.sleep(0.2)
+        refused = self.ask(front, "/none/x", "a2", "HEAD")
+        asked.join()
+        self.assertEqual(asked.errors, [])
+        self.assertEqual(asked.results[0][1].content, b"done")
+        self.assertEqual(refused.status_code, 404)
+        self.assertEqual(refused.content, b"")
+
     def test_unsafe_call_is_not_sent_again_after_a_reset(self):
         # Guards against a booking made twice.  The endpoint books and crashes
         # before it answers.  Another endpoint would book again, and after a
