Keep a failure in one connection's task to that connection

What callers saw: an exception that no code expected, raised while one connection was served, ended the whole gateway and with it every open request, none of which got an answer or a refusal.

Cause: the task of each accepted connection runs in the task group that holds the process, and a task group is cancelled by the first exception.

Evidence: test_exception_closes_only_its_own_connection errors before the change (the exception ends the task group) and passes with it.

Change: the listener logs the exception with its traceback and closes that connection. An answer that had begun in chunks lacks its last chunk, so its caller sees that it is truncated.

--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -14,6 +14,9 @@
 
 from clementinewall import clock
 from clementinewall import errors
+from clementinewall import logs
+
+_log = logs.PartLog("http")
 
 # Reading pauses at this many unread bytes, since what a peer sends ahead uses
 # the process's memory.
@@ -215,15 +218,28 @@
     return stream
 
 
+async def _serve_one(serve, stream):
+    """Serve a connection, without ending the task group if that fails."""
+    try:
+        await serve(stream)
+    except Exception as exc:
+        _log.error(
+            "unexpected exception; closing the connection", why=repr(exc)
+        )
+        logs.traceback(_log)
+        stream.abort()
+
+
 async def listen(address, serve, group):
     """Run ``serve(stream)`` in ``group`` for each accepted connection.
 
+    An exception that ``serve`` raises is logged and closes its connection.
     Return the listener; after its ``close()`` no more are accepted.
 
     :raises SettingsError: the address can't be listened on.
     """
     host, _, port = address.rpartition(":")
-    on_open = functools.partial(group.start_soon, serve)
+    on_open = functools.partial(group.start_soon, _serve_one, serve)
     try:
         return await asyncio.get_running_loop().create_server(
             functools.partial(Stream, on_open),
--- a/tests/http1/test_stream.py
+++ b/tests/http1/test_stream.py
@@ -8,6 +8,7 @@
 import anyio
 
 from clementinewall.http1 import stream as streams
+from clementinewall import logs
 
 _RESET = struct.pack("ii", 1, 0)
 
@@ -209,3 +210,33 @@
                 stream.abort()
 
         anyio.run(run)
+
+    def test_exception_closes_only_its_own_connection(self):
+        # Guards against a process that stops because of one connection.
+        async def serve(stream):
+            data = await stream.receive(1_000)
+            if data == b"fail":
+                raise RuntimeError("a fault of the program")
+            await stream.send(data)
+            stream.close()
+
+        async def run():
+            async with anyio.create_task_group() as group:
+                with socket.create_server(("127.0.0.1", 0)) as free:
+                    address = "127.0.0.1:%d" % free.getsockname()[1]
+                listener = await streams.listen(address, serve, group)
+                failing, other = [
+                    await streams.connect(address, 1_000) for _ in range(2)
+                ]
+                await failing.send(b"fail")
+                self.assertEqual(await receive_until_end(failing), b"")
+                await other.send(b"echo")
+                self.assertEqual(await receive_until_end(other), b"echo")
+                listener.close()
+                for stream in (failing, other):
+                    stream.abort()
+
+        anyio.run(run)
+        self.assertTrue(
+            logs.recent(repr(RuntimeError("a fault of the program")))
+        )
