Apply changed limits to callers' open connections

What callers saw: after operators had raised max_body_bytes or max_header_bytes, requests on connections opened before were still refused (413, 431) though the configuration in force allowed them. After they had raised idle_timeout_ms, such a connection was still closed at the old timeout, which callers do not expect: a request that they send at that moment meets a close, neither an answer nor a refusal.

Cause: a connection took the limits once, when it was opened.

Evidence: the three tests of tests/integration/test_configuration_under_load.py fail before the change (413; 431; the connection is at its end) and pass with it.

Change: a connection asks for the limits in force at the first byte of each request, and when its idle timeout is over. A request keeps the limits with which it began, so lowered limits reject no request in transit.

Why it works: no decision about a request uses limits older than its first byte, whatever the age of the connection.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -71,10 +71,7 @@
 
     async def serve(self, stream):
         """Serve one connection until it closes."""
-        limits = server.Limits()
-        if self._fleet_view.configuration is not None:
-            limits = self._fleet_view.configuration.limits
-        connection = server.Connection(stream, limits)
+        connection = server.Connection(stream, self._limits)
         self._connections.add(connection)
         if self._drain.is_on:
             connection.close_after_answer()
@@ -84,6 +81,12 @@
             self._connections.discard(connection)
             connection.close()
 
+    def _limits(self):
+        """Return the limits of the configuration in force."""
+        if self._fleet_view.configuration is None:
+            return server.Limits()
+        return self._fleet_view.configuration.limits
+
     async def _serve_caller(self, connection):
         while True:
             try:
--- a/clementinewall/gateway/info_server.py
+++ b/clementinewall/gateway/info_server.py
@@ -78,7 +78,7 @@
     """Answer requests that arrive at an address; return the listener."""
 
     async def serve_one(stream):
-        connection = server.Connection(stream, server.Limits())
+        connection = server.Connection(stream, server.Limits)
         try:
             await _answer_all(connection, handle)
         except (server.Refused, server.CallerDisconnected) as exc:
--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -44,10 +44,15 @@
     """A caller's connection."""
 
     def __init__(self, stream, limits):
-        """Read from and write to ``stream`` within the given limits."""
+        """Read from and write to ``stream``.
+
+        ``limits`` returns the limits in force.  They apply to a request from
+        its first byte on.
+        """
         self._stream = stream
-        self._limits = limits
-        self._h11 = _new_h11(limits)
+        self._limits_in_force = limits
+        self._limits = limits()
+        self._h11 = _new_h11(self._limits)
         self._closing = False
         self._closes_after_answer = False
         self._is_head_request = False
@@ -99,25 +104,57 @@
         The idle timeout applies until its first byte, then the header
         timeout.
         """
-        wait_ms = self._limits.idle_timeout_ms
-        if not self.is_idle:
-            wait_ms = self._limits.header_timeout_ms
+        self._apply_limits()
         event = self._h11.next_event()
         while event is h11.NEED_DATA:
             try:
-                await self._receive(wait_ms)
+                if self.is_idle:
+                    await self._receive_first()
+                else:
+                    await self._receive(self._limits.header_timeout_ms)
             except TimeoutError as exc:
                 if self.is_idle:
                     return None
                 raise Refused(
                     408, "the request's head was not complete in time"
                 ) from exc
-            wait_ms = self._limits.header_timeout_ms
             event = self._h11.next_event()
         if isinstance(event, h11.Request):
             return event
         return None
 
+    async def _receive_first(self):
+        """Receive the first bytes of a request.
+
+        :raises TimeoutError: there were none within the idle timeout.
+        """
+        waited_ms = 0
+        data = None
+        while data is None:
+            idle_timeout_ms = self._limits_in_force().idle_timeout_ms
+            try:
+                data = await self._stream.receive(idle_timeout_ms - waited_ms)
+            except TimeoutError:
+                waited_ms = idle_timeout_ms
+                # The limit may have been raised meanwhile.
+                if self._limits_in_force().idle_timeout_ms <= waited_ms:
+                    raise
+        self._apply_limits()
+        self._h11.receive_data(data)
+
+    def _apply_limits(self):
+        """Apply the limits in force to the next request."""
+        limits = self._limits_in_force()
+        if limits == self._limits:
+            return
+        self._limits = limits
+        rest, is_closed = self._h11.trailing_data
+        self._h11 = _new_h11(limits)
+        if rest:
+            self._h11.receive_data(rest)
+        if is_closed:
+            self._h11.receive_data(b"")
+
     async def _read_body(self):
         if self._h11.they_are_waiting_for_100_continue:
             await self._stream.send(self._h11.send(CONTINUE))
