Refuse a request that is received as a drain stops reading

Cause: a wait for bytes that is ended from outside reported the end even if bytes had come before its task ran again; and a request that was read after the end of reading had the time limit of the whole drain.

Change: received bytes are returned even if the wait has ended. Once reading has stopped, connections no longer wait for bytes, new ones included, and each request that was received gets 503 at once, as not run.

Why it works: after the end of reading nothing is sent to an endpoint, and what was read is answered, whatever the order of events in the loop.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -39,6 +39,7 @@
         self._now = now
         self._connections = set()
         self._drain = drain
+        self._is_reading_stopped = False
         self._scope_by_exchange = {}
         self.open_requests = 0
 
@@ -53,7 +54,11 @@
             scope.deadline = min(scope.deadline, latest)
 
     def stop_reading(self):
-        """Read no further request; close idle connections."""
+        """Read no further request; close idle connections.
+
+        Requests that were received before are refused.
+        """
+        self._is_reading_stopped = True
         for connection in self._connections:
             connection.stop_reading()
 
@@ -75,6 +80,8 @@
         self._connections.add(connection)
         if self._drain.is_on:
             connection.close_after_answer()
+        if self._is_reading_stopped:
+            connection.stop_reading()
         try:
             await self._serve_caller(connection)
         finally:
@@ -154,6 +161,8 @@
             await self._fail(connection, request, exchange, error)
 
     def _exchange(self, connection, call):
+        if self._is_reading_stopped:
+            raise errors.Draining("this instance stops", retry_after_ms=0)
         configuration = self._fleet_view.configuration
         if configuration is None:
             raise errors.NotReady("no configuration is known yet")
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -135,7 +135,12 @@
             if not self._may_wait:
                 raise TimeoutError
             self._read_waiter = asyncio.get_running_loop().create_future()
-            await _wait(self._read_waiter, limit_ms)
+            try:
+                await _wait(self._read_waiter, limit_ms)
+            except TimeoutError:
+                # Bytes may have come before this task could run again.
+                if not self._chunks:
+                    raise
         if self._chunks:
             return self._take()
         if self._error is not None:
--- a/tests/http1/test_stream.py
+++ b/tests/http1/test_stream.py
@@ -180,6 +180,24 @@
 
         anyio.run(run)
 
+    def test_bytes_that_come_with_the_end_of_waiting_are_received(self):
+        # Guards against a request that is read but not answered.
+        async def run():
+            async with connected() as (stream, _peer):
+                async with anyio.create_task_group() as group:
+
+                    async def check():
+                        self.assertEqual(await stream.receive(1_000), b"late")
+                        with self.assertRaises(TimeoutError):
+                            await stream.receive(1_000)
+
+                    group.start_soon(check)
+                    await anyio.sleep(0.01)
+                    stream.stop_waiting()
+                    stream.data_received(b"late")
+
+        anyio.run(run)
+
 
 class Listen(unittest.TestCase):
     """A listener that starts a task for each connection."""
