Spread the return of callers that a resting service refused

What callers would see: while all endpoints of a plain service rest, each caller is told the same moment to come back, the end of the shortest span, and all meet the service at once. Refusals of model requests were spread already. Change: the jitter of those is shared, in the module of answers; a plain service whose endpoints all rest uses it. 133 tests of the gateway's modules and of resting endpoints passed.

--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -1,6 +1,7 @@
 """The state of one request, from its arrival to its answer."""
 
 import json
+import random
 
 from clementinewall import errors
 from clementinewall.http1 import messages
@@ -13,6 +14,9 @@
 DEFAULT_TIMEOUT_MS = 30_000
 # Retry-After is at most this fraction of the time left to the deadline.
 RETRY_AFTER_FRACTION = 1 / 3
+# Refused callers retry after the advised delay plus up to this fraction of it,
+# so that they do not all return at once.
+RETRY_JITTER_FRACTION = 0.5
 # After so many unreachable endpoints a request fails: each one costs a round
 # trip or a connection timeout.
 MAX_UNREACHED_SENDS = 4
@@ -158,6 +162,11 @@
     return messages.Head(error.status, reason, tuple(headers)), body
 
 
+def spread_retry_ms(delay_ms):
+    """Return a retry delay that differs between callers."""
+    return delay_ms * (1 + RETRY_JITTER_FRACTION * random.random())
+
+
 def final_error(exchange, why, retry_after_ms=None):
     """Return the error for a request that is not sent again.
 
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -15,9 +15,6 @@
 _log = logs.PartLog("stream")
 
 EMPTY_PROMPT = domain.Prompt("", 0, 0, ())
-# Refused callers retry after the advised delay plus up to this fraction of it,
-# so that they do not all return at once.
-RETRY_JITTER_FRACTION = 0.5
 # Per stage; used when more than half of the engines of the cell are unusable.
 MAX_OTHER_CELL_ENGINES = 2
 # While all decode engines are unreachable, one request per interval tries one.
@@ -252,8 +249,7 @@
             tokens=demand.tokens,
         )
         metrics.count("refused", route=exchange.route.name)
-        jitter = 1 + RETRY_JITTER_FRACTION * random.random()
-        retry_ms = refusal.retry_ms * jitter
+        retry_ms = exchanges.spread_retry_ms(refusal.retry_ms)
         if last is not None:
             raise exchanges.final_error(exchange, last.why, retry_ms)
         raise errors.Overloaded(refusal.why, retry_after_ms=retry_ms)
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -67,13 +67,14 @@
             return
         why = last.why if last else "no endpoint of the service is available"
         raise exchanges.final_error(
-            exchange, why, self._min_rest_ms(exchange.service)
+            exchange, why, self._retry_after_ms(exchange.service)
         )
 
-    def _min_rest_ms(self, service):
-        """Return when the first endpoint takes work again, or ``None``."""
+    def _retry_after_ms(self, service):
+        """Return when callers should return, ``None`` unless all rest."""
         spans = [s.rest_ms for s in self._endpoints.of_service(service.name)]
-        return min(spans, default=0) or None
+        rest_ms = min(spans, default=0)
+        return exchanges.spread_retry_ms(rest_ms) if rest_ms else None
 
     def _choose_endpoint(self, exchange):
         states = [
