Count streams of all kinds for engines in the soak's retry bound

Cause: the check counted only requests of kind `stream` for engines; `long` and `leaving`, streams too, counted for plain services. The bound for engines was too low and the one for services too high. Change: all kinds of stream count for engines and none for services. For services the check becomes stricter. Evidence: the new test fails on the code before for `long` and `leaving` (engines blamed within their bound).

--- a/bench/soak/retries.py
+++ b/bench/soak/retries.py
@@ -4,6 +4,7 @@
 import collections
 
 from bench.soak import bounds
+from bench.soak import callers
 
 
 def find_violations(history):
@@ -15,7 +16,8 @@
     all_requests = [*history.sent, *history.probes]
     request_times = collections.defaultdict(list)
     for sent in sorted(all_requests, key=lambda sent: sent.at):
-        service = "model" if sent.kind == "stream" else "app"
+        is_stream = sent.kind in callers.STREAM_KINDS
+        service = "model" if is_stream else "app"
         request_times[service].append(sent.at)
     for service, extras in _retry_times_by_service(history).items():
         over = [
--- a/tests/soak/test_retries.py
+++ b/tests/soak/test_retries.py
@@ -1,6 +1,7 @@
 """The soak's check of the retry budget."""
 
 from bench.soak import bounds
+from bench.soak import callers
 from bench.soak import history as history_module
 from bench.soak import retries
 from tests.soak import base
@@ -8,9 +9,9 @@
 AT = 1_000.0
 
 
-def arrival(attempt, at=AT, is_prefill=False):
-    """Return an arrival at an engine."""
-    return history_module.Arrival(attempt, "e", "model", at, is_prefill)
+def arrival(attempt, at=AT, is_prefill=False, service="model"):
+    """Return an arrival at an endpoint."""
+    return history_module.Arrival(attempt, "e", service, at, is_prefill)
 
 
 class Budget(base.HistoryCase):
@@ -20,11 +21,11 @@
         """Return how many services are over their bound."""
         return len(list(retries.find_violations(self.history)))
 
-    def record_streams(self, number, at=AT):
+    def record_streams(self, number, at=AT, kind="stream"):
         """Record streams that were sent and reached an engine."""
         names = [f"{at}-{each}" for each in range(number)]
         for name in names:
-            self.history.sent.append(base.sent(name, "stream", at=at))
+            self.history.sent.append(base.sent(name, kind, at=at))
             self.history.arrivals.append(arrival(name, at))
         return names
 
@@ -58,3 +59,17 @@
             arrival(f"{AT}-{each}", AT, is_prefill=True) for each in range(40)
         )
         self.assertEqual(self.violations(), 1)
+
+    def test_streams_of_all_kinds_count_for_engines_only(self):
+        # Guards against a bound of calls that grows with long streams.
+        for kind in callers.STREAM_KINDS:
+            with self.subTest(kind):
+                self.setUp()
+                names = self.record_streams(100, kind=kind)
+                self.retry(names[: 20 + bounds.RETRY_SLACK], AT + 1)
+                self.assertEqual(self.violations(), 0)
+                self.history.arrivals.extend(
+                    arrival("call", AT + 1, service="app")
+                    for _ in range(bounds.RETRY_SLACK + 2)
+                )
+                self.assertEqual(self.violations(), 1)
