Let the soak's endpoints ask for rest, announce their end and fall silent

Why: endpoints may answer 503 with Retry-After, say Server-Leaving in all their answers before their record does, and send nothing for a second. The stand-ins of the soak did none of it. Change: `rest` and `rest-all` (one endpoint or all of a service refuse runs, prefills and calls and ask for 1 to 3 s), `announce-leave` (all answers carry the header, the record says ready for 2 s and more, then the endpoint drains and ends) and `silence` (0.8 to 1.3 s). They run beside all other faults, `--planned` too, and excuse no loss. Seeded tests of planned work name its kinds and so run what they ran before. Callers record when the head of a success came.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -9,7 +9,8 @@
   --gateways=G  How many gateways [default: 3].
   --only=KIND   Only faults of this kind.
   --planned     Only planned work: stops, SIGHUP, new configurations and
-                endpoints that drain.
+                endpoints that drain, and sound endpoints that ask for rest,
+                announce that they leave or fall silent for a second.
 
 Exit codes: 0 no guarantee broken, 1 some were.
 """
--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -1,5 +1,6 @@
 """Scripted endpoints that record each run and register themselves."""
 
+import contextlib
 import hashlib
 import json
 import random
@@ -46,6 +47,10 @@
         self._put = put
         self._rng = random.Random(name)
         self.crashed = False
+        self._is_leaving = False
+        self._silent_until = 0.0
+        self._resting_until = 0.0
+        self._requested_rest_seconds = 0.0
         self._sequence = 0
         self._accepted = 0
         self._state = "ready"
@@ -77,6 +82,19 @@
             row["stage"] = self.stage
         self._put(self.name, row)
 
+    def rest(self, seconds, requested_seconds):
+        """Refuse work for a time; each refusal asks for its own rest."""
+        self._requested_rest_seconds = requested_seconds
+        self._resting_until = time.monotonic() + seconds
+
+    def fall_silent(self, seconds):
+        """Send nothing for a time, then continue."""
+        self._silent_until = time.monotonic() + seconds
+
+    def announce_leaving(self):
+        """Say in every answer from now on that this endpoint leaves."""
+        self._is_leaving = True
+
     def drain(self):
         """Announce that this endpoint drains; it continues to serve."""
         self._state = "draining"
@@ -92,6 +110,16 @@
             self._put(self.name, None)
 
     def _script(self, _endpoint, request):
+        with contextlib.closing(self._respond(request)) as steps:
+            for step in steps:
+                yield from self._silence()
+                yield step
+
+    def _silence(self):
+        while (left := self._silent_until - time.monotonic()) > 0:
+            yield left
+
+    def _respond(self, request):
         headers = request.header_by_name
         if "attempt-id" in headers:
             self._record_arrival(request)
@@ -100,18 +128,50 @@
         elif request.target == "/order":
             yield self._on_order(request)
         elif request.target == "/report":
-            yield scripted.answer(
-                request, json.dumps({"sequence": self._accepted}).encode()
-            )
+            report = json.dumps({"sequence": self._accepted})
+            yield self._answer(request, report.encode())
         elif request.target.startswith("/kv-handle"):
-            yield scripted.answer(request)
+            yield self._answer(request)
         elif headers.get("expect-instance") != self.name:
-            yield scripted.answer(request, b"", 421)
+            yield self._answer(request, b"", 421)
+        elif time.monotonic() < self._resting_until:
+            # The span that is asked for begins with the answer.
+            yield from self._silence()
+            yield self._refuse_for_rest(request)
         elif headers.get("stage") == "prefill":
             yield from self._prefill(request)
         else:
             yield from self._run(request)
 
+    def _answer(self, request, body=b"fine", status=200, **headers):
+        return scripted.answer(
+            request, body, status, **headers, **self._leave_headers()
+        )
+
+    def _leave_headers(self):
+        return {"Server_Leaving": 1} if self._is_leaving else {}
+
+    def _refuse_for_rest(self, request):
+        seconds = self._requested_rest_seconds
+        row = history_module.RestRequest(
+            request.header_by_name["attempt-id"],
+            self.name,
+            time.monotonic(),
+            seconds,
+        )
+        self._history.add(self._history.rest_requests, row)
+        headers = {"Not_Executed": 1, "Retry_After": f"{seconds:.1f}"}
+        return self._answer(request, b"", 503, **headers)
+
+    def _record_leave_notice(self, request):
+        if self._is_leaving:
+            row = history_module.LeaveNotice(
+                request.header_by_name["attempt-id"],
+                self.name,
+                time.monotonic(),
+            )
+            self._history.add(self._history.leave_notices, row)
+
     def _record_arrival(self, request):
         headers = request.header_by_name
         arrival = history_module.Arrival(
@@ -133,10 +193,10 @@
         )
         self._history.add(self._history.orders, order)
         if body.get("expect") != self._accepted:
-            return scripted.answer(request, b"", 409)
+            return self._answer(request, b"", 409)
         self._accepted += 1
         threading.Timer(SWITCH_SECONDS, self._switch, (body["stage"],)).start()
-        return scripted.answer(request, b"", 202)
+        return self._answer(request, b"", 202)
 
     def _switch(self, stage):
         self.stage = stage
@@ -144,16 +204,16 @@
 
     def _prefill(self, request):
         if self.stage != "prefill":
-            yield scripted.answer(request, b"", 421)
+            yield self._answer(request, b"", 421)
             return
         yield self._rng.uniform(*CALL_SECONDS)
         result = {"cache_handle": "h1", "token_count": 1, "version": 1}
-        yield scripted.answer(request, json.dumps(result).encode())
+        yield self._answer(request, json.dumps(result).encode())
 
     def _run(self, request):
         headers = request.header_by_name
         if self.service == "model" and self.stage != "decode":
-            yield scripted.answer(request, b"", 421)
+            yield self._answer(request, b"", 421)
             return
         attempt = headers["attempt-id"]
         run = history_module.Run(
@@ -166,7 +226,8 @@
                 yield from self._stream(request)
             else:
                 yield self._call_seconds(request)
-                yield scripted.answer(
+                self._record_leave_notice(request)
+                yield self._answer(
                     request, plain_body(attempt, request.target)
                 )
             is_complete = not self.crashed
@@ -186,7 +247,8 @@
     def _stream(self, request):
         headers = request.header_by_name
         last = int(headers.get("last-event-id", 0))
-        yield scripted.stream_head(request)
+        self._record_leave_notice(request)
+        yield scripted.stream_head(request, **self._leave_headers())
         # An engine may repeat an event that the caller already has.
         first = max(1, last + self._rng.randint(0, 1))
         for number in range(first, _last_event(headers["token-usage"]) + 1):
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -59,6 +59,13 @@
     abandon_after: float | None
 
 
+class _Outcome(typing.NamedTuple):
+    status: int | None
+    body: bytes
+    failure: history_module.Failure | None
+    head_at: float | None = None
+
+
 class Caller(threading.Thread):
     """One caller; it keeps a connection to each target that it used."""
 
@@ -111,15 +118,15 @@
     def _call(self, target, request):
         self._history.record_attempt(request.attempt)
         start = time.monotonic()
-        status, body, failure = self._send(target, request)
+        outcome = self._send(target, request)
         ended = time.monotonic()
-        if failure is not None and failure != history_module.Failure.ABANDONED:
+        if outcome.failure not in (None, history_module.Failure.ABANDONED):
             self._targets.record_failure(target)
-        numbers = _event_numbers(body) if request.events else ()
+        numbers = _event_numbers(outcome.body) if request.events else ()
         if request.events:
             is_correct = numbers == tuple(range(1, request.events + 1))
         else:
-            is_correct = body == backends.plain_body(
+            is_correct = outcome.body == backends.plain_body(
                 request.attempt, request.path
             )
         sent = history_module.SentRequest(
@@ -129,11 +136,12 @@
             request.path,
             start,
             ended,
-            status,
+            outcome.status,
             is_correct,
             numbers,
-            failure,
+            outcome.failure,
             request.limit,
+            outcome.head_at,
         )
         rows = self._history.sent
         if request.kind == "probe":
@@ -141,27 +149,27 @@
         self._history.add(rows, sent)
 
     def _send(self, target, request):
-        """Return status, body and failure of a request."""
+        """Return the outcome of a request."""
         connection = self._connection_by_target.pop(target, None)
         try:
             if connection is None:
                 connection = _connect(target)
         except OSError:
-            return None, b"", history_module.Failure.NOT_CONNECTED
+            return _Outcome(None, b"", history_module.Failure.NOT_CONNECTED)
         try:
             # Requests with equal bodies would be taken for repeats of one.
             body = request.attempt.encode()
             connection.request("POST", request.path, body, _headers(request))
         except OSError:
             connection.close()
-            return None, b"", history_module.Failure.NOT_SENT
-        status, body, failure = _receive(connection, request)
-        if failure is not None or connection.sock is None:
+            return _Outcome(None, b"", history_module.Failure.NOT_SENT)
+        outcome = _receive(connection, request)
+        if outcome.failure is not None or connection.sock is None:
             connection.close()
         else:
             connection.sock.settimeout(TIMEOUT_SECONDS)
             self._connection_by_target[target] = connection
-        return status, body, failure
+        return outcome
 
 
 def _connect(target):
@@ -190,29 +198,35 @@
 
 def _receive(connection, request):
     body = b""
+    head_at = None
     abandon_at = float("inf")
     if request.abandon_after is not None:
         abandon_at = time.monotonic() + request.abandon_after
         connection.sock.settimeout(request.abandon_after)
     try:
         answer = connection.getresponse()
+        if answer.status == http.client.OK:
+            head_at = time.monotonic()
         while piece := answer.read1(65_536):
             body += piece
             if time.monotonic() >= abandon_at:
                 answer.close()
-                return None, body, history_module.Failure.ABANDONED
+                return _Outcome(
+                    None, body, history_module.Failure.ABANDONED, head_at
+                )
         # read1 doesn't raise when a body with a length ends early.
         if answer.length:
-            return None, body, history_module.Failure.CLOSED
+            return _Outcome(None, body, history_module.Failure.CLOSED, head_at)
         # The connection can be reused only after the answer is closed.
         answer.close()
-        return answer.status, body, None
+        return _Outcome(answer.status, body, None, head_at)
     except TimeoutError:
+        failure = history_module.Failure.TIMED_OUT
         if request.abandon_after is not None:
-            return None, body, history_module.Failure.ABANDONED
-        return None, body, history_module.Failure.TIMED_OUT
+            failure = history_module.Failure.ABANDONED
     except (OSError, http.client.HTTPException):
-        return None, body, history_module.Failure.CLOSED
+        failure = history_module.Failure.CLOSED
+    return _Outcome(None, body, failure, head_at)
 
 
 def _event_numbers(body):
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -66,6 +66,7 @@
                 budget_window_s=bounds.RETRY_WINDOW_SECONDS,
             )
             case.store = store
+            self.history.gateway_by_holder[ip] = name
             self._front_by_gateway[name] = self._proxy(
                 f"front-{name}", front, name
             )
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,9 +1,11 @@
 """A seeded run: faults of random kinds at random times, then the checks."""
 
+import random
 import time
 
 from bench.soak import checks
 from bench.soak import deployment
+from bench.soak import endpoint_faults
 from bench.soak import planned_work
 from bench.soak import unplanned_faults
 
@@ -36,6 +38,15 @@
     "publish-series": planned_work.publish_series,
 }
 
+# What sound endpoints do.  These come beside the kinds above, drawn by a
+# generator of their own.
+ENDPOINT_KINDS = {
+    "announce-leave": endpoint_faults.announce_leave,
+    "rest": endpoint_faults.rest,
+    "rest-all": endpoint_faults.rest_all,
+    "silence": endpoint_faults.fall_silent,
+}
+
 
 class Soak:
     """One seeded run."""
@@ -47,6 +58,7 @@
         """
         self._seconds = seconds
         self._only = only
+        self._endpoint_rng = random.Random(f"endpoints {seed}")
         self._function_by_kind = PLANNED_KINDS if planned else KINDS
         self._planned = planned
         self._deployment = deployment.Deployment(seed, gateways)
@@ -57,7 +69,11 @@
         try:
             self._deployment.bring_up()
             threads = self._deployment.start_clients()
+            endpoint_thread = self._deployment.run_in_thread(
+                self._inject_endpoint_faults
+            )
             self._inject()
+            endpoint_thread.join()
             time.sleep(SETTLE_SECONDS)
             self._deployment.stopping.set()
             for thread in threads:
@@ -79,20 +95,38 @@
             names, self._deployment.rng.randint(2, 5)
         )
         if self._only:
-            return self._only
+            return tuple(k for k in self._only if k not in ENDPOINT_KINDS)
         return tuple(names if self._planned else drawn)
 
+    def _endpoint_kinds(self):
+        kinds = sorted(ENDPOINT_KINDS)
+        if self._only:
+            return [kind for kind in self._only if kind in kinds]
+        return kinds
+
     def _inject(self):
         rng = self._deployment.rng
-        kinds = self._kinds()
+
+        def inject(kind):
+            length = rng.uniform(*LENGTH_SECONDS)
+            return self._function_by_kind[kind](self._deployment, length)
+
+        self._inject_series(rng, self._kinds(), inject)
+
+    def _inject_endpoint_faults(self):
+        rng = self._endpoint_rng
+
+        def inject(kind):
+            length = rng.uniform(*LENGTH_SECONDS)
+            return ENDPOINT_KINDS[kind](self._deployment, rng, length)
+
+        self._inject_series(rng, self._endpoint_kinds(), inject)
+
+    def _inject_series(self, rng, kinds, inject):
         end = time.monotonic() + self._seconds
         threads = []
-        while time.monotonic() < end:
-            kind = rng.choice(kinds)
-            length = rng.uniform(*LENGTH_SECONDS)
-            threads.append(
-                self._function_by_kind[kind](self._deployment, length)
-            )
+        while kinds and time.monotonic() < end:
+            threads.append(inject(rng.choice(kinds)))
             time.sleep(rng.uniform(*GAP_SECONDS))
         for thread in threads:
             if thread is not None:
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -37,6 +37,8 @@
     numbers: tuple[int, ...] = ()
     failure: Failure | None = None
     limit: float = 3.0
+    # When the head of a successful answer came.
+    head_at: float | None = None
 
 
 class Run(typing.NamedTuple):
@@ -67,6 +69,23 @@
     is_prefill: bool
 
 
+class RestRequest(typing.NamedTuple):
+    """A refusal by which an endpoint asked for ``seconds`` without work."""
+
+    attempt: str
+    endpoint: str
+    at: float
+    seconds: float
+
+
+class LeaveNotice(typing.NamedTuple):
+    """A successful answer that says that its endpoint leaves."""
+
+    attempt: str
+    endpoint: str
+    at: float
+
+
 class Order(typing.NamedTuple):
     """An order as it reached an engine."""
 
@@ -119,7 +138,10 @@
         self.runs = []
         self.run_ends = []
         self.arrivals = []
+        self.rest_requests = []
+        self.leave_notices = []
         self.orders = []
+        self.gateway_by_holder = {}
         self.disturbances = []
         self.stops = []
         self.readiness = []
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -156,12 +156,17 @@
     head = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
     head.append(f"Attempt-Id: {request.header_by_name.get('attempt-id')}")
     head.append("Server-Stamp: stamp")
-    for name, value in headers.items():
-        head.append(f"{name.replace('_', '-')}: {value}")
+    head.extend(_header_lines(headers))
     return "\r\n".join(head).encode() + b"\r\n\r\n" + body
 
 
-def stream_head(request):
+def _header_lines(headers):
+    return [
+        f"{name.replace('_', '-')}: {value}" for name, value in headers.items()
+    ]
+
+
+def stream_head(request, **headers):
     """Return the head of a streamed answer, framed in chunks."""
     head = [
         "HTTP/1.1 200 OK",
@@ -169,6 +174,7 @@
         "Transfer-Encoding: chunked",
         f"Attempt-Id: {request.header_by_name.get('attempt-id')}",
         "Server-Stamp: stamp",
+        *_header_lines(headers),
     ]
     return "\r\n".join(head).encode() + b"\r\n\r\n"
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,8 @@
 from bench.soak import faults
 
 SECONDS = 12
+# Without what endpoints do beside it.
+PLANNED_WORK = tuple(sorted(faults.PLANNED_KINDS))
 
 
 class SoakTest(unittest.TestCase):
@@ -31,13 +33,13 @@
         self.check(2, "term", "proxy", "store")
 
     def test_planned_work_alone(self):
-        self.check(4, planned=True)
+        self.check(4, *PLANNED_WORK, planned=True)
 
     def test_planned_work_that_held_requests_beyond_their_limits(self):
-        self.check(397, planned=True, seconds=18)
+        self.check(397, *PLANNED_WORK, planned=True, seconds=18)
 
     def test_planned_work_beside_which_callers_that_left_were_served(self):
-        self.check(396, planned=True, seconds=18)
+        self.check(396, *PLANNED_WORK, planned=True, seconds=18)
 
     def test_signals_in_a_drain(self):
         self.check(
