Check in the soak that gateways heed rests and announced leaves

Rules of the deployment: at most two requests of a gateway reach an endpoint from half a second after its 503 with Retry-After to the end of that time (a restart, freeze or cut excuses it); no request that a caller sent over 2 s after the gateway had passed on an answer with Server-Leaving reaches that endpoint (a restart or freeze since then excuses it). How: a caller's attempt has one gateway, so its id tells from which gateway an arrival came; orders tell it by their holder. Requests without either (reports, cache lists) can't be told apart and are not counted. A drain excuses nothing until its process has ended, a disturbed store never does, and an answer counts as passed on when the caller has its head and no other endpoint ran the request.

--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -24,6 +24,10 @@
 # Time for which two engines may work on one stream.
 ENGINE_OVERLAP_SECONDS = 0.4
 MAX_ATTEMPTS = 2
+# Between an endpoint's request for rest and the time from which it counts.
+REST_DELAY_SECONDS = 0.5
+# Requests of one gateway that may reach an endpoint in its rest.
+MAX_ARRIVALS_IN_REST = 2
 # Arrivals beyond the first of each request, for all gateways together.
 RETRY_RATIO = 0.2
 RETRY_SLACK = 10
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 
 from bench.soak import bounds
+from bench.soak import endpoint_wishes
 from bench.soak import limits
 from bench.soak import losses
 from bench.soak import retries
@@ -26,6 +27,7 @@
         *losses.find_violations(history),
         *limits.find_violations(history),
         *retries.find_violations(history),
+        *endpoint_wishes.find_violations(history),
     ]
 
 
