--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -249,6 +249,8 @@
             tokens=demand.tokens,
         )
         metrics.count("refused", route=exchange.route.name)
+        if last is not None and not refusal.all_rest:
+            raise exchanges.final_error(exchange, last.why)
         retry_ms = exchanges.spread_retry_ms(refusal.retry_ms)
         if last is not None:
             raise exchanges.final_error(exchange, last.why, retry_ms)
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -120,11 +120,16 @@
 
 
 class Refusal(typing.NamedTuple):
-    """Why a request cannot be served in time, and when to retry."""
+    """Why a request cannot be served in time, and when to retry.
+
+    ``all_rest`` tells that no engine decodes before ``retry_ms``, since all
+    of them asked for rest.
+    """
 
     why: str
     retry_ms: int
     best: Option | None
+    all_rest: bool = False
 
 
 class CacheHolder(typing.NamedTuple):
@@ -144,7 +149,7 @@
     decode_engines = [engine for engine in engines if not engine.prefill]
     if rests and not decode_engines:
         retry_ms = max(MIN_RETRY_MS, math.ceil(min(rests)))
-        return Refusal("all engines that decode rest", retry_ms, None)
+        return Refusal("all engines that decode rest", retry_ms, None, True)
     if all(engine.unreachable for engine in decode_engines):
         if not decode_engines or not demand.is_probe:
             return Refusal("no engine decodes", NO_DECODE_RETRY_MS, None)
