Leave a silent engine only if another can take over then

What callers saw (LOST): a stream was cut in the middle although its engine, silent for 1.3 s, went on: RemoteProtocolError, incomplete chunked read. Cause: the silence time-out was decided when the request was sent, 1 s on most routes. When it fired, the engine was closed whether or not another could go on; if that one refused or had started to drain meanwhile, nothing was left. Evidence: the tests of an engine that is silent for 1.3 s while the other refuses, and of one silent for 2.4 s while the other starts draining, failed before and pass now. That of a dead engine, left while its caller still waits, passed before and passes now. Change: the time-out is what the caller waits less what a takeover is predicted to need, 1.5 s at least. When it fires, attempts, retries left and a responsive engine that could serve the request in time are looked at; without them the engine is waited for, checked again each 200 ms, and its silence counts as a failure so that new requests avoid it. The same holds up to the head, and while a request is still being written. Prefills ask in the same way when their time-out fires; how long it is stays. Why it works: an answer that has begun is given up only for an engine that is able to continue it.

--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -52,6 +52,16 @@
         return self.option.prompt_ms / self.prefill_scale
 
 
+class Options(typing.NamedTuple):
+    """The engines that are left for a request, by id, and the best of them."""
+
+    demand: placement.Demand
+    state_by_id: dict[str, endpoints_module.EndpointState]
+    known: list[placement.Engine]
+    chosen: placement.Option | placement.Refusal
+    urgency: int
+
+
 class Placer:
     """Chooses engines for model requests."""
 
@@ -72,33 +82,8 @@
         :raises Overloaded: the request cannot be served in time.
         :raises ClementinewallError: no further send can serve the request.
         """
-        peers = self._peers.table.states()
-        demand = self._demand(exchange, peers)
-        engines = [
-            state
-            for state in self._endpoints.of_service(exchange.service.name)
-            if endpoints_module.is_engine(state)
-        ]
-        states = {
-            state.endpoint.id: state
-            for state in self._candidates(engines)
-            if state.endpoint.id not in exchange.tried_ids
-        }
-        prompt = exchange.call.prompt or EMPTY_PROMPT
-        cached = max(
-            (
-                s.cache.cached_prefix_tokens(prompt.parts[:-1])
-                for s in states.values()
-            ),
-            default=0,
-        )
-        urgency = placement.prefill_urgency(demand, cached)
-        known = [
-            self._engine_view(state, prompt, urgency, peers)
-            for state in states.values()
-        ]
-        holder = self._cache_holder(prompt, states)
-        chosen = placement.choose(known, demand, holder)
+        options = self._options(exchange, self._may_probe())
+        demand, states, known, chosen, urgency = options
         self._record_probe(known, chosen)
         if isinstance(chosen, placement.Refusal):
             if last is None or not _is_worth_serving_late(chosen, exchange):
@@ -134,6 +119,48 @@
             demand.prefill_scale,
         )
 
+    def can_place_again(self, exchange):
+        """Tell whether responsive engines could take the request over now."""
+        options = self._options(exchange, is_probe=False)
+        chosen = options.chosen
+        if isinstance(chosen, placement.Refusal):
+            if not _is_worth_serving_late(chosen, exchange):
+                return False
+            chosen = chosen.best
+        engine_ids = filter(None, (chosen.prefill, chosen.decode))
+        return all(options.state_by_id[id_].is_usable() for id_ in engine_ids)
+
+    def _options(self, exchange, is_probe):
+        """Return the engines that are left for the request, and the best."""
+        peers = self._peers.table.states()
+        demand = self._demand(exchange, peers, is_probe)
+        engines = [
+            state
+            for state in self._endpoints.of_service(exchange.service.name)
+            if endpoints_module.is_engine(state)
+        ]
+        states = {
+            state.endpoint.id: state
+            for state in self._candidates(engines)
+            if state.endpoint.id not in exchange.tried_ids
+        }
+        prompt = exchange.call.prompt or EMPTY_PROMPT
+        cached = max(
+            (
+                s.cache.cached_prefix_tokens(prompt.parts[:-1])
+                for s in states.values()
+            ),
+            default=0,
+        )
+        urgency = placement.prefill_urgency(demand, cached)
+        known = [
+            self._engine_view(state, prompt, urgency, peers)
+            for state in states.values()
+        ]
+        holder = self._cache_holder(prompt, states)
+        chosen = placement.choose(known, demand, holder)
+        return Options(demand, states, known, chosen, urgency)
+
     def _candidates(self, engines):
         """Return the engines of the cell, and others if most of these fail.
 
@@ -169,7 +196,7 @@
             return None
         return placement.CacheHolder(holder.endpoint_id, holder.tokens)
 
-    def _demand(self, exchange, peers):
+    def _demand(self, exchange, peers, is_probe):
         prompt = exchange.call.prompt or EMPTY_PROMPT
         limits = exchange.service.engine
         return placement.Demand(
@@ -180,7 +207,7 @@
             link_mbps=limits.link_mbps,
             tokens_out=prompt.tokens_out,
             send_ms=self._transfer_ms(exchange.call.body),
-            is_probe=self._may_probe(),
+            is_probe=is_probe,
             prefill_scale=self._endpoints.scales.scale(
                 exchange.service.name,
                 [peer.estimate_by_service for peer in peers],
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -16,11 +16,12 @@
 class SentRequest:
     """A request that was sent; ``link`` is at the body of its answer."""
 
-    def __init__(self, state, link, head):
+    def __init__(self, state, link, head, watch=None):
         """Take the link and the head of the answer read from it."""
         self.state = state
         self.link = link
         self.head = head
+        self._watch = watch
         self.is_complete = False
 
     async def read_all(self):
@@ -35,20 +36,18 @@
         self.is_complete = True
         return body
 
-    async def read_part(self, silence_timeout_ms=None):
+    async def read_part(self):
         """Return the next bytes of the body, ``None`` at its regular end.
 
-        :raises AttemptFailed: the connection broke, or nothing arrived for
-            ``silence_timeout_ms``.
+        :raises AttemptFailed: the connection broke, or the watch of the send
+            gave the endpoint up.
         """
         try:
-            part = await self.link.read_part(silence_timeout_ms)
+            part = await _wait(self._watch, self.link.read_part)
         except client.LinkBroken as exc:
             raise self.failure(exc.why, broken=True) from exc
         except TimeoutError as exc:
-            raise self.failure(
-                f"silent for {silence_timeout_ms:.0f} ms"
-            ) from exc
+            raise self.failure(str(exc)) from exc
         self.state.record_response()
         self.is_complete = part is None
         return part
@@ -67,15 +66,16 @@
 
 
 @contextlib.asynccontextmanager
-async def send(call, state, request, now, silence_timeout_ms=None):
+async def send(call, state, request, now, watch=None):
     """Send ``request``, wait for the head and yield a :class:`SentRequest`.
 
     The link goes back to the pool only if the answer was read to its end;
-    otherwise it is closed.
+    otherwise it is closed.  ``watch`` is a ``SilenceWatch``; without one a
+    silent endpoint is waited for.
 
-    :raises AttemptFailed: the connection failed, no head arrived within
-        ``silence_timeout_ms``, or the endpoint refused; its verdict says
-        whether the request may have run.
+    :raises AttemptFailed: the connection failed, the watch gave the endpoint
+        up, or the endpoint refused; its verdict says whether the request may
+        have run.
     """
     link = None
     sent = None
@@ -83,16 +83,16 @@
     try:
         link = await state.acquire_link()
         try:
-            await link.send(request, silence_timeout_ms)
-            head = await _matching_head(call, link, silence_timeout_ms)
+            await _send_whole(link, request, watch)
+            head = await _matching_head(call, link, watch)
         except TimeoutError as exc:
             raise exchanges.AttemptFailed(
                 verdicts.verdict_of(link.progress),
-                f"silent for {silence_timeout_ms:.0f} ms",
+                str(exc),
                 state.endpoint.id,
             ) from exc
         state.record_response()
-        sent = SentRequest(state, link, head)
+        sent = SentRequest(state, link, head, watch)
         state.apply_answer(head)
         _record_load(state, head, now())
         if calls.reports_not_run(head):
@@ -119,13 +119,33 @@
             _release_link(state, link, sent)
 
 
-async def _matching_head(call, link, silence_timeout_ms):
+async def _wait(watch, receive):
+    if watch is None:
+        return await receive()
+    return await watch.wait(receive)
+
+
+async def _send_whole(link, request, watch):
+    is_begun = False
+
+    async def send_rest(limit_ms=None):
+        nonlocal is_begun
+        if is_begun:
+            await link.finish_sending(limit_ms)
+            return
+        is_begun = True
+        await link.send(request, limit_ms)
+
+    await _wait(watch, send_rest)
+
+
+async def _matching_head(call, link, watch):
     """Return the head of the answer to this call.
 
     An endpoint may send a late second answer to an earlier request.
     Forwarding it would give one caller the answer of another.
     """
-    head = await link.read_head(silence_timeout_ms)
+    head = await _wait(watch, link.read_head)
     while not calls.is_answer_to(head, call):
         _log.warning(
             "dropped an answer to another request on this connection",
@@ -134,7 +154,7 @@
         )
         await link.read_rest(MAX_ANSWER_BYTES)
         link.expect_another()
-        head = await link.read_head(silence_timeout_ms)
+        head = await _wait(watch, link.read_head)
     return head
 
 
--- a/clementinewall/gateway/stream_answer.py
+++ b/clementinewall/gateway/stream_answer.py
@@ -21,11 +21,11 @@
         self.has_first_event = False
         self._on_first = on_first
 
-    async def forward(self, sent, silence_timeout_ms):
+    async def forward(self, sent):
         """Forward the events of one engine up to the regular end.
 
-        :raises AttemptFailed: the engine failed, broke off or sent nothing
-            for ``silence_timeout_ms``, or an event is missing.
+        :raises AttemptFailed: the engine failed, broke off or was given up
+            as silent, or an event is missing.
         """
         head = sent.head
         if head.status >= 300:
@@ -36,7 +36,7 @@
                 "success response without the engine's Server-Stamp"
             )
         self.events.reset()
-        part = await sent.read_part(silence_timeout_ms)
+        part = await sent.read_part()
         while part is not None:
             try:
                 new_events = self.events.feed(part)
@@ -44,7 +44,7 @@
                 raise sent.failure(str(exc)) from exc
             if new_events:
                 await self._forward_events(head, new_events)
-            part = await sent.read_part(silence_timeout_ms)
+            part = await sent.read_part()
         if not self.events.is_complete:
             raise sent.failure("stream ended in the middle of an event")
         await self._forward_events(head, b"")
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -3,16 +3,17 @@
 import anyio
 
 from clementinewall import clock
-from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import sending
+from clementinewall.gateway import silence_watch
 from clementinewall.gateway import stream_answer
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import calls
 from clementinewall.policy import engine_time
+from clementinewall.policy import silence
 from clementinewall import verdicts
 
 _log = logs.PartLog("stream")
@@ -25,11 +26,6 @@
 PREFILL_SLACK_MS = 500
 # A second prefill and a second send of the request.
 PREFILL_RETRY_SENDS = 2
-# Callers give up a stream after a pause of 2,000 ms or more.  Half of that is
-# left for another engine to prefill the prompt again.
-MIN_SILENCE_TIMEOUT_MS = 1_000
-# In gaps between events as the route's target allows them.
-SILENCE_TIMEOUT_GAPS = 4
 
 
 class StreamRelay:
@@ -135,19 +131,25 @@
                 plan.run_urgency, plan.option.prompt_ms
             )
             self._announce_prompt(job)
-        stream.begin(lambda: self._on_first_event(exchange, plan, job))
+        watch = silence_watch.SilenceWatch(
+            exchange.call,
+            decode_engine,
+            _silence_timeouts(exchange, plan).first_ms,
+            lambda: self._can_replace(exchange),
+            self._now,
+        )
+        stream.begin(lambda: self._on_first_event(exchange, plan, job, watch))
         is_accepted = False
-        silence_timeout_ms = self._silence_timeout_ms(exchange, plan)
         try:
             async with sending.send(
                 exchange.call,
                 decode_engine,
                 request,
                 self._now,
-                silence_timeout_ms,
+                watch,
             ) as sent:
                 is_accepted = True
-                await stream.forward(sent, silence_timeout_ms)
+                await stream.forward(sent)
         finally:
             decode_engine.streams -= 1
             if job is not None and not stream.has_first_event:
@@ -173,33 +175,18 @@
             )
             raise
 
-    def _silence_timeout_ms(self, exchange, plan):
-        """Return how long the engine may send nothing, or ``None``.
-
-        If the request cannot be sent again, a late answer is better than
-        none, so there is no timeout.
-        """
+    def _can_replace(self, exchange):
+        """Tell whether another engine could take the request over now."""
         route = exchange.route
-        if (
-            not route.idempotent
-            or exchange.reached_sends >= route.max_attempts
-        ):
-            return None
-        if not self._budgets.can_spend(exchange.service, PREFILL_RETRY_SENDS):
-            return None
-        others = [
-            state
-            for state in self._endpoints.of_service(exchange.service.name)
-            if state.endpoint.id not in exchange.tried_ids
-            and state.endpoint.stage == domain.DECODE
-        ]
-        if not others:
-            return None
-        expected_ms = plan.option.first_ms * PREFILL_TIMEOUT_FACTOR
-        gaps_ms = SILENCE_TIMEOUT_GAPS * route.gap_goal_ms
-        return max(MIN_SILENCE_TIMEOUT_MS, expected_ms, gaps_ms)
-
-    def _on_first_event(self, exchange, plan, job):
+        return (
+            route.idempotent
+            and exchange.reached_sends < route.max_attempts
+            and self._budgets.can_spend(exchange.service, PREFILL_RETRY_SENDS)
+            and self._placer.can_place_again(exchange)
+        )
+
+    def _on_first_event(self, exchange, plan, job, watch):
+        watch.timeout_ms = _silence_timeouts(exchange, plan).next_ms
         if job is not None:
             plan.decode_engine.end_prompt(job, True)
         if exchange.call.prompt:
@@ -218,16 +205,13 @@
             predicted_ms=round(plan.option.first_ms),
         )
 
-    def _prefill_silence_timeout_ms(self, exchange, plan):
-        """Return how long a prefill engine may send nothing, or ``None``.
+    def _can_replace_prefill(self, exchange):
+        """Tell whether the prompt can be prefilled elsewhere.
 
-        Without budget to repeat the prefill elsewhere, giving it up would
-        only waste it, so there is no timeout.
+        Without budget to repeat the prefill, giving it up would only waste
+        it.
         """
-        if not self._budgets.can_spend(exchange.service, PREFILL_RETRY_SENDS):
-            return None
-        expected_ms = plan.option.wait_ms + plan.option.prompt_ms
-        return PREFILL_TIMEOUT_FACTOR * expected_ms + PREFILL_SLACK_MS
+        return self._budgets.can_spend(exchange.service, PREFILL_RETRY_SENDS)
 
     async def _prefill(self, exchange, plan):
         prefill_engine = plan.prefill_engine
@@ -243,14 +227,21 @@
         job = prefill_engine.begin_prompt(plan.urgency, prompt_ms)
         is_prefilled = False
         self._announce_prompt(job)
-        silence_timeout_ms = self._prefill_silence_timeout_ms(exchange, plan)
+        expected_ms = plan.option.wait_ms + prompt_ms
+        watch = silence_watch.SilenceWatch(
+            exchange.call,
+            prefill_engine,
+            PREFILL_TIMEOUT_FACTOR * expected_ms + PREFILL_SLACK_MS,
+            lambda: self._can_replace_prefill(exchange),
+            self._now,
+        )
         try:
             async with sending.send(
                 exchange.call,
                 prefill_engine,
                 request,
                 self._now,
-                silence_timeout_ms,
+                watch,
             ) as sent:
                 body = await sent.read_all()
             is_prefilled = True
@@ -355,6 +346,10 @@
     return min(spent, 1 - reached)
 
 
+def _silence_timeouts(exchange, plan):
+    return silence.stream_timeouts(exchange.route, plan.option.first_ms)
+
+
 def _retry_reason(exchange):
     """Return the reason for further sends, as a metrics label."""
     if exchange.first_event_ms is not None:
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -77,8 +77,19 @@
             data += self._h11.send(h11.Data(data=request.body))
         data += self._h11.send(h11.EndOfMessage()) or b""
         self.progress = verdicts.Progress.SENT_IN_PART
+        await self._write(self._stream.send(data, limit_ms))
+
+    async def finish_sending(self, limit_ms=None):
+        """Go on with a :meth:`send` that timed out.
+
+        :raises LinkBroken: the connection was reset.
+        :raises TimeoutError: as for :meth:`send`.
+        """
+        await self._write(self._stream.flush(limit_ms))
+
+    async def _write(self, operation):
         try:
-            await self._stream.send(data, limit_ms)
+            await operation
         except anyio.BrokenResourceError as exc:
             raise self._broken(
                 "connection reset while sending the request"
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -165,7 +165,15 @@
         if self._is_disconnected or self._transport.is_closing():
             raise anyio.BrokenResourceError from self._error
         self._transport.write(data)
-        if self._is_write_blocked:
+        await self.flush(limit_ms)
+
+    async def flush(self, limit_ms=None):
+        """Wait until the system has accepted all that was written.
+
+        :raises TimeoutError: that took longer than ``limit_ms``.
+        :raises anyio.BrokenResourceError: the connection is lost.
+        """
+        if self._is_write_blocked and not self._is_disconnected:
             self._write_waiter = asyncio.get_running_loop().create_future()
             await _wait(self._write_waiter, limit_ms)
         if self._is_disconnected:
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -86,15 +86,16 @@
             now,
         )
 
-    def place(self):
-        """Place a new request."""
+    def exchange(self):
+        """Return a new request."""
         call = domain.Call(
             "a", b"POST", b"/", "", "/", (), b"", None, None, PROMPT
         )
-        exchange = exchanges.Exchange(
-            None, call, ROUTE, SERVICE, self.ticker.now
-        )
-        return self.placer.place(exchange, None)
+        return exchanges.Exchange(None, call, ROUTE, SERVICE, self.ticker.now)
+
+    def place(self):
+        """Place a new request."""
+        return self.placer.place(self.exchange(), None)
 
     def cell_engines(self, stage):
         """Return the engines of a stage in the gateway's cell."""
@@ -158,3 +159,29 @@
         )
         self.ticker.advance(placing.PROBE_INTERVAL_MS)
         self.place()
+
+    def test_request_can_be_placed_again_at_responsive_engines_only(self):
+        # Guards against leaving a silent engine when no other can go on.
+        exchange = self.exchange()
+        self.assertTrue(self.placer.can_place_again(exchange))
+        states = [
+            state
+            for state in self.endpoints.of_service("model")
+            if state.endpoint.stage == domain.DECODE
+        ]
+        for state in states:
+            state.begin()
+        self.ticker.advance(endpoints.RESPONSE_TIMEOUT_MS + 1)
+        self.assertFalse(self.placer.can_place_again(exchange))
+        states[0].record_response()
+        # The only responsive engine is the one that is to be left.
+        exchange.tried_ids.add(states[0].endpoint.id)
+        self.assertFalse(self.placer.can_place_again(exchange))
+
+    def test_asking_for_another_engine_uses_up_no_probe(self):
+        # Guards against a question that delays the probe of a dead engine.
+        for state in self.endpoints.of_service("model"):
+            if state.endpoint.stage == domain.DECODE:
+                state.health.record_failure(self.ticker.now(), absent=True)
+        self.assertFalse(self.placer.can_place_again(self.exchange()))
+        self.place()
--- a/tests/http1/test_stream.py
+++ b/tests/http1/test_stream.py
@@ -115,6 +115,30 @@
 
         anyio.run(run)
 
+    def test_flush_goes_on_with_a_send_that_timed_out(self):
+        # Guards against a request that is sent twice or in part when its
+        # peer reads nothing for a while.
+        async def run():
+            async with connected() as (stream, peer):
+                sent = bytes(5_000_000)
+                with self.assertRaises(TimeoutError):
+                    await stream.send(sent, 30)
+                with self.assertRaises(TimeoutError):
+                    await stream.flush(30)
+                received = 0
+                peer.setblocking(False)
+                async with anyio.create_task_group() as group:
+                    group.start_soon(stream.flush, 5_000)
+                    while received < len(sent):
+                        with contextlib.suppress(BlockingIOError):
+                            received += len(peer.recv(1_000_000))
+                        await anyio.sleep(0.001)
+                self.assertEqual(received, len(sent))
+                with self.assertRaises(BlockingIOError):
+                    peer.recv(1)
+
+        anyio.run(run)
+
     def test_unread_bytes_are_bounded(self):
         """Requests sent ahead would fill the process's memory.
 
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -115,6 +115,92 @@
             return False
         return first.requests and second.requests
 
+    def test_stream_of_an_engine_that_was_silent_for_a_second_is_complete(
+        self,
+    ):
+        # Guards against a cut answer: engines may pause and then go on.
+        arrivals = []
+
+        def script(_endpoint, request):
+            arrivals.append(request)
+            if len(arrivals) > 1:
+                yield scripted.answer(request, b"", 503, Not_Executed="1")
+                return
+            yield from whole_stream(request, (1, 2), end=False)
+            yield 1.3
+            for number in (3, 4, 5):
+                yield scripted.chunk(scripted.event(number))
+            yield scripted.chunk(b"")
+
+        for name in ("one", "two"):
+            self.engine(name, script)
+        front = self.gateway()
+        answer = self.ask(front, "/chat/x", **MODEL_HEADERS)
+        self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
+
+    def test_silent_engine_is_waited_for_if_the_other_starts_draining(self):
+        # Guards against a cut answer when the engine that could have taken
+        # over is gone by the time that the silence is noticed.
+        def script(_endpoint, request):
+            yield from whole_stream(request, (1, 2), end=False)
+            yield 2.4
+            for number in (3, 4, 5):
+                yield scripted.chunk(scripted.event(number))
+            yield scripted.chunk(b"")
+
+        engine_by_name = {
+            name: self.engine(name, script) for name in ("one", "two")
+        }
+        front = self.gateway()
+        asked = base.Background(
+            lambda where: self.ask(where, "/chat/x", **MODEL_HEADERS),
+            [(front,)],
+        )
+        bringup.wait_until(
+            lambda: any(e.requests for e in engine_by_name.values()),
+            what="the request",
+        )
+        for name, engine in engine_by_name.items():
+            if not engine.requests:
+                self.register(
+                    name,
+                    engine.address,
+                    "model",
+                    stage="decode",
+                    state="draining",
+                )
+        results = asked.join()
+        self.assertEqual(asked.errors, [])
+        ((_, answer),) = results
+        self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
+
+    def test_dead_engine_is_left_before_the_caller_gives_up(self):
+        # Guards against callers that abandon a stream after a pause of 2 s
+        # while another engine could have resumed it.
+        def hang(endpoint, request):
+            if not request.header_by_name.get("last-event-id"):
+                yield from whole_stream(request, (1, 2), end=False)
+                yield 20
+            yield from resume_stream(endpoint, request)
+
+        for name in ("one", "two"):
+            self.engine(name, hang)
+        front = self.gateway()
+        received = []
+        with httpx.stream(
+            "POST",
+            f"http://{front}/chat/x",
+            headers={
+                "Host": gateway_base.HOST,
+                "Attempt-Id": "a1",
+                "Token-Usage": "100,20",
+            },
+            timeout=2,
+            trust_env=False,
+        ) as answer:
+            received.extend(answer.iter_raw())
+        self.assertEqual(positions(b"".join(received)), [1, 2, 3, 4, 5])
+
     def test_refused_connections_cost_no_attempt(self):
         # Guards against failures while healthy engines are idle.  Records of
         # crashed engines stay in the store for some seconds.  On a route with
