Refuse nobody because all engines of a stage pause

What callers would see: under load, a refusal of each request while the engines of a stage send nothing for a second and then go on. Cause: a second of silence makes an engine the last choice by a tenfold predicted time. If all engines pause, that is no choice any more, but the predictions still count against the target, so each request seems late. Evidence: with a prompt of 40 ms at each engine, a request was refused ('too late on each way') after a silence of 1.5 s; it failed before and passes now. After more than 1.5 s it is still refused, and a silent engine still gets nothing while others respond; tests hold both. Change: if no engine of a stage is usable, those that are only silent, and for 1.5 s at most, are predicted as usual. 298 tests of gateway, policy, streams, verdicts, crashes, drains and layers passed.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -12,6 +12,7 @@
 from clementinewall.policy import endpoint_health
 from clementinewall.policy import prefill_queue
 from clementinewall.policy import prefill_scale
+from clementinewall.policy import silence
 from clementinewall import verdicts
 
 _log = logs.PartLog("endpoint")
@@ -178,11 +179,21 @@
             return True
         return self._is_timed_out() and not self.health.is_usable(now)
 
+    def may_be_pausing(self):
+        """Return whether a sound endpoint could be silent for as long.
+
+        It is then usable but for its silence.
+        """
+        now = self._now()
+        if now < self.unavailable_until or not self.health.is_usable(now):
+            return False
+        return not self._is_silent_for(silence.SOUND_SILENCE_MS)
+
     def _is_timed_out(self):
-        return (
-            bool(self.open)
-            and self._now() - self._last_response_at > RESPONSE_TIMEOUT_MS
-        )
+        return self._is_silent_for(RESPONSE_TIMEOUT_MS)
+
+    def _is_silent_for(self, ms):
+        return bool(self.open) and self._now() - self._last_response_at > ms
 
     def begin_prompt(self, urgency, cost_ms):
         """Record a prompt sent now; return its job for ``end_prompt``."""
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -153,8 +153,13 @@
             default=0,
         )
         urgency = placement.prefill_urgency(demand, cached)
+        usable_stages = {
+            state.endpoint.stage
+            for state in states.values()
+            if state.is_usable()
+        }
         known = [
-            self._engine_view(state, prompt, urgency, peers)
+            self._engine_view(state, prompt, urgency, peers, usable_stages)
             for state in states.values()
         ]
         holder = self._cache_holder(prompt, states)
@@ -235,7 +240,7 @@
             return 0.0
         return len(body) * 8 / (self._link_mbps * 1_000)
 
-    def _engine_view(self, state, prompt, urgency, peers):
+    def _engine_view(self, state, prompt, urgency, peers, usable_stages):
         endpoint = state.endpoint
         jobs = list(state.jobs)
         streams = state.streams
@@ -256,9 +261,7 @@
             streams=streams,
             slots=max(1, endpoint.slots),
             cached=state.cache.cached_prefix_tokens(prompt.parts[:-1]),
-            slowness=state.health.slowness
-            if state.is_usable()
-            else UNUSABLE_SLOWNESS,
+            slowness=_slowness(state, usable_stages),
             unreachable=state.is_unavailable(),
             rest_ms=state.rest_ms,
         )
@@ -284,6 +287,18 @@
         raise errors.Overloaded(refusal.why, retry_after_ms=retry_ms)
 
 
+def _slowness(state, usable_stages):
+    """Return the slowness to predict the times of an engine with.
+
+    A pausing engine is the last choice while others of its stage respond.  If
+    none does, its pause must not make every request seem late.
+    """
+    is_only_choice = state.endpoint.stage not in usable_stages
+    if state.is_usable() or (is_only_choice and state.may_be_pausing()):
+        return state.health.slowness
+    return UNUSABLE_SLOWNESS
+
+
 def _is_worth_serving_late(refusal, exchange):
     """Tell whether to send again although the first event misses its target.
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -14,6 +14,7 @@
 from clementinewall.gateway import placing
 from clementinewall.http1 import server
 from clementinewall.policy import placement
+from clementinewall.policy import silence
 
 GATEWAYS = [f"10.0.0.{n}" for n in range(1, 33)]
 SERVICE = domain.Service(
@@ -185,3 +186,27 @@
                 state.health.record_failure(self.ticker.now(), absent=True)
         self.assertFalse(self.placer.can_place_again(self.exchange()))
         self.place()
+
+    def test_engines_that_are_all_silent_for_a_second_get_requests(self):
+        # Guards against refusing every caller while sound engines pause.
+        states = self.endpoints.of_service("model")
+        for state in states:
+            state.begin()
+        self.ticker.advance(silence.SOUND_SILENCE_MS)
+        for state in states:
+            state.begin_prompt(placement.URGENCY_NORMAL, 40.0)
+        self.place()
+        self.ticker.advance(1)
+        with self.assertRaises(errors.Overloaded):
+            self.place()
+
+    def test_silent_engine_is_avoided_while_others_respond(self):
+        # Guards against waiting for a dead engine while others are idle.
+        silent = self.cell_engines(domain.DECODE)[0]
+        for state in self.endpoints.of_service("model"):
+            if state is not silent:
+                state.streams = state.endpoint.slots // 2
+        silent.begin()
+        self.ticker.advance(endpoints.RESPONSE_TIMEOUT_MS + 1)
+        for _ in range(20):
+            self.assertIsNot(self.place().decode_engine, silent)
