Fail no request because its prefill engine pauses

What callers saw: 503 for a request whose prefill engine sent nothing for 1.3 s and then went on, on a route with one attempt; the same on a route with two attempts when all prefill engines paused at once. Cause: a prefill is given up after three times its predicted time and 0.5 s, and counts as a send. Whether a send is left after that was not looked at. Evidence: both tests failed with 503 before and pass now. Change: a prefill is given up only if another send is left for the request itself, and another engine could prefill now. If it would use up the last send, only a silence of 1.5 s gives it up: the caller gets 'not run' within 2 s, as a test of dead prefill engines holds, and may retry elsewhere. Not changed: two prefills given up in a row still pause their engine for a second, though it may be sound; otherwise a dead one would be chosen again. 302 tests of gateway, policy, streams, budgets, verdicts, crashes, drains and layers passed.

--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -119,9 +119,12 @@
             demand.prefill_scale,
         )
 
-    def can_place_again(self, exchange):
-        """Tell whether responsive engines could take the request over now."""
-        options = self._options(exchange, is_probe=False)
+    def can_place_again(self, exchange, left_id=None):
+        """Tell whether responsive engines could take the request over now.
+
+        ``left_id`` is an engine that would not be used again.
+        """
+        options = self._options(exchange, False, {left_id})
         chosen = options.chosen
         if isinstance(chosen, placement.Refusal):
             if not _is_worth_serving_late(chosen, exchange):
@@ -130,8 +133,9 @@
         engine_ids = filter(None, (chosen.prefill, chosen.decode))
         return all(options.state_by_id[id_].is_usable() for id_ in engine_ids)
 
-    def _options(self, exchange, is_probe):
+    def _options(self, exchange, is_probe, excluded_ids=frozenset()):
         """Return the engines that are left for the request, and the best."""
+        excluded_ids = exchange.tried_ids | excluded_ids
         peers = self._peers.table.states()
         demand = self._demand(exchange, peers, is_probe)
         engines = [
@@ -142,7 +146,7 @@
         states = {
             state.endpoint.id: state
             for state in self._candidates(engines)
-            if state.endpoint.id not in exchange.tried_ids
+            if state.endpoint.id not in excluded_ids
         }
         prompt = exchange.call.prompt or EMPTY_PROMPT
         cached = max(
--- a/clementinewall/gateway/silence_watch.py
+++ b/clementinewall/gateway/silence_watch.py
@@ -15,8 +15,8 @@
     def __init__(self, call, state, timeout_ms, can_replace, now):
         """Watch the answer of ``state`` to ``call``.
 
-        ``can_replace`` tells whether a further send is possible; it is asked
-        when nothing was received for ``timeout_ms``.
+        ``can_replace(silent_ms)`` tells whether a further send is possible;
+        it is asked when nothing was received for ``timeout_ms``.
         """
         self.timeout_ms = timeout_ms
         self._call = call
@@ -37,7 +37,7 @@
                 return await receive(limit_ms)
             except TimeoutError as exc:
                 silent_ms = self._now() - started
-                if self._can_replace():
+                if self._can_replace(silent_ms):
                     raise TimeoutError(
                         f"silent for {silent_ms:.0f} ms"
                     ) from exc
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -135,7 +135,7 @@
             exchange.call,
             decode_engine,
             _silence_timeouts(exchange, plan).first_ms,
-            lambda: self._can_replace(exchange),
+            lambda _silent_ms: self._can_replace(exchange),
             self._now,
         )
         stream.begin(lambda: self._on_first_event(exchange, plan, job, watch))
@@ -205,13 +205,21 @@
             predicted_ms=round(plan.option.first_ms),
         )
 
-    def _can_replace_prefill(self, exchange):
-        """Tell whether the prompt can be prefilled elsewhere.
+    def _can_replace_prefill(self, exchange, prefill_engine, silent_ms):
+        """Tell whether another engine could prefill the prompt now.
 
-        Without budget to repeat the prefill, giving it up would only waste
-        it.
+        A prefill that is given up counts as a send, and the request itself
+        still needs one.  If that is the last, the caller may retry elsewhere:
+        the request has not run, and a sound engine would have answered.
         """
-        return self._budgets.can_spend(exchange.service, PREFILL_RETRY_SENDS)
+        may_send = exchange.reached_sends + 1 < exchange.route.max_attempts
+        return (
+            (may_send or silent_ms >= silence.SOUND_SILENCE_MS)
+            and self._budgets.can_spend(exchange.service, PREFILL_RETRY_SENDS)
+            and self._placer.can_place_again(
+                exchange, prefill_engine.endpoint.id
+            )
+        )
 
     async def _prefill(self, exchange, plan):
         prefill_engine = plan.prefill_engine
@@ -232,7 +240,9 @@
             exchange.call,
             prefill_engine,
             PREFILL_TIMEOUT_FACTOR * expected_ms + PREFILL_SLACK_MS,
-            lambda: self._can_replace_prefill(exchange),
+            lambda silent_ms: self._can_replace_prefill(
+                exchange, prefill_engine, silent_ms
+            ),
             self._now,
         )
         try:
--- a/tests/gateway/test_silence_watch.py
+++ b/tests/gateway/test_silence_watch.py
@@ -27,7 +27,7 @@
             types.SimpleNamespace(attempt="a1"),
             state,
             TIMEOUT_MS,
-            lambda: self.can_replace,
+            lambda _silent_ms: self.can_replace,
             self.ticker.now,
         )
 
@@ -60,7 +60,7 @@
         # Guards against callers that wait for a dead endpoint until their
         # deadline although another one has become available.
         answers = iter([False, False, True])
-        self.watch._can_replace = lambda: next(answers)
+        self.watch._can_replace = lambda _silent_ms: next(answers)
         began = self.ticker.now()
         with self.assertRaises(TimeoutError):
             self.wait(60_000)
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -326,6 +326,61 @@
         answer = self.ask(front, "/chat/x", **usage)
         self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
 
+    def test_silent_prefill_is_waited_for_if_it_is_the_only_attempt(self):
+        # Guards against failing a request of a route with one attempt when
+        # its prefill engine pauses: the decode would have been sent once.
+        self.publish(route("single", "model", "stream", max_attempts=1))
+
+        def prefill_script(_endpoint, request):
+            yield 1.3
+            body = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
+            yield scripted.answer(request, body)
+
+        for name in ("one", "two"):
+            self.engine(name, prefill_script, "prefill")
+        self.engine("three", resume_stream)
+        front = self.gateway()
+        usage = dict(MODEL_HEADERS, Token_Usage="10000,20")
+        answer = self.ask(front, "/single/x", **usage)
+        self.assertEqual(answer.status_code, 200)
+        self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
+
+    def test_dead_prefill_is_refused_if_it_is_the_only_attempt(self):
+        # Guards against holding a request until its deadline at a dead
+        # prefill engine although its caller could retry elsewhere.
+        self.publish(route("single", "model", "stream", max_attempts=1))
+
+        def hang(_endpoint, _request):
+            yield 20
+
+        for name in ("one", "two"):
+            self.engine(name, hang, "prefill")
+        self.engine("three", resume_stream)
+        front = self.gateway()
+        usage = dict(MODEL_HEADERS, Token_Usage="10000,20")
+        start = time.monotonic()
+        answer = self.ask(front, "/single/x", **usage)
+        self.assertEqual(answer.status_code, 503)
+        self.assertLess(time.monotonic() - start, 2)
+
+    def test_prefills_of_engines_that_all_pause_are_waited_for(self):
+        # Guards against using up all attempts at prefill engines that pause
+        # at the same time.
+        def prefill_script(_endpoint, request):
+            yield 1.3
+            body = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
+            yield scripted.answer(request, body)
+
+        for name in ("one", "two", "three"):
+            self.engine(name, prefill_script, "prefill")
+        for name in ("four", "five"):
+            self.engine(name, resume_stream)
+        front = self.gateway()
+        usage = dict(MODEL_HEADERS, Token_Usage="10000,20")
+        answer = self.ask(front, "/chat/x", **usage)
+        self.assertEqual(answer.status_code, 200)
+        self.assertEqual(positions(answer.content), [1, 2, 3, 4, 5])
+
     def test_disconnected_caller_cancels_the_stream(self):
         def script(_endpoint, request):
             yield from whole_stream(request, (1,), end=False)
