Give up a silent call only if another endpoint can take over

What callers saw: 502 for a safe call whose endpoint answered later but well within the caller's time: after 1.8 s of 3 s as the only endpoint, and after 1.3 s of 2.4 s while the other endpoint refused. Cause: a send that may be repeated ended after half of the time left, whether or not another endpoint was there. Evidence: both tests failed with 502 before and pass now. That of a dead endpoint, which is left for another, passed before and passes now. Change: calls use the watch of the streams. A send is silent for too long after half of the time left, 1.5 s at least or three quarters if that is sooner; then it is given up only if retries are left and an untried, usable endpoint is there. It counts from the last bytes received, so an answer that keeps coming is no longer ended. Why it works: an answer under way is given up only for an endpoint that can serve the call.

--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -1,19 +1,15 @@
 """Relays calls to plain services, which are not model engines."""
 
-import anyio
-
-from clementinewall import clock
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import sending
+from clementinewall.gateway import silence_watch
 from clementinewall import logs
 from clementinewall.platform import calls
+from clementinewall.policy import silence
 from clementinewall import verdicts
 
 _log = logs.PartLog("plain")
 
-# A send of an idempotent call that may be repeated gets this fraction of the
-# time left, so that an endpoint that hangs leaves time for another.
-SEND_TIMEOUT_FRACTION = 0.5
 # Added to the load of an endpoint in another data centre.
 REMOTE_PENALTY_CALLS = 0.2
 
@@ -103,14 +99,6 @@
         exchange.sends += 1
         exchange.tried_ids.add(state.endpoint.id)
         left_ms = exchange.left_ms
-        is_last = not (
-            exchange.route.idempotent
-            and exchange.reached_sends < exchange.route.max_attempts
-        )
-        # The last send may use all the time of the request.
-        limit = (
-            None if is_last else clock.seconds(left_ms * SEND_TIMEOUT_FRACTION)
-        )
         _log.info(
             "sent",
             request=exchange.call.attempt,
@@ -119,20 +107,39 @@
             left_ms=left_ms,
         )
         request = calls.run_request(exchange.call, state.endpoint, left_ms)
-        try:
-            with anyio.fail_after(limit):
-                async with sending.send(
-                    exchange.call, state, request, self._now
-                ) as sent:
-                    body = await sent.read_all()
-        except TimeoutError as exc:
-            raise exchanges.AttemptFailed(
-                verdicts.Verdict.MAY_HAVE_RUN,
-                f"no answer in {limit:.3f} s",
-                state.endpoint.id,
-            ) from exc
+        async with sending.send(
+            exchange.call,
+            state,
+            request,
+            self._now,
+            self._silence_watch(exchange, state),
+        ) as sent:
+            body = await sent.read_all()
         return self._checked_answer(exchange, sent, body)
 
+    def _silence_watch(self, exchange, state):
+        """Return the watch of a send, ``None`` if it is the last one."""
+        route = exchange.route
+        if (
+            not route.idempotent
+            or exchange.reached_sends >= route.max_attempts
+        ):
+            return None
+        return silence_watch.SilenceWatch(
+            exchange.call,
+            state,
+            silence.call_timeout_ms(exchange.left_ms),
+            lambda _silent_ms: self._can_replace(exchange),
+            self._now,
+        )
+
+    def _can_replace(self, exchange):
+        """Tell whether another endpoint could take the call over now."""
+        if not self._budgets.can_spend(exchange.service, 1):
+            return False
+        state = self._choose_endpoint(exchange)
+        return state is not None and state.is_usable()
+
     def _checked_answer(self, exchange, sent, body):
         head = sent.head
         if head.status < 400 and not calls.is_complete_success(head):
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -27,14 +27,22 @@
     async def read_all(self):
         """Return the rest of the body.
 
-        :raises AttemptFailed: the connection broke before its end.
+        :raises AttemptFailed: as for :meth:`read_part`, or the body is over
+            ``MAX_ANSWER_BYTES`` long.
         """
-        try:
-            body = await self.link.read_rest(MAX_ANSWER_BYTES)
-        except client.LinkBroken as exc:
-            raise self.failure(exc.why, broken=True) from exc
-        self.is_complete = True
-        return body
+        parts = []
+        size = 0
+        part = await self.read_part()
+        while part is not None:
+            size += len(part)
+            if size > MAX_ANSWER_BYTES:
+                raise self.failure(
+                    f"the answer's body is over {MAX_ANSWER_BYTES} bytes",
+                    broken=True,
+                )
+            parts.append(part)
+            part = await self.read_part()
+        return b"".join(parts)
 
     async def read_part(self):
         """Return the next bytes of the body, ``None`` at its regular end.
--- a/tests/integration/test_gateway_verdicts.py
+++ b/tests/integration/test_gateway_verdicts.py
@@ -86,6 +86,52 @@
             answer = self.ask(front, "/look/x", f"a{number}", "GET")
             self.assertEqual(answer.status_code, 200)
 
+    def test_silent_endpoint_is_waited_for_if_it_is_the_only_one(self):
+        # Guards against failing a safe call before its deadline although its
+        # endpoint pauses and then answers.
+        def script(_endpoint, request):
+            yield 1.8
+            yield scripted.answer(request, b"late")
+
+        self.endpoint("one", script)
+        front = self.gateway()
+        answer = self.ask(front, "/look/x", method="GET")
+        self.assertEqual((answer.status_code, answer.content), (200, b"late"))
+
+    def test_answer_of_an_endpoint_that_was_silent_for_a_second(self):
+        # Guards against leaving an endpoint that pauses for one that refuses.
+        arrivals = []
+
+        def script(_endpoint, request):
+            arrivals.append(request)
+            if len(arrivals) > 1:
+                yield scripted.answer(request, b"", 503, Not_Executed="1")
+                return
+            yield 1.3
+            yield scripted.answer(request, b"late")
+
+        for name in ("one", "two"):
+            self.endpoint(name, script)
+        front = self.gateway()
+        answer = self.ask(front, "/look/x", method="GET", Deadline_Ms="2400")
+        self.assertEqual((answer.status_code, answer.content), (200, b"late"))
+
+    def test_dead_endpoint_is_left_for_another(self):
+        # Guards against calls that wait for a dead endpoint until they fail.
+        arrivals = []
+
+        def script(_endpoint, request):
+            arrivals.append(request)
+            if len(arrivals) == 1:
+                yield 20
+            yield scripted.answer(request)
+
+        for name in ("one", "two"):
+            self.endpoint(name, script)
+        front = self.gateway()
+        answer = self.ask(front, "/look/x", method="GET")
+        self.assertEqual(answer.status_code, 200)
+
     def test_refusal_by_the_endpoint_becomes_a_503_with_retry_after(self):
         # Guards against a lost refusal: a full endpoint states that it did
         # not run the booking, so the caller may send it again later.
--- a/tests/policy/test_silence.py
+++ b/tests/policy/test_silence.py
@@ -44,3 +44,19 @@
         self.assertEqual(silence.caller_pause_ms(route(400, 200)), 2_000)
         self.assertEqual(silence.caller_pause_ms(route(900, 200)), 3_600)
         self.assertEqual(silence.caller_pause_ms(route(400, 500)), 4_000)
+
+
+class CallTimeout(unittest.TestCase):
+    """``call_timeout_ms`` of calls to plain services."""
+
+    @hypothesis.given(strategies.floats(1, 60_000))
+    def test_each_timeout_leaves_time_for_another_endpoint(self, left_ms):
+        found = silence.call_timeout_ms(left_ms)
+        self.assertGreaterEqual(found, left_ms / 2)
+        self.assertLessEqual(found, left_ms * 3 / 4)
+
+    def test_a_sound_pause_is_not_too_long_if_there_is_time(self):
+        for left_ms in (2_000, 3_000, 10_000):
+            self.assertGreaterEqual(
+                silence.call_timeout_ms(left_ms), silence.SOUND_SILENCE_MS
+            )
