Test that callers are refused at once while all engines are dead

Why: a silent engine that nothing can replace is waited for, so dead engines must be found without leaving one for the other. The watch counts a silence of 1.5 s or more as a failure, and with two an engine gets only a probe each 500 ms.

--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -201,6 +201,45 @@
             received.extend(answer.iter_raw())
         self.assertEqual(positions(b"".join(received)), [1, 2, 3, 4, 5])
 
+    def test_callers_are_refused_at_once_while_all_engines_are_dead(self):
+        # Guards against holding each caller until its deadline when no engine
+        # sends anything, and none can take over from another.
+        def hang(_endpoint, _request):
+            yield 20
+
+        for name in ("one", "two"):
+            self.engine(name, hang)
+        front = self.gateway()
+        asked = base.Background(
+            lambda number: self.ask(
+                front, "/chat/x", f"b{number}", **MODEL_HEADERS
+            ),
+            [(number,) for number in range(6)],
+        )
+        bringup.wait_until(
+            lambda: self.dep.log_of("gateway-1").count("waiting on") >= 4,
+            what="the failures of both engines",
+        )
+        # One of these may probe an engine in each interval.
+        later = base.Background(
+            lambda number: self.timed_status(front, f"c{number}"),
+            [(number,) for number in range(4)],
+        )
+        results = later.join()
+        asked.join()
+        self.assertEqual(asked.errors + later.errors, [])
+        refused = [
+            seconds for _, (status, seconds) in results if status == 429
+        ]
+        self.assertGreaterEqual(len(refused), 2)
+        self.assertLess(max(refused), 1)
+
+    def timed_status(self, front, attempt):
+        """Send a request; return the status and how many seconds it took."""
+        start = time.monotonic()
+        answer = self.ask(front, "/chat/x", attempt, **MODEL_HEADERS)
+        return answer.status_code, time.monotonic() - start
+
     def test_refused_connections_cost_no_attempt(self):
         # Guards against failures while healthy engines are idle.  Records of
         # crashed engines stay in the store for some seconds.  On a route with
