Refuse an endpoint whose address is no IP number

What callers saw: one record in the endpoints' topic with an address such as 'a..b:80' stopped each gateway that read it. All its open requests ended without an answer or a refusal, and a new process stopped as well.

Cause: the address was only split at its colon. To connect to a host that cannot be encoded as a name raises UnicodeError or ValueError, which the tasks that look after caches and stages do not expect; it ends the process. Operators say that records may come from another writer.

Change: the host must be an IP number, as engines write it; any other record names no endpoint and is logged. A name would also be looked up in a thread for each connection.

Why it works: a numeric address is never looked up or encoded.

--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -1,5 +1,6 @@
 """Decoding of operators' and endpoints' records in the platform's store."""
 
+import ipaddress
 import json
 import math
 
@@ -96,8 +97,9 @@
 
 def _address(value):
     host, _, port = _text(value).rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"{value!r} is not an address as host:port")
+    ipaddress.ip_address(host)
+    if not port.isdigit() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{value!r} is not an address as IP:port")
     return value
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -101,3 +101,14 @@
     def test_any_bytes_are_refused(self, raw):
         with self.assertRaises(errors.BadRecord):
             records.endpoint("e", raw)
+
+    def test_address_that_is_no_ip_number_is_refused(self):
+        # Guards against a gateway that ends when it connects to an endpoint.
+        row = {"service": "app", "zone": "a", "state": "ready"}
+        good = row | {"address": "10.0.0.1:80"}
+        found = records.endpoint("e", json.dumps(good).encode())
+        self.assertEqual(found.address, "10.0.0.1:80")
+        for bad in ("a..b:80", "\ud800:80", "a\0b:80", "host:80", ":80"):
+            raw = json.dumps(row | {"address": bad}).encode()
+            with self.assertRaises(errors.BadRecord):
+                records.endpoint("e", raw)
