Refuse records with numbers out of range

What callers saw: a configuration with an infinite idle timeout stopped each gateway that read it, and with it every open request, none of which got an answer or a refusal. The store accepts only valid configurations, so this needs a fault there; records of endpoints may come from another writer.

Cause: converting an infinite number raises OverflowError, which the decoding of records did not expect. Integers beyond what a floating-point number can hold were passed on, and raise it wherever they are combined.

Change: OverflowError makes a record unusable, as other errors of decoding do, and integers are bounded. A configuration that cannot be used leaves the one before it in force.

--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -16,6 +16,15 @@
 GATEWAYS_TOPIC = "keyed.gateways"
 LEASES_TOPIC = "keyed.leases"
 _KNOWN_STATES = ("ready", "draining")
+# Larger numbers can't be combined with floating-point ones.
+MAX_INTEGER = 2**63
+_DECODE_ERRORS = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
 
 
 def configuration(raw):
@@ -33,7 +42,7 @@
             service_by_name={service.name: service for service in services},
             limits=_limits(data.get("limits", {})),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _DECODE_ERRORS as exc:
         raise errors.BadRecord(
             f"cannot decode the configuration: {exc!r}"
         ) from exc
@@ -59,7 +68,7 @@
             stage=data.get("stage"),
             incarnation=_integer(data.get("born", 0)),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _DECODE_ERRORS as exc:
         raise errors.BadRecord(
             f"cannot decode the record of {endpoint_id}: {exc!r}"
         ) from exc
@@ -84,6 +93,8 @@
 def _integer(value):
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{value!r} is not an integer")
+    if abs(value) > MAX_INTEGER:
+        raise ValueError("an integer is out of range")
     return value
 
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -112,3 +112,21 @@
             raw = json.dumps(row | {"address": bad}).encode()
             with self.assertRaises(errors.BadRecord):
                 records.endpoint("e", raw)
+
+    def test_numbers_out_of_range_are_refused(self):
+        # Guards against a gateway that ends when it reads or uses one.
+        huge = 10**400
+        row = {"version": 2, "routes": [], "services": []}
+        for raw in (
+            json.dumps(row)[:-1] + ', "limits": {"idle_timeout_ms": 1e999}}',
+            json.dumps(row | {"version": huge}),
+            json.dumps(row | {"routes": [route("r", "/a/", goal_ms=huge)]}),
+        ):
+            with self.assertRaises(errors.BadRecord):
+                records.configuration(raw.encode())
+        row = {"service": "app", "zone": "a", "state": "ready"}
+        row["address"] = "10.0.0.1:80"
+        for name in ("slot_count", "born"):
+            raw = json.dumps(row | {name: huge}).encode()
+            with self.assertRaises(errors.BadRecord):
+                records.endpoint("e", raw)
