Keep a replaced idle timeout for callers that still know it

What callers saw: after operators had lowered idle_timeout_ms, a caller that reused its connection within the limit that it knew met its close, and got neither an answer nor a refusal. A replaced configuration may be in force for callers until config_ms after the confirmation of the next.

Cause: a connection that became idle after a gateway had taken the new version was closed by the new timeout at once.

Change: for configuration_ms after a version is replaced, the longest idle timeout of the versions replaced meanwhile holds. All other limits are those of the configuration in force.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -89,10 +89,8 @@
             connection.close()
 
     def _limits(self):
-        """Return the limits of the configuration in force."""
-        if self._fleet_view.configuration is None:
-            return server.Limits()
-        return self._fleet_view.configuration.limits
+        """Return the limits that hold for callers now."""
+        return self._fleet_view.limits
 
     async def _serve_caller(self, connection):
         while True:
--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -6,7 +6,11 @@
 :mod:`clementinewall.gateway.topic_followers` supply the records.
 """
 
+import collections
+
+from clementinewall import domain
 from clementinewall import errors
+from clementinewall.http1 import server
 from clementinewall import logs
 from clementinewall.platform import records
 
@@ -24,10 +28,13 @@
 class FleetView:
     """The active configuration and the endpoints, with their offsets."""
 
-    def __init__(self, now):
+    def __init__(self, now, bounds=domain.Bounds()):
         """Start empty; ``now`` returns the time in ms."""
         self._now = now
+        self._bounds = bounds
         self.configuration = None
+        # Pairs of the time at which limits were replaced, and these limits.
+        self._replaced_limits = collections.deque()
         self.endpoint_by_id = {}
         self.is_fleet_known = False
         self._configuration_offset = -1
@@ -43,6 +50,31 @@
         """Return whether enough is known to serve requests."""
         return self.configuration is not None and self.is_fleet_known
 
+    @property
+    def limits(self):
+        """Return the limits for callers.
+
+        A replaced configuration may still be in force for callers, so for a
+        while its idle timeout holds if it is longer.
+        """
+        found = server.Limits()
+        if self.configuration is not None:
+            found = self.configuration.limits
+        self._trim_replaced_limits()
+        longest_ms = max(
+            (limits.idle_timeout_ms for _, limits in self._replaced_limits),
+            default=0,
+        )
+        if longest_ms > found.idle_timeout_ms:
+            found = found._replace(idle_timeout_ms=longest_ms)
+        return found
+
+    def _trim_replaced_limits(self):
+        start = self._now() - self._bounds.configuration_ms
+        replaced = self._replaced_limits
+        while replaced and replaced[0][0] < start:
+            replaced.popleft()
+
     def apply_configuration(self, record):
         """Apply a record of the operators' topic; return whether it is new."""
         if record.key != records.CONFIGURATION_KEY or record.value is None:
@@ -68,6 +100,9 @@
             )
             return False
         self._configuration_offset = record.offset
+        self._trim_replaced_limits()
+        if known is not None:
+            self._replaced_limits.append((self._now(), known.limits))
         self.configuration = found
         _log.info(
             "configuration active",
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -54,7 +54,7 @@
         self._now = now
         self._now_with_suspend = ticker.now_with_suspend
         self._group = group
-        self._fleet_view = fleet_view.FleetView(now)
+        self._fleet_view = fleet_view.FleetView(now, settings.bounds)
         self._endpoints = endpoints.Endpoints(self._fleet_view, now)
         self._crash_guard = crash_guard.CrashGuard(now)
         self._cell_membership = cell_membership.CellMembership(
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -6,6 +6,7 @@
 import anyio
 
 from clementinewall.gateway import callers
+from clementinewall.gateway import fleet_view
 
 REQUEST = b"POST /book/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a1\r\n\r\n"
 
@@ -53,7 +54,7 @@
 def stopped_callers():
     """Return the component for callers after it has stopped reading."""
     found = callers.Callers(
-        fleet_view=types.SimpleNamespace(configuration=None),
+        fleet_view=fleet_view.FleetView(lambda: 0),
         budgets=None,
         crash_guard=None,
         plain=None,
--- a/tests/gateway/test_fleet_view.py
+++ b/tests/gateway/test_fleet_view.py
@@ -25,9 +25,9 @@
     return store.Record(key, json.dumps(row).encode(), offset)
 
 
-def configuration(offset, version):
+def configuration(offset, version, **limits):
     """Return the record of a configuration."""
-    row = {"version": version, "routes": [], "services": []}
+    row = {"version": version, "routes": [], "services": [], "limits": limits}
     return store.Record("config", json.dumps(row).encode(), offset)
 
 
@@ -55,6 +55,22 @@
             highest = max(highest, offset * 3)
             self.assertEqual(known.configuration.version, highest)
 
+    def test_longer_idle_timeout_outlasts_its_configuration_for_a_while(self):
+        # Guards against closing a connection just as its caller uses it.
+        for offset, idle_timeout_ms in enumerate((9_000, 20_000, 5_000)):
+            self.fleet_view.apply_configuration(
+                configuration(
+                    offset,
+                    offset + 1,
+                    idle_timeout_ms=idle_timeout_ms,
+                    max_body_bytes=idle_timeout_ms,
+                )
+            )
+        self.assertEqual(self.fleet_view.limits.idle_timeout_ms, 20_000)
+        self.assertEqual(self.fleet_view.limits.body_bytes, 5_000)
+        self.clock.advance(2_001)
+        self.assertEqual(self.fleet_view.limits.idle_timeout_ms, 5_000)
+
     def test_unreadable_records_change_nothing_else(self):
         self.fleet_view.apply_configuration(configuration(0, 1))
         self.fleet_view.apply_configuration(store.Record("config", b"{", 1))
--- a/tests/integration/test_configuration_under_load.py
+++ b/tests/integration/test_configuration_under_load.py
@@ -91,6 +91,16 @@
         peer.sendall(request_bytes("/book/x", "a2"))
         self.assertIn(b" 200 ", peer.recv(65_536))
 
+    def test_lowered_idle_timeout_spares_callers_that_know_the_old_one(self):
+        # Guards against closing a connection just as its caller uses it.
+        before = HIGH_LIMITS | {"idle_timeout_ms": 1_500}
+        peer = self.connect_and_change(before, LOW_LIMITS)
+        peer.sendall(request_bytes("/book/x", "a2"))
+        self.assertIn(b" 200 ", peer.recv(65_536))
+        time.sleep(1.2)
+        peer.sendall(request_bytes("/book/x", "a3"))
+        self.assertIn(b" 200 ", peer.recv(65_536))
+
 
 class Load(gateway_base.GatewayCase):
     """Callers of all kinds beside series of versions."""
