Test gateways beside endpoints that rest, leave and fall silent

Why: the kinds `announce-leave`, `rest`, `rest-all` and `silence` ran by hand only. Change: a run of 18 s, seed 910, with these kinds beside SIGHUP, configurations and endpoints that drain; it also asserts that endpoints did ask for rest and that answers did tell of a leave, as a run without them would check nothing. Stops of gateways are left out: beside silence they show a fault of its own (seed 717).

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,7 @@
         soak = faults.Soak(seed, seconds, only=kinds, planned=planned)
         self.assertEqual(soak.run(), [])
         self.assertGreater(len(soak.history.sent), 50)
+        return soak.history
 
     def test_killed_and_paused_gateways(self):
         self.check(1, "kill", "signal", "publish")
@@ -45,3 +46,17 @@
         self.check(
             3, "hup-in-drain", "stop-twice", "hup-and-stop", planned=True
         )
+
+    def test_endpoints_that_rest_leave_and_fall_silent(self):
+        # Guards against requests to endpoints that asked for none.
+        history = self.check(
+            910,
+            *faults.ENDPOINT_KINDS,
+            "hup",
+            "leave",
+            "publish-series",
+            planned=True,
+            seconds=18,
+        )
+        self.assertTrue(history.rest_requests)
+        self.assertTrue(history.leave_notices)
