Answer open requests at the end of a drain that a suspension shortened

What callers saw (found in a review, in a unit test; not in the record): a call is open, the machine is suspended for 1.8 s of a drain of 2.5 s, and the process ends on time. The caller's connection closes without an answer, and the log lacks "cut at the end of the process".

Cause: a drain moves the limits of open requests on the monotonic clock, which stops during a suspension; the end of the process is on the clock that runs on. What was open at that end was cancelled with the task group.

Change: once reading has stopped, the gateway ends the requests that are still open, each by its own scope.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -62,6 +62,12 @@
         for connection in self._connections:
             connection.stop_reading()
 
+    def end_open_requests(self):
+        """End the open requests now; their callers are answered."""
+        for exchange, scope in self._scope_by_exchange.items():
+            exchange.end_within(0)
+            scope.cancel()
+
     @property
     def is_connected(self):
         """Tell whether any connection is open."""
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -216,6 +216,8 @@
         # Requests that were read partly, or fully but not yet handled, get an
         # answer before their connections are closed.
         self._callers.stop_reading()
+        # Their own limits do not run while the machine is suspended.
+        self._callers.end_open_requests()
         await anyio.sleep(clock.seconds(POLL_MS))
         await self._wait_until(
             self._now_with_suspend() + ABORT_NOTICE_MS,
