Refuse a configuration with numbers that cannot be converted

What callers saw (found in a review, by tests; the store is said to accept valid versions only): a version of the configuration with an infinite idle_timeout_ms ended the gateway process that read it with status 1, and so with it all its open requests.

Evidence: before the change test_infinite_limits_are_refused errors, and test_numbers_that_no_float_holds_are_refused errors or fails in its four cases; both pass with it.

Limits given as strings, which were converted before, are refused now.

Why it works: the reader of a topic keeps what it had on BadRecord, and no conversion in the decoders raises anything else.

--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -20,8 +20,10 @@
 MAX_INTEGER = 2**63
 _DECODE_ERRORS = (
     AttributeError,
+    IndexError,
     KeyError,
     OverflowError,
+    RecursionError,
     TypeError,
     ValueError,
 )
@@ -171,10 +173,10 @@
         if row.get("max_body_bytes")
         else fallback.body_bytes,
         header_timeout_ms=int(
-            row.get("header_timeout_ms") or fallback.header_timeout_ms
+            _number(row.get("header_timeout_ms") or fallback.header_timeout_ms)
         ),
         idle_timeout_ms=int(
-            row.get("idle_timeout_ms") or fallback.idle_timeout_ms
+            _number(row.get("idle_timeout_ms") or fallback.idle_timeout_ms)
         ),
     )
 
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -96,6 +96,35 @@
             except errors.BadRecord:
                 continue
 
+    def test_infinite_limits_are_refused(self):
+        # Guards against one record that ends every gateway that reads it.
+        for name in ("header_timeout_ms", "idle_timeout_ms"):
+            raw = json.dumps(
+                {
+                    "version": 1,
+                    "routes": [],
+                    "services": [],
+                    "limits": {name: float("inf")},
+                }
+            )
+            with self.assertRaises(errors.BadRecord):
+                records.configuration(raw.encode())
+
+    def test_numbers_that_no_float_holds_are_refused(self):
+        # Guards against one record that ends every gateway that reads it.
+        engine = {"slot_count": 1, "kv_capacity": 1, "switch_s": 1e308}
+        huge = 10**400
+        by_case = {
+            "limit": {"limits": {"idle_timeout_ms": huge}},
+            "timeout": {"routes": [route("a", "/a/", timeout_ms=huge)]},
+            "goal": {"routes": [route("a", "/a/", goal_ms=huge)]},
+            "switch": {"services": [{"name": "app", "engine": engine}]},
+        }
+        for case, part in by_case.items():
+            raw = {"version": 1, "routes": [], "services": [], **part}
+            with self.subTest(case), self.assertRaises(errors.BadRecord):
+                records.configuration(json.dumps(raw).encode())
+
     @hypothesis.given(strategies.binary(max_size=40))
     @hypothesis.settings(derandomize=True)
     def test_any_bytes_are_refused(self, raw):
