Treat a caller's limit of zero as a limit

What callers saw (found in a review, by a test): a call with Deadline-Ms: 0 was sent to an endpoint with the route's whole timeout of 3,000 ms, so it ran for a caller that no longer waited.

Cause: the calculation of the time limit left out values that are 0, which mean "none" for a route's timeout only.

Evidence: test_deadline_of_zero_is_a_limit fails before the change (the endpoint gets the request) and passes with it.

Change: only a limit that is not given is left out; a route's timeout that is 0 or rounds to 0 still counts as not given, where it is decoded.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -205,6 +205,8 @@
     async def _run_with_deadline(self, exchange):
         if self._drain.is_on:
             exchange.end_within(self._drain.left_ms)
+        if exchange.left_ms <= 0:
+            raise self._timeout_error(exchange)
         with anyio.move_on_after(clock.seconds(exchange.left_ms)) as scope:
             self._scope_by_exchange[exchange] = scope
             try:
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -136,8 +136,8 @@
 
 
 def _timeout_ms(call, route):
-    limits = [ms for ms in (call.wait_ms, route.timeout_ms) if ms]
-    return min(limits) if limits else DEFAULT_TIMEOUT_MS
+    limits = [ms for ms in (call.wait_ms, route.timeout_ms) if ms is not None]
+    return min(limits, default=DEFAULT_TIMEOUT_MS)
 
 
 def problem(error, left_ms=None):
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -118,14 +118,13 @@
 
 def _route(row):
     goal_ms = int(_number(row.get("goal_ms") or 1_000))
-    timeout_ms = row.get("timeout_ms")
     return domain.Route(
         name=_text(row["name"]),
         host=_text(row["host"]).lower(),
         prefix=_text(row["path_prefix"]),
         kind=row.get("route_kind") or domain.UNSAFE,
         shares=_shares(row),
-        timeout_ms=None if not timeout_ms else int(_number(timeout_ms)),
+        timeout_ms=int(_number(row.get("timeout_ms") or 0)) or None,
         goal_ms=goal_ms,
         gap_goal_ms=int(_number(row.get("gap_goal_ms") or goal_ms)),
         priority=_integer(row.get("priority") or 0),
--- a/tests/integration/test_gateway_verdicts.py
+++ b/tests/integration/test_gateway_verdicts.py
@@ -233,6 +233,17 @@
         self.assertEqual(answer.status_code, 504)
         self.assertLess(time.monotonic() - start, 1.0)
 
+    def test_deadline_of_zero_is_a_limit(self):
+        # Guards against a run for a caller that no longer waits.
+        def script(_endpoint, request):
+            yield scripted.answer(request, b"done")
+
+        endpoint = self.endpoint("one", script)
+        front = self.gateway()
+        answer = self.ask(front, "/book/x", Deadline_Ms="0")
+        self.assertEqual(endpoint.requests, [])
+        self.assertEqual(answer.status_code, 504)
+
     def test_concurrent_route_timeouts_all_answer_504(self):
         def script(_endpoint, _request):
             yield 30
