Send no order from a gateway that stops while it prepares one

What callers saw: nothing yet (found in a review, by a test). A gateway that begins to stop while it waits for an engine's report sends the order all the same. Its claim cannot be released until the order has taken effect, which may be after its end; the others then wait until the claim has expired.

Cause: the gateway asked whether it is ready once, before up to four calls (claim read, claim, report, order).

Evidence: test_a_gateway_that_stops_during_a_report_sends_no_order fails before the change (the order is sent) and passes with it.

Change: it asks again before it claims, and beside the check of the lease right before the order.

Why it works: no wait lies between the last question and the order, and a claim without an order is released at the next poll.

--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -251,6 +251,9 @@
         )
 
     async def _act(self, service, change):
+        # Reading the claim took time.
+        if not self._is_ready():
+            return
         try:
             held = self._lease.is_held() or await self._lease.claim()
         except errors.LogUnavailable as exc:
@@ -278,6 +281,12 @@
                         "lease expired, no order is sent", engine=change.id
                     )
                     return
+                if not self._is_ready():
+                    _log.info(
+                        "not ready any more, no order is sent",
+                        engine=change.id,
+                    )
+                    return
                 is_sent = True
                 self._lease.record_order()
                 status = await self._send(state, change, report.orders)
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -185,3 +185,16 @@
         self.report_by_id["a"] = {"sequence": 1, "busy": False}
         self.poll_for(1_000)
         self.assertEqual(self.ordered, ["a"])
+
+    def test_a_gateway_that_stops_during_a_report_sends_no_order(self):
+        # Guards against a lease that outlives its gateway and keeps the others
+        # from sending orders.
+        self.engine("a", domain.PREFILL)
+
+        async def answer(state, request):
+            self.manager._is_ready = lambda: False
+            return await self.answer(state, request)
+
+        self.manager._send_request = answer
+        self.poll_for(2_000)
+        self.assertEqual(self.ordered, [])
