Let a suspension of the machine use up an entry's drain

What callers saw (found in a review, by a test): after a suspension as long as its drain, an entry still took a request that needs half of it. The platform's limit for a stop runs on while the machine is suspended.

Cause: the end of an entry's drain was on the monotonic clock, which stops during a suspension; that of gateways is on the clock that runs on.

Evidence: test_suspension_of_the_machine_uses_up_a_drain fails before the change (the request is not refused) and passes with it. The wait for the end of open requests is changed by reading; no test suspends it.

Change: the end of the drain, the check of new requests against it and the wait for open ones use the clock with suspension.

Why it works: all three values are on one clock, and no other code reads the end of the drain.

--- a/clementinewall/entry/program.py
+++ b/clementinewall/entry/program.py
@@ -79,15 +79,14 @@
         Return the event that ends the process.
         """
         limits = self.node.settings.limits
-        deadline = self.node.drain_end = (
-            self.node.clock.now() + limits.drain_ms
-        )
+        now = self.node.clock.now_with_suspend
+        deadline = self.node.drain_end = now() + limits.drain_ms
         await self.node.announce_draining()
         # Callers may keep an answer of /v1/addresses that names this entry
         # for this long, and still send new requests.
         await anyio.sleep(clock.seconds(limits.keep_addresses_ms))
         while self.callers.open_requests or self._owned_bookings:
-            if self.node.clock.now() > deadline:
+            if now() > deadline:
                 _log.warning(
                     "drain timed out; cutting open requests",
                     open=self.callers.open_requests,
@@ -95,7 +94,7 @@
                 return lifecycle.Event.OUT_OF_TIME
             await anyio.sleep(clock.seconds(DRAIN_POLL_MS))
         # A request read from now on would be cut when the process ends.
-        self.node.drain_end = self.node.clock.now()
+        self.node.drain_end = now()
         # Bookings answered just now may have outcomes yet to be committed.
         await self.calls.flush()
         _log.info("drained")
--- a/clementinewall/node.py
+++ b/clementinewall/node.py
@@ -57,6 +57,7 @@
         self.gossip = gossip.Gossiper(settings, self.members, self.crashes)
         self.stopping = life.draining
         self.closed = anyio.Event()
+        # On the clock with suspension, as is the platform's limit for a stop.
         self.drain_end = None
 
     @property
@@ -80,7 +81,7 @@
         """
         if self.drain_end is None:
             return
-        remaining_ms = self.drain_end - self.clock.now()
+        remaining_ms = self.drain_end - self.clock.now_with_suspend()
         if deadline_ms > remaining_ms:
             raise errors.NotReady(
                 f"draining: the drain ends in {max(0, remaining_ms):.0f} ms, "
