Release a claim that was on its way when its steward was stopped

What callers saw: nothing yet (found in a review, by a test). A steward that is stopped while a claim is on its way releases what it knows to hold. The claim, and those after it in the same pass, take effect later: the scopes are held by a process that has ended, and nobody sends orders there until the lease has expired.

Cause: the release did not wait for the pass that commits records, and that pass went on over a copy of the scopes.

Evidence: test_no_scope_stays_claimed_by_a_steward_that_has_stopped fails before the change (both scopes stay held) and passes with it.

Change: a pass commits under a lock and claims nothing more once a stop has begun; the release waits for the lock, for at most as long as a record is waited for to be read back, and logs if it did not get it.

Why it works: after the wait the outcome of each claim is known, and no other pass begins. A claim whose outcome could not be read in that time still expires.

--- a/clementinewall/steward/lease_manager.py
+++ b/clementinewall/steward/lease_manager.py
@@ -30,6 +30,9 @@
         self._claim_delay_by_scope = {}
         self._last_failure = None
         self._next_renewal_at = 0
+        self._is_stopping = False
+        # Held while records are committed, whose outcome is not yet known.
+        self._committing = anyio.Lock()
 
     def set_scopes(self, claim_delay_by_scope):
         """Set the scopes to hold, each with its claim delay in ms."""
@@ -40,13 +43,14 @@
         return self.table.may_order(scope)
 
     async def run(self):
-        """Claim, renew and release scopes until cancelled."""
-        while True:
+        """Claim, renew and release scopes until :meth:`release_all`."""
+        while not self._is_stopping:
             self.table.observe(self._node.tail.state)
             try:
-                await self._renew()
-                await self._release_unwanted()
-                await self._claim()
+                async with self._committing:
+                    await self._renew()
+                    await self._release_unwanted()
+                    await self._claim()
                 self._last_failure = None
             except errors.ClementinewallError as exc:
                 await self._back_off(exc)
@@ -65,7 +69,14 @@
 
     async def release_all(self):
         """Release every scope, so that others need not wait for expiry."""
+        self._is_stopping = True
         self._claim_delay_by_scope = {}
+        # A claim on its way would take effect after the release.
+        with anyio.move_on_after(clock.seconds(READ_BACK_TIMEOUT_MS)) as scope:
+            async with self._committing:
+                pass
+        if scope.cancelled_caught:
+            _log.warning("a claim may be on its way; it will expire")
         claims = self._own_claims()
         if not claims:
             return
@@ -103,6 +114,8 @@
 
     async def _claim(self):
         for scope, delay_ms in list(self._claim_delay_by_scope.items()):
+            if self._is_stopping:
+                return
             expected = self.table.challenge(scope, delay_ms)
             if expected is None:
                 continue
