--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -155,7 +155,7 @@
         """Create the parts of a gateway that take part in a drain."""
         self.ticker = SuspendableClock()
         self.endpoint = SlowEndpoint(ANSWER_MS)
-        self.fleet_view = types.SimpleNamespace()
+        self.fleet_view = types.SimpleNamespace(limits=server.Limits())
         self.use_route(ROUTE)
         self.callers = callers.Callers(
             self.fleet_view,
