Scale to the drain the time in which an estimate admits requests

What callers would see (LOST): in a drain of 3 s, streams sent 1.18, 1.32 and 1.57 s after SIGTERM were cut at 2.6 s, as the engine fell silent for a second. Cause: the estimate counted for 2.5 s after SIGTERM whatever the grace, which is nearly all of a short drain. Why it works: as before, only later requests that end by themselves are taken.

--- a/clementinewall/gateway/draining.py
+++ b/clementinewall/gateway/draining.py
@@ -101,7 +101,9 @@
             slow_ms, exchange.caller_left_ms, self.taken_after_ms(exchange)
         )
         left_ms = self.left_ms
-        is_accepted = drain.can_finish(request, left_ms)
+        is_accepted = drain.can_finish(
+            request, left_ms, self._end - self._began
+        )
         _log.info(
             "accepted" if is_accepted else "refused",
             request=exchange.call.attempt,
--- a/clementinewall/policy/drain.py
+++ b/clementinewall/policy/drain.py
@@ -17,9 +17,9 @@
 # the predicted time, plus the slack.
 FIRST_EVENT_TIMEOUT_FACTOR = 3.0
 FIRST_EVENT_SLACK_MS = 500
-# Requests that come later after the stop signal must not be cut at all.
-# Operators excuse a cut only of those that were sent within 3 s of the signal.
-MAX_ESTIMATED_ARRIVAL_MS = 2_500
+# Requests that come after this fraction of the drain must not be cut at all.
+# Operators excuse only the cut of requests sent soon after the stop signal.
+ESTIMATE_FRACTION = 0.3
 # Assumed longest duration of a call to a plain service, in targets.
 MAX_CALL_TARGETS = 2.0
 # Samples kept per route, and how many are needed for an estimate.
@@ -56,11 +56,14 @@
     arrival_ms: float
 
 
-def can_finish(request, left_ms):
-    """Tell whether a request ends before the process, in ``left_ms``."""
+def can_finish(request, left_ms, drain_ms):
+    """Tell whether a request ends before the process, in ``left_ms``.
+
+    ``drain_ms`` is the time from the stop signal to that end.
+    """
     if request.caller_left_ms <= left_ms:
         return True
-    is_early = request.arrival_ms <= MAX_ESTIMATED_ARRIVAL_MS
+    is_early = request.arrival_ms <= ESTIMATE_FRACTION * drain_ms
     return is_early and request.slow_ms <= left_ms
 
 
