--- a/tests/integration/test_gateway_leaving.py
+++ b/tests/integration/test_gateway_leaving.py
@@ -5,6 +5,7 @@
 from standins import bringup
 from standins import scripted
 from tests.integration import gateway_base
+from tests.integration import test_gateway_rest
 from tests.integration import test_gateway_streams
 
 route = gateway_base.route
@@ -16,28 +17,14 @@
 UNDER_WAY_SECONDS = 0.3
 
 
-def serve(request, **headers):
-    """Return a whole answer to a call, a prefill or a stream."""
-    if request.header_by_name.get("stage") == "prefill":
-        body = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
-        return scripted.answer(request, body, **headers)
-    if "token-usage" not in request.header_by_name:
-        return scripted.answer(request, b"done", **headers)
-    parts = list(test_gateway_streams.whole_stream(request, (1, 2)))
-    for name, value in headers.items():
-        line = f"\r\n{name.replace('_', '-')}: {value}\r\n\r\n".encode()
-        parts[0] = parts[0].replace(b"\r\n\r\n", line)
-    return b"".join(parts)
-
-
 def serving(_endpoint, request):
     """Serve each request."""
-    yield serve(request)
+    yield test_gateway_rest.serve(request)
 
 
 def leaving(_endpoint, request):
     """Serve each request, and say that the endpoint leaves."""
-    yield serve(request, **LEAVING)
+    yield test_gateway_rest.serve(request, **LEAVING)
 
 
 def refusing(_endpoint, request):
--- a/tests/integration/test_gateway_rest.py
+++ b/tests/integration/test_gateway_rest.py
@@ -22,14 +22,18 @@
 MAX_ARRIVALS = 2
 
 
-def serve(request):
+def serve(request, **headers):
     """Return a whole answer to a call, a prefill or a stream."""
     if request.header_by_name.get("stage") == "prefill":
         body = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
-        return scripted.answer(request, body)
-    if "token-usage" in request.header_by_name:
-        return b"".join(test_gateway_streams.whole_stream(request, (1, 2)))
-    return scripted.answer(request, b"done")
+        return scripted.answer(request, body, **headers)
+    if "token-usage" not in request.header_by_name:
+        return scripted.answer(request, b"done", **headers)
+    parts = list(test_gateway_streams.whole_stream(request, (1, 2)))
+    for name, value in headers.items():
+        line = f"\r\n{name.replace('_', '-')}: {value}\r\n\r\n".encode()
+        parts[0] = parts[0].replace(b"\r\n\r\n", line)
+    return b"".join(parts)
 
 
 class Resting:
