Keep an endpoint's word over a lapse of its record and a cut answer

What callers would see: requests go to an endpoint in the span for which it asked for rest, or after it said that it leaves, although the gateway had read it. Cause: the word was lost with the state of the incarnation when its record expired for a moment, and with an answer whose body broke off; and a report or order that waited for its connection was not held back as runs are. Evidence: four tests of the reviewer failed (no rest, the engine offered again, a report sent) and pass now.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -25,6 +25,11 @@
 RESPONSE_TIMEOUT_MS = 1_000
 
 
+# The record of a running endpoint may expire and come back.  What the endpoint
+# said of itself holds for as long as the process that said it.
+KEEP_MISSING_MS = 30_000
+
+
 class Withheld(client.LinkBroken):
     """Nothing was sent, since the endpoint has asked for no requests."""
 
@@ -55,6 +60,8 @@
         self.load_at = None
         # The engine takes no work until then because its stage changes.
         self.unavailable_until = 0
+        # When its record was found missing, ``None`` while it is there.
+        self.missing_since = None
         self.cache = cache_view.CacheView()
 
     @property
@@ -92,8 +99,11 @@
         :raises Withheld: the endpoint has asked for rest.
         :raises LinkBroken: the connection could not be established.
         """
+        return await self._connect(self._pool.acquire)
+
+    async def _connect(self, connect):
         self._check_rest()
-        link = await self._pool.acquire()
+        link = await connect()
         if self.rest_ms:
             # It asked for rest while the connection was established.
             self._pool.discard(link)
@@ -117,10 +127,11 @@
         :raises LinkBroken: the exchange failed, or the body is over
             ``max_bytes`` bytes.
         """
-        self._check_rest()
-        head, body = await self._pool.send_request(request, max_bytes, fresh)
-        self.apply_answer(head)
-        return head, body
+        connect = self._pool.connect if fresh else self._pool.acquire
+        link = await self._connect(connect)
+        return await self._pool.exchange(
+            link, request, max_bytes, fresh, self.apply_answer
+        )
 
     def _check_rest(self):
         if self.rest_ms:
@@ -256,6 +267,11 @@
         state = self.state(endpoint)
         return None if state.is_leaving else state
 
+    def find_any(self, endpoint_id):
+        """Return the state of an endpoint, leaving or not, or ``None``."""
+        endpoint = self._fleet_view.endpoint_by_id.get(endpoint_id)
+        return None if endpoint is None else self.state(endpoint)
+
     def takes_work(self, state):
         """Return whether the endpoint still takes new work."""
         if state.rest_ms or state.is_leaving:
@@ -381,13 +397,24 @@
         }
         for incarnation, state in list(self._state_by_incarnation.items()):
             if incarnation in current:
+                state.missing_since = None
                 state.prune_links()
                 continue
             state.close_links()
-            if not state.open:
+            if state.missing_since is None:
+                state.missing_since = self._now()
+            if self._is_forgotten(state):
                 del self._state_by_incarnation[incarnation]
                 _log.info("endpoint state removed", endpoint=state.endpoint.id)
 
+    def _is_forgotten(self, state):
+        missing_ms = self._now() - state.missing_since
+        return (
+            not state.open
+            and not state.rest_ms
+            and missing_ms >= KEEP_MISSING_MS
+        )
+
 
 def is_engine(state):
     """Return whether the endpoint is a model engine with a stage."""
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -279,9 +279,20 @@
             ``max_bytes`` bytes.
         """
         link = await (self.connect() if fresh else self.acquire())
+        return await self.exchange(link, request, max_bytes, fresh)
+
+    async def exchange(
+        self, link, request, max_bytes, fresh=False, on_head=None
+    ):
+        """Send a request on an acquired link; as :meth:`send_request`.
+
+        ``on_head`` is called with the head before the body is read.
+        """
         try:
             await link.send(request)
             head = await link.read_head()
+            if on_head is not None:
+                on_head(head)
             body = await link.read_rest(max_bytes)
         except BaseException:
             self.discard(link)
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -10,8 +10,10 @@
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import fleet_view
 from clementinewall.gateway import peer_messages
+from clementinewall.http1 import client
 from clementinewall.http1 import messages
 from clementinewall.http1 import server
+from clementinewall import verdicts
 
 LIMITS = domain.EngineLimits(16, 100_000, 18_432, 370_000.0, 3_000)
 ENGINE = domain.Endpoint(
@@ -19,6 +21,7 @@
 )
 SHARED = domain.PromptPart("s", 8_000)
 OWN = domain.PromptPart("o", 400)
+LEAVING = messages.Head(200, b"", ((b"Server-Leaving", b"1"),))
 PROMPT = domain.Prompt("m", 8_400, 20, (SHARED, OWN))
 
 
@@ -235,6 +238,50 @@
         self.assertEqual(self.view.state(started).rest_ms, 0)
         self.assertEqual(self.view.state(ENGINE).rest_ms, 3_000)
 
+    def test_rest_outlasts_a_record_that_goes_and_comes_back(self):
+        # Guards against requests in the span after a lapse of the record.
+        self.view.state(ENGINE).apply_answer(refusal(b"3"))
+        self.lapse()
+        self.assertEqual(self.view.state(ENGINE).rest_ms, 3_000)
+
+    def test_leaving_outlasts_a_record_that_goes_and_comes_back(self):
+        # Guards against work for an endpoint that leaves after such a lapse.
+        self.view.state(ENGINE).apply_answer(LEAVING)
+        self.assertEqual(self.view.of_service("model"), [])
+        self.lapse()
+        self.assertEqual(self.view.of_service("model"), [])
+
+    def send_on(self, link, on_connect=lambda state: None):
+        """Send a request on a link that breaks; return the state."""
+        state = endpoints.EndpointState(ENGINE, self.ticker.now)
+
+        async def connect():
+            on_connect(state)
+            return link
+
+        state._pool.connect = connect
+        request = messages.Request(b"GET", b"/report", ())
+        with self.assertRaises(client.LinkBroken):
+            anyio.run(state.send_request, request, 100, True)
+        return state
+
+    def test_rest_asked_for_in_an_answer_that_breaks_off_is_kept(self):
+        # Guards against polls and orders in the span after a cut answer.
+        self.assertEqual(self.send_on(CutLink()).rest_ms, 3_000)
+
+    def test_a_report_whose_connection_takes_long_is_not_sent(self):
+        # Guards against reports and orders that waited for a connection.
+        link = CutLink()
+        self.send_on(link, lambda state: state.apply_answer(refusal(b"3")))
+        self.assertEqual(link.requests, 0)
+
+    def lapse(self):
+        """Remove the engine's record, sweep, and add the record again."""
+        known = self.view._fleet_view
+        known.endpoint_by_id = {}
+        self.view.sweep()
+        known.endpoint_by_id = {"e1": ENGINE}
+
 
 def refusal(seconds):
     """Return the head of a refusal that asks for rest."""
@@ -257,3 +304,26 @@
     def discard(self, _link):
         """Count a connection that was closed."""
         self.discarded += 1
+
+
+class CutLink:
+    """A connection whose peer asks for rest and cuts the answer's body."""
+
+    def __init__(self):
+        """Start without requests."""
+        self.requests = 0
+
+    async def send(self, _request):
+        """Count the request."""
+        self.requests += 1
+
+    async def read_head(self):
+        """Return the head of a refusal."""
+        return refusal(b"3")
+
+    async def read_rest(self, _max_bytes):
+        """Fail."""
+        raise client.LinkBroken(verdicts.Progress.SENT_WHOLE, "cut")
+
+    def close(self):
+        """Close the connection."""
