Record a crash of an engine that leaves, and free no handle long after

What callers would see: a request that crashes engines crashes one more, since a crash of an engine that had said that it leaves left no record. Found in a review. Cause: the failed engine was looked up among those that don't leave; engines that drain by their record were passed over in the same way before. Change: it is looked up among all. A prefill handle whose engine rests for over 5 s is left to expire: freeing it up to ten minutes later could reach another process at the address (by reading, no test).

--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -19,6 +19,8 @@
 _log = logs.PartLog("stream")
 
 FREE_TIMEOUT_MS = 1_000
+# A handle that is not freed for longer expires by itself.
+MAX_FREE_DELAY_MS = 5_000
 # A prefill that exceeds this multiple of its predicted time plus the slack is
 # done on another engine.  A prefill does not run the request, so repeating it
 # is always allowed.
@@ -299,7 +301,15 @@
 
     async def _free_handle(self, prefill_engine, prefilled):
         request = calls.free_request(prefilled.handle)
-        await anyio.sleep(clock.seconds(prefill_engine.rest_ms))
+        rest_ms = prefill_engine.rest_ms
+        if rest_ms > MAX_FREE_DELAY_MS:
+            _log.info(
+                "prefill handle not freed; the engine asked for rest",
+                engine=prefill_engine.endpoint.id,
+                rest_ms=round(rest_ms),
+            )
+            return
+        await anyio.sleep(clock.seconds(rest_ms))
         with anyio.move_on_after(clock.seconds(FREE_TIMEOUT_MS)):
             try:
                 await prefill_engine.send_request(
@@ -313,12 +323,12 @@
 
     def _record_failure(self, exchange, exc, before_first):
         exchange.record_failure(exc)
-        for state in self._endpoints.of_service(exchange.service.name):
-            if state.endpoint.id == exc.endpoint_id and exc.answer is None:
-                state.record_failure(exc.absent)
-                self._crash_guard.record_failure(
-                    exchange.call, state, exc, before_first
-                )
+        state = self._endpoints.find_any(exc.endpoint_id)
+        if state is not None and exc.answer is None:
+            state.record_failure(exc.absent)
+            self._crash_guard.record_failure(
+                exchange.call, state, exc, before_first
+            )
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
