Log which requests count as harmful, and from whom that is known

A line and the counter crash_records now name the source. What is sent and refused stays as it is. tests.membership and tests.gateway.test_stream_relay pass.

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -11,6 +11,7 @@
 from clementinewall import logs
 from clementinewall.membership import crashes
 from clementinewall.membership import members
+from clementinewall import metrics
 from clementinewall import verdicts
 
 _log = logs.PartLog("guard")
@@ -57,6 +58,7 @@
                 endpoint=state.endpoint.id,
                 digest=digest,
             )
+            self._note_new_record(digest, "own")
 
     def message(self):
         """Return the newest crash records as plain data, for peers."""
@@ -64,7 +66,22 @@
 
     def merge(self, rows):
         """Merge the crash records of a peer."""
-        self._table.merge(members.Crash(*row) for row in rows)
+        for crash in self._table.merge(members.Crash(*row) for row in rows):
+            self._note_new_record(crash.digest, "peer")
+
+    def _note_new_record(self, digest, source):
+        """Count a new record, and log if its request is refused from now on.
+
+        ``source`` tells whether this gateway or a peer saw the crash.
+        """
+        metrics.count("crash_records", source=source)
+        if self._table.is_harmful(digest):
+            _log.warning(
+                "request counts as harmful; it gets no further endpoint",
+                digest=digest,
+                crashed=sorted(self._table.endpoints(digest)),
+                source=source,
+            )
 
 
 def _digest(call):
--- a/clementinewall/membership/crashes.py
+++ b/clementinewall/membership/crashes.py
@@ -68,10 +68,17 @@
             self._cleared.popitem(last=False)
 
     def merge(self, crashes):
-        """Merge the crash records of a peer."""
-        for crash in crashes:
-            age = max(0, crash.age_ms)
-            self.add(crash.digest, crash.endpoint, age, crash.strong)
+        """Merge the crash records of a peer; return those that are new."""
+        return [
+            crash
+            for crash in crashes
+            if self.add(
+                crash.digest,
+                crash.endpoint,
+                max(0, crash.age_ms),
+                crash.strong,
+            )
+        ]
 
     def endpoints(self, digest):
         """Return the endpoints whose crashes count against the request."""
