--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -80,17 +80,27 @@
         self._queue = []
         self._number = itertools.count()
         self.peers_by_ip = {}
+        self.guard_by_ip = {}
         self._cell_by_ip = {}
         for number in range(size):
             ip = f"10.{number % DATA_CENTRES}.{number // 250}.{number % 250}"
             self._add(ip, f"dc-{number % DATA_CENTRES}", size)
-        for ip, found in self.peers_by_ip.items():
-            for other in self.peers_by_ip:
-                found.table.register(other)
-            self._at(self.rng.randrange(300), self._run, ip)
-            self._at(self.rng.randrange(250), self._sweep, ip)
-
-    def _add(self, ip, data_centre, size):
+        for ip in self.peers_by_ip:
+            self._start(ip)
+
+    def restart(self, ip):
+        """Replace a gateway by a new process, which remembers nothing."""
+        data_centre = self.peers_by_ip[ip]._settings.data_centre
+        self._add(ip, data_centre, len(self.peers_by_ip), incarnation=2_000)
+        self._start(ip)
+
+    def _start(self, ip):
+        for other in self.peers_by_ip:
+            self.peers_by_ip[ip].table.register(other)
+        self._at(self.rng.randrange(300), self._run, ip)
+        self._at(self.rng.randrange(250), self._sweep, ip)
+
+    def _add(self, ip, data_centre, size, incarnation=1_000):
         settings = domain.Settings(
             instance=ip,
             ip=ip,
@@ -110,14 +120,15 @@
             for found in [_engine(number)]
         }
         cell = cell_membership.CellMembership(settings, view)
+        guard = self.guard_by_ip[ip] = crash_guard.CrashGuard(now)
         found = peers.Peers(
             settings,
             now,
             lambda: True,
             endpoints.Endpoints(view, now),
-            crash_guard.CrashGuard(now),
+            guard,
             cell,
-            incarnation=1_000,
+            incarnation=incarnation,
         )
         found._rounds._targets._rng.seed(self.rng.random())
         found._datagrams = _Wire(self, ip)
--- /dev/null
+++ b/tests/integration/test_gateway_crashing.py
@@ -0,0 +1,148 @@
+"""A request that crashes engines, beside many others that run there."""
+
+import itertools
+import threading
+import time
+
+import httpx
+
+from standins import bringup
+from standins import scripted
+from tests.integration import base
+from tests.integration import gateway_base
+from tests.integration import test_gateway_streams
+
+route = gateway_base.route
+
+HARMFUL = b"harmful"
+GATEWAYS = 4
+ENGINES = 5
+CALLERS = 100
+STREAM_EVENTS = 80
+EVENT_SECONDS = 0.05
+# How long an engine works on the harmful request before it crashes.
+CRASH_SECONDS = 0.03
+RESTART_SECONDS = 1.0
+# After this time from its third crash on, a request may arrive at engines
+# only so often.
+KNOWN_SECONDS = 3.0
+MAX_LATE_ARRIVALS = 3
+
+
+class Engine:
+    """An engine that a harmful request crashes with all that runs there."""
+
+    def __init__(self, case, number, serial=0):
+        """Register under a new id; ``case`` keeps what happens here."""
+        self._case = case
+        self._number = number
+        self._serial = serial
+        self._crashed = threading.Event()
+        self._name = f"engine-{number}-{serial}"
+        self._endpoint = case.endpoint(
+            self._name, self._script, "model", stage="decode", slot_count=128
+        )
+
+    def _script(self, _endpoint, request):
+        if request.body == HARMFUL:
+            self._case.arrivals.append(time.monotonic())
+            yield scripted.stream_head(request)
+            yield CRASH_SECONDS
+            self._crash()
+        else:
+            yield scripted.stream_head(request)
+            for number in range(1, STREAM_EVENTS):
+                if self._crashed.is_set():
+                    break
+                yield scripted.chunk(scripted.event(number))
+                yield EVENT_SECONDS
+        yield scripted.RESET if self._crashed.is_set() else scripted.chunk(b"")
+
+    def _crash(self):
+        if not self._crashed.is_set():
+            self._crashed.set()
+            self._case.crashes.append(time.monotonic())
+            self._endpoint.close()
+            self._case.run_later(RESTART_SECONDS, self._restart)
+
+    def _restart(self):
+        self._case.put(gateway_base.ENDPOINTS_TOPIC, self._name, b"")
+        Engine(self._case, self._number, self._serial + 1)
+
+
+class HarmfulRequests(gateway_base.GatewayCase):
+    """Gateways that tell each other of crashes."""
+
+    def setUp(self):
+        """Publish a resumable route and start engines and gateways."""
+        super().setUp()
+        self.arrivals = []
+        self.crashes = []
+        self._stop = threading.Event()
+        self._timers = []
+        self.publish(
+            route("chat", "model", "stream", resumable=True, timeout_ms=9_000)
+        )
+        for number in range(ENGINES):
+            Engine(self, number)
+        names = [f"gateway-{n}" for n in range(1, GATEWAYS + 1)]
+        self.fronts = [
+            self.start_without_waiting(name, f"127.0.0.{n}", budget_slack=400)
+            for n, name in enumerate(names, 1)
+        ]
+        bringup.wait_until(
+            lambda: all(
+                self.is_ready(name) and len(self.addresses(name)) == len(names)
+                for name in names
+            ),
+            what="acquaintance",
+        )
+
+    def run_later(self, seconds, action):
+        """Call ``action`` later, unless the test ends before."""
+        timer = threading.Timer(seconds, action)
+        self._timers.append(timer)
+        timer.start()
+
+    def send_streams(self, caller):
+        """Send streams one after the other, each at the next gateway."""
+        for number in itertools.count(caller):
+            if self._stop.is_set():
+                return
+            front = self.fronts[number % GATEWAYS]
+            name = f"{caller}-{number}"
+            try:
+                self.send(front, name, name.encode())
+            except httpx.HTTPError:
+                time.sleep(0.1)
+
+    def send(self, front, attempt, body):
+        """Send a stream's request and return the answer."""
+        headers = test_gateway_streams.MODEL_HEADERS
+        return self.ask(front, "/chat/x", attempt, content=body, **headers)
+
+    def send_harmful(self, fronts):
+        """Send the harmful request at some gateways in turn."""
+        for front in fronts:
+            try:
+                self.send(front, f"harmful-{time.monotonic_ns()}", HARMFUL)
+            except httpx.HTTPError:
+                # The stream was cut by a crash.
+                continue
+
+    def test_a_crash_beside_many_streams_becomes_known_to_all(self):
+        # Guards against crash records that those of other requests displace.
+        callers = base.Background(
+            self.send_streams, [(number,) for number in range(CALLERS)]
+        )
+        time.sleep(2)
+        self.send_harmful(self.fronts[:2])
+        time.sleep(KNOWN_SECONDS)
+        self.send_harmful(self.fronts[2:])
+        self._stop.set()
+        callers.join()
+        for timer in self._timers:
+            timer.cancel()
+        third = self.crashes[2] if len(self.crashes) > 2 else time.monotonic()
+        late = [at for at in self.arrivals if at > third + KNOWN_SECONDS]
+        self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
