Spread crash records beside any number of others, and to those that start

Cause: a message between gateways carried the records of the eight requests that got their first record last. A crash gives one to every stream on the engine, so those of the harmful request were out of all messages within milliseconds; a second crash did not bring them back, and a gateway that started heard the same eight. Each gateway learned by two crashes of its own. Entries use the same table.

Change: a record is passed on for two seconds after a process learned it, up to 400 in a message; those of requests with several records go first, then those that were sent least, so that none is displaced for long. Requests with several records are repeated, eight a message in turn, as long as they are kept: gateways that start hear them in the next rounds. A gateway tells its cell its own new records at once, and once. A full table drops requests with the fewest records, not the harmful one.

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -28,6 +28,7 @@
     def __init__(self, now):
         """Start without crash records."""
         self._table = crashes.CrashTable(now)
+        self._unsent = []
 
     def check(self, call):
         """Refuse a request that crashed two endpoints.
@@ -52,6 +53,7 @@
         incarnation = f"{state.endpoint.id}/{state.endpoint.incarnation}"
         digest = _digest(call)
         if self._table.add(digest, incarnation, strong=before_first):
+            self._unsent.append((digest, incarnation, 0, before_first))
             _log.info(
                 "connection broke during a request; crash recorded",
                 request=call.attempt,
@@ -61,9 +63,20 @@
             self._note_new_record(digest, "own")
 
     def message(self):
-        """Return the newest crash records as plain data, for peers."""
+        """Return crash records that peers may lack, as plain data."""
         return [list(mark) for mark in self._table.message()]
 
+    @property
+    def has_unsent_records(self):
+        """Return whether records of this gateway wait for their first send."""
+        return bool(self._unsent)
+
+    def drain_records(self):
+        """Return and clear the records not yet sent, as plain data."""
+        records = self._unsent[: crashes.MAX_RECORDS_PER_MESSAGE]
+        self._unsent = []
+        return records
+
     def merge(self, rows):
         """Merge the crash records of a peer."""
         for crash in self._table.merge(members.Crash(*row) for row in rows):
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -55,8 +55,9 @@
     ):
         """Send the work at ``endpoints``, and apply that of peers to them.
 
-        The crash records of ``crash_guard`` go with each message, and
-        ``is_ready`` returns whether callers may use this gateway.
+        New crash records of ``crash_guard`` go to the cell at once and to all
+        gateways in rounds; ``is_ready`` returns whether callers may use this
+        gateway.
         ``incarnation`` is a number that grows with each process here.
         """
         self._settings = settings
@@ -198,6 +199,8 @@
             return True
         if self._content(work) != self._last_content:
             return True
+        if self._crash_guard.has_unsent_records:
+            return True
         waited_ms = now - self._last_at
         if self._endpoints.has_unsent_changes:
             return waited_ms >= REPEAT_INTERVAL_MS
@@ -221,6 +224,7 @@
             now,
             self._endpoints.drain_prefills(),
             self._endpoints.drain_cache_changes(),
+            self._crash_guard.drain_records(),
         )
         if len(raw) > MAX_BYTES:
             _log.warning(
@@ -229,7 +233,9 @@
             return
         self._send_to(raw, self._cell_peers())
 
-    def _state_message(self, work, now, prefills=(), cache_changes=()):
+    def _state_message(
+        self, work, now, prefills=(), cache_changes=(), crash_records=()
+    ):
         heartbeat = peer_messages.Heartbeat(
             self._settings.ip,
             self._settings.callers,
@@ -249,7 +255,7 @@
                 "beats": self._rounds.own_beat(),
                 "read": prefills,
                 "changed": cache_changes,
-                "marks": self._crash_guard.message(),
+                "marks": crash_records,
             }
         )
 
--- a/clementinewall/membership/crashes.py
+++ b/clementinewall/membership/crashes.py
@@ -3,26 +3,54 @@
 Some requests crash every endpoint that runs them, and their callers retry
 them through any entry.  A request is identified by a digest of caller and
 body.  Crash records spread by gossip and, when new, immediately; a request
-with two crash records gets no third endpoint.  The table is bounded: on
-overflow the oldest request is dropped, which may cost one more endpoint.
+with two crash records gets no third endpoint.
+
+Each request that was open at an endpoint when it crashed gets a record, so
+the few that matter are among hundreds.  Messages are bounded: they repeat a
+new record for some time, those first that tell most and were sent least.
+Requests with several records are repeated for as long as they are kept, a few
+in each message, for peers that have just started.
 """
 
 import collections
+import heapq
 import typing
 
+from clementinewall import clock
 from clementinewall.membership import members
 
 MAX_CRASHES = 2
 RECORD_LIFETIME_MS = 600_000
-MAX_SUSPECTS = 2_000
+MAX_DIGESTS = 2_000
+# Dropped at once when the table is full, as a fraction of it.
+DROPPED_FRACTION = 0.25
 MAX_CLEARED = 2_000
-MAX_DIGESTS_PER_MESSAGE = 8
 EXPIRY_INTERVAL_MS = 1_000
+# How long a process passes on a record after it learned it.
+SPREAD_MS = 2_000
+MAX_RECORDS_PER_MESSAGE = 400
+# Requests with several records that a message repeats, in turn.
+REPEATED_DIGESTS_PER_MESSAGE = 8
+
+
+class _CrashRecord:
+    """One crash that a request was part of."""
+
+    __slots__ = ("crashed_at", "strong", "messages")
+
+    def __init__(self, crashed_at, strong):
+        self.crashed_at = crashed_at
+        self.strong = strong
+        # How many messages have carried it.
+        self.messages = 0
 
 
-class _CrashRecord(typing.NamedTuple):
-    crashed_at: int
-    strong: bool
+class _NewRecord(typing.NamedTuple):
+    """A record that is passed on since it was learned lately."""
+
+    learned_at: clock.Millis
+    digest: str
+    endpoint: str
 
 
 class CrashTable:
@@ -37,7 +65,10 @@
     def __init__(self, now):
         """Start empty; ``now`` gives milliseconds."""
         self._now = now
-        self._records_by_digest = collections.OrderedDict()
+        self._records_by_digest = {}
+        # Requests with several records, the one repeated last at the end.
+        self._repeated = collections.OrderedDict()
+        self._new = collections.deque()
         self._cleared = collections.OrderedDict()
         self._expire_at = 0
 
@@ -49,11 +80,35 @@
         known = records.get(endpoint)
         if known is not None and (known.strong or not strong):
             return False
-        records[endpoint] = _CrashRecord(self._now() - age_ms, strong)
-        while len(self._records_by_digest) > MAX_SUSPECTS:
-            self._records_by_digest.popitem(last=False)
+        now = self._now()
+        records[endpoint] = _CrashRecord(now - age_ms, strong)
+        self._new.append(_NewRecord(now, digest, endpoint))
+        if len(records) >= MAX_CRASHES:
+            self._repeated.setdefault(digest)
+        if len(self._records_by_digest) > MAX_DIGESTS:
+            self._drop_least_suspect()
         return True
 
+    def _drop_least_suspect(self):
+        """Drop requests with few records, of these the oldest first."""
+        count = int(MAX_DIGESTS * DROPPED_FRACTION)
+        for digest in heapq.nsmallest(
+            count, self._records_by_digest, key=self._retention_key
+        ):
+            self._remove(digest)
+
+    def _retention_key(self, digest):
+        records = self._records_by_digest[digest].values()
+        return (
+            len(records),
+            sum(record.strong for record in records),
+            max(record.crashed_at for record in records),
+        )
+
+    def _remove(self, digest):
+        self._records_by_digest.pop(digest, None)
+        self._repeated.pop(digest, None)
+
     def clear(self, digest):
         """Record that this request was answered, so it crashes no endpoint.
 
@@ -61,7 +116,7 @@
         crash for other reasons, it is in progress on each of them; with two
         crash records it would be refused to all callers for ten minutes.
         """
-        self._records_by_digest.pop(digest, None)
+        self._remove(digest)
         self._cleared[digest] = True
         self._cleared.move_to_end(digest)
         while len(self._cleared) > MAX_CLEARED:
@@ -96,20 +151,49 @@
         """Tell whether the request must get no further endpoint."""
         return len(self.endpoints(digest)) >= MAX_CRASHES
 
-    def message(self):
-        """Return the crash records of the newest requests, for a peer."""
+    def message(self, max_records=MAX_RECORDS_PER_MESSAGE):
+        """Return the crash records that peers may lack, for one message."""
         self._expire()
-        now = self._now()
-        newest = list(self._records_by_digest.items())[
-            -MAX_DIGESTS_PER_MESSAGE:
-        ]
-        return tuple(
-            members.Crash(
-                digest, endpoint, now - record.crashed_at, record.strong
-            )
-            for digest, records in newest
-            for endpoint, record in records.items()
+        keys = self._repeated_keys()
+        keys += heapq.nsmallest(
+            max(0, max_records - len(keys)),
+            set(self._new_keys()).difference(keys),
+            key=self._priority,
         )
+        return tuple(self._take(*key) for key in keys[:max_records])
+
+    def _repeated_keys(self):
+        """Return the records of the requests that are repeated next."""
+        count = min(REPEATED_DIGESTS_PER_MESSAGE, len(self._repeated))
+        keys = []
+        for _ in range(count):
+            digest = next(iter(self._repeated))
+            self._repeated.move_to_end(digest)
+            records = self._records_by_digest[digest]
+            keys += [(digest, endpoint) for endpoint in records]
+        return keys
+
+    def _new_keys(self):
+        """Return the records that are still passed on, as keys."""
+        oldest = self._now() - SPREAD_MS
+        while self._new and self._new[0].learned_at < oldest:
+            self._new.popleft()
+        return [
+            (row.digest, row.endpoint)
+            for row in self._new
+            if row.endpoint in self._records_by_digest.get(row.digest, ())
+        ]
+
+    def _priority(self, key):
+        digest, endpoint = key
+        record = self._records_by_digest[digest][endpoint]
+        return digest not in self._repeated, record.messages, not record.strong
+
+    def _take(self, digest, endpoint):
+        record = self._records_by_digest[digest][endpoint]
+        record.messages += 1
+        age_ms = self._now() - record.crashed_at
+        return members.Crash(digest, endpoint, age_ms, record.strong)
 
     def _is_explained(self, digest, endpoint):
         own = self._records_by_digest[digest][endpoint]
@@ -125,11 +209,13 @@
         self._expire_at = now + EXPIRY_INTERVAL_MS
         oldest = now - RECORD_LIFETIME_MS
         for digest, records in list(self._records_by_digest.items()):
-            left = {e: r for e, r in records.items() if r.crashed_at > oldest}
-            if left:
-                self._records_by_digest[digest] = left
-            else:
+            for endpoint, record in list(records.items()):
+                if record.crashed_at <= oldest:
+                    del records[endpoint]
+            if not records:
                 del self._records_by_digest[digest]
+            if len(records) < MAX_CRASHES:
+                self._repeated.pop(digest, None)
 
 
 def _explains(records, endpoint):
--- a/clementinewall/membership/gossip.py
+++ b/clementinewall/membership/gossip.py
@@ -33,6 +33,8 @@
 SEED_TIMEOUT_MS = 1_000
 MAX_WANTED_ROWS = 20
 MAX_OUTBOX_DATAGRAMS = 500
+# Per hello or reply, which are split into datagrams of a packet each.
+MAX_CRASH_RECORDS = 64
 # A changed row is sent in full for this many rounds, so that most peers do
 # not have to request it.
 FRESH_ROUNDS = 3
@@ -144,7 +146,7 @@
             kind,
             self._table.own.id,
             rows=tuple(full_rows),
-            marks=self._crashes.message(),
+            marks=self._crashes.message(MAX_CRASH_RECORDS),
             beats=beats,
         )
 
