Count a crash against the requests that were there most often

Cause: a request with weak records was pardoned as soon as another had strong ones of two of the same engines, such as one that only waited there; that one was refused in its place. Weak was every request that had sent an event, also one that ends its engine sixty milliseconds later, as in the record.

Change: a crash counts against the requests on that engine with the most crashes, among these with the most strong ones. A request with three is refused whoever else was there, so that several harmful ones can't pardon each other. A record is strong also if the run had begun less than half a second before.

Before: test_a_request_of_more_crashes_is_not_excused_by_one_of_fewer and test_three_crashes_are_never_excused failed, and so does test_a_crash_soon_after_the_first_event_is_strong. After: tests.membership, entry, gateway.test_crash_guard, gateway.test_stream_relay, integration.test_crashing and integration.test_gateway_streams pass.

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -44,16 +44,19 @@
         """Clear the crash records of a request that was answered."""
         self._table.clear(_digest(call))
 
-    def record_failure(self, call, state, failure, before_first):
-        """Record a crash if the request may have run when it broke off."""
+    def record_failure(self, call, state, failure, strong):
+        """Record a crash if the request may have run when it broke off.
+
+        ``strong`` tells that it had just begun to run, or not yet.
+        """
         if failure.answer is not None or not failure.broken:
             return
         if failure.verdict is not verdicts.Verdict.MAY_HAVE_RUN:
             return
         incarnation = f"{state.endpoint.id}/{state.endpoint.incarnation}"
         digest = _digest(call)
-        if self._table.add(digest, incarnation, strong=before_first):
-            self._unsent.append((digest, incarnation, 0, before_first))
+        if self._table.add(digest, incarnation, strong=strong):
+            self._unsent.append((digest, incarnation, 0, strong))
             _log.info(
                 "connection broke during a request; crash recorded",
                 request=call.attempt,
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -83,6 +83,8 @@
         self.prefills = 0
         # Time from the arrival to the first event of a stream.
         self.first_event_ms = None
+        # When the engine that runs the request now sent its first event.
+        self.run_began_at = None
         self.tried_ids = set()
         self._unreached = 0
 
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -28,6 +28,9 @@
 PREFILL_SLACK_MS = 500
 # A second prefill and a second send of the request.
 PREFILL_RETRY_SENDS = 2
+# An engine that goes down so soon after it began to run a request may have
+# crashed because of it.
+BRIEF_RUN_MS = 500
 
 
 class StreamRelay:
@@ -83,7 +86,7 @@
                 unused = _refundable_sends(plan, spent, exc)
                 if unused:
                     self._budgets.refund(exchange.service, unused)
-                self._record_failure(exchange, exc, not stream.has_first_event)
+                self._record_failure(exchange, exc)
                 if not exchange.may_retry():
                     break
                 continue
@@ -102,6 +105,7 @@
             prefilled = await self._prefill(exchange, plan)
             self._check_drain(exchange, plan, prefilled)
         exchange.sends += 1
+        exchange.run_began_at = None
         decode_engine = plan.decode_engine
         if not self._endpoints.takes_work(decode_engine):
             # It started to leave or asked for rest during the prefill on
@@ -197,6 +201,7 @@
                 note = self._endpoints.record_fetch
             note(plan.decode_engine, exchange.call.prompt)
         took = exchange.waited_ms
+        exchange.run_began_at = self._now()
         if exchange.first_event_ms is None:
             exchange.first_event_ms = took
         metrics.observe_ms("first_event", took, route=exchange.route.name)
@@ -321,13 +326,13 @@
                     why=exc.why,
                 )
 
-    def _record_failure(self, exchange, exc, before_first):
+    def _record_failure(self, exchange, exc):
         exchange.record_failure(exc)
         state = self._endpoints.find_any(exc.endpoint_id)
         if state is not None and exc.answer is None:
             state.record_failure(exc.absent)
             self._crash_guard.record_failure(
-                exchange.call, state, exc, before_first
+                exchange.call, state, exc, self._has_just_begun(exchange)
             )
         _log.info(
             "attempt failed",
@@ -337,6 +342,11 @@
             why=exc.why,
         )
 
+    def _has_just_begun(self, exchange):
+        """Tell whether the engine has run the request briefly or not yet."""
+        began_at = exchange.run_began_at
+        return began_at is None or self._now() - began_at < BRIEF_RUN_MS
+
 
 def _budgeted_sends(exchange, plan):
     """Return how many sends of a plan draw on the retry budget.
--- a/clementinewall/membership/crashes.py
+++ b/clementinewall/membership/crashes.py
@@ -20,6 +20,8 @@
 from clementinewall.membership import members
 
 MAX_CRASHES = 2
+# Of a request's crashes; with more, it is refused whoever else was there.
+MAX_EXCUSED_CRASHES = 2
 RECORD_LIFETIME_MS = 600_000
 MAX_DIGESTS = 2_000
 # Dropped at once when the table is full, as a fraction of it.
@@ -57,15 +59,18 @@
     """The bounded table of crash records by request digest.
 
     When an engine goes down, every request on it gets a crash record.  The
-    record is strong if that engine had sent no token of the request yet.  A
-    crash attributed to a request with at least two strong records does not
-    count against requests that have only a weak record of it.
+    record is strong if that engine had sent no token of the request yet, or
+    only just begun to: a harmful request crashes what begins to run it.  A
+    crash counts only against the requests on that engine that were part of
+    most crashes, and among these of most strong ones: the harmful request was
+    there each time, those beside it were not.
     """
 
     def __init__(self, now):
         """Start empty; ``now`` gives milliseconds."""
         self._now = now
         self._records_by_digest = {}
+        self._digests_by_endpoint = {}
         # Requests with several records, the one repeated last at the end.
         self._repeated = collections.OrderedDict()
         self._new = collections.deque()
@@ -82,6 +87,7 @@
             return False
         now = self._now()
         records[endpoint] = _CrashRecord(now - age_ms, strong)
+        self._digests_by_endpoint.setdefault(endpoint, set()).add(digest)
         self._new.append(_NewRecord(now, digest, endpoint))
         if len(records) >= MAX_CRASHES:
             self._repeated.setdefault(digest)
@@ -99,15 +105,29 @@
 
     def _retention_key(self, digest):
         records = self._records_by_digest[digest].values()
-        return (
-            len(records),
-            sum(record.strong for record in records),
-            max(record.crashed_at for record in records),
-        )
+        newest = max(record.crashed_at for record in records)
+        return *self._suspicion(digest), newest
+
+    def _suspicion(self, digest):
+        """Return how much tells against a request, as a sort key."""
+        records = self._records_by_digest[digest].values()
+        return len(records), sum(record.strong for record in records)
 
     def _remove(self, digest):
-        self._records_by_digest.pop(digest, None)
-        self._repeated.pop(digest, None)
+        for endpoint in list(self._records_by_digest.get(digest, ())):
+            self._remove_record(digest, endpoint)
+
+    def _remove_record(self, digest, endpoint):
+        records = self._records_by_digest[digest]
+        del records[endpoint]
+        if not records:
+            del self._records_by_digest[digest]
+        if len(records) < MAX_CRASHES:
+            self._repeated.pop(digest, None)
+        digests = self._digests_by_endpoint[endpoint]
+        digests.discard(digest)
+        if not digests:
+            del self._digests_by_endpoint[endpoint]
 
     def clear(self, digest):
         """Record that this request was answered, so it crashes no endpoint.
@@ -141,10 +161,12 @@
         records = self._records_by_digest.get(digest)
         if records is None:
             return set()
+        if len(records) > MAX_EXCUSED_CRASHES:
+            return set(records)
         return {
             endpoint
             for endpoint in records
-            if not self._is_explained(digest, endpoint)
+            if not self._is_excused(digest, endpoint)
         }
 
     def is_harmful(self, digest):
@@ -195,11 +217,13 @@
         age_ms = self._now() - record.crashed_at
         return members.Crash(digest, endpoint, age_ms, record.strong)
 
-    def _is_explained(self, digest, endpoint):
-        own = self._records_by_digest[digest][endpoint]
-        return not own.strong and any(
-            other != digest and _explains(records, endpoint)
-            for other, records in self._records_by_digest.items()
+    def _is_excused(self, digest, endpoint):
+        """Tell whether more tells against another request on the endpoint."""
+        own = self._suspicion(digest)
+        return any(
+            self._suspicion(other) > own
+            for other in self._digests_by_endpoint[endpoint]
+            if other in self._repeated
         )
 
     def _expire(self):
@@ -208,16 +232,11 @@
             return
         self._expire_at = now + EXPIRY_INTERVAL_MS
         oldest = now - RECORD_LIFETIME_MS
-        for digest, records in list(self._records_by_digest.items()):
-            for endpoint, record in list(records.items()):
-                if record.crashed_at <= oldest:
-                    del records[endpoint]
-            if not records:
-                del self._records_by_digest[digest]
-            if len(records) < MAX_CRASHES:
-                self._repeated.pop(digest, None)
-
-
-def _explains(records, endpoint):
-    strong = [name for name, record in records.items() if record.strong]
-    return endpoint in strong and len(strong) >= MAX_CRASHES
+        expired = [
+            (digest, endpoint)
+            for digest, records in self._records_by_digest.items()
+            for endpoint, record in records.items()
+            if record.crashed_at <= oldest
+        ]
+        for digest, endpoint in expired:
+            self._remove_record(digest, endpoint)
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -21,10 +21,21 @@
         """Know one engine."""
         self.endpoints = test_endpoints.gateway_view()
         self.state = self.endpoints.state(test_endpoints.ENGINE)
-        self.guard = crash_guard.CrashGuard(clock.ManualClock(1_000).now)
+        self.clock = clock.ManualClock(10_000)
+        self.guard = crash_guard.CrashGuard(self.clock.now)
+        self.relay = stream_relay.StreamRelay(
+            self.endpoints,
+            None,
+            None,
+            None,
+            self.guard,
+            None,
+            None,
+            self.clock.now,
+        )
 
-    def fail_request(self):
-        """Record that a request broke off at the engine."""
+    def fail_request(self, ran_ms=None):
+        """Record that a request broke off after its run of ``ran_ms``."""
         call = types.SimpleNamespace(
             host="h", target=b"/chat/x", body=b"b", attempt="a1"
         )
@@ -32,16 +43,31 @@
             call=call,
             service=types.SimpleNamespace(name="model"),
             record_failure=lambda _failure: None,
-        )
-        relay = types.SimpleNamespace(
-            _endpoints=self.endpoints, _crash_guard=self.guard
+            run_began_at=None if ran_ms is None else 10_000 - ran_ms,
         )
         failure = exchanges.AttemptFailed(
             verdicts.Verdict.MAY_HAVE_RUN, "cut", "e1", broken=True
         )
-        stream_relay.StreamRelay._record_failure(
-            relay, exchange, failure, True
-        )
+        self.relay._record_failure(exchange, failure)
+
+    def is_strong(self):
+        """Tell whether the only record is a strong one."""
+        [(_digest, _endpoint, _age_ms, strong)] = self.guard.message()
+        return strong
+
+    def test_a_crash_before_the_first_event_is_strong(self):
+        self.fail_request()
+        self.assertTrue(self.is_strong())
+
+    def test_a_crash_soon_after_the_first_event_is_strong(self):
+        # Guards against a harmful request that is excused by one that waited.
+        self.fail_request(ran_ms=60)
+        self.assertTrue(self.is_strong())
+
+    def test_a_crash_in_the_middle_of_a_long_run_is_weak(self):
+        # Guards against refusing streams that others' crashes have cut.
+        self.fail_request(ran_ms=2_000)
+        self.assertFalse(self.is_strong())
 
     def test_a_crash_is_recorded(self):
         self.fail_request()
--- a/tests/membership/test_crashes.py
+++ b/tests/membership/test_crashes.py
@@ -46,3 +46,45 @@
         self.table.add("old", "e1")
         self.table.add("old", "e2")
         self.assertTrue(self.table.is_harmful("old"))
+
+    def crash(self, endpoint, strong=(), weak=()):
+        """Record that an endpoint crashed during some requests."""
+        for digest in strong:
+            self.table.add(digest, endpoint)
+        for digest in weak:
+            self.table.add(digest, endpoint, strong=False)
+
+    def test_a_request_of_more_crashes_is_not_excused_by_one_of_fewer(self):
+        # Guards against a harmful request that is excused by one that only
+        # waited at two of the engines, and is refused in its place.
+        self.crash("e1", weak=["poison"])
+        self.crash("e2", strong=["waiting"], weak=["poison"])
+        self.crash("e3", strong=["waiting"], weak=["poison"])
+        self.assertTrue(self.table.is_harmful("poison"))
+        self.assertFalse(self.table.is_harmful("waiting"))
+
+    def test_a_request_that_ran_beside_a_harmful_one_is_excused(self):
+        # Guards against refusing streams that were cut by others' crashes.
+        for name in ("e1", "e2"):
+            self.crash(name, strong=["poison"], weak=["stream"])
+        self.assertTrue(self.table.is_harmful("poison"))
+        self.assertFalse(self.table.is_harmful("stream"))
+
+    def test_three_crashes_are_never_excused(self):
+        # Guards against harmful requests that excuse each other.
+        for name in ("e1", "e2", "e3", "e4"):
+            self.crash(name, strong=["first"])
+        for name in ("e1", "e2"):
+            self.crash(name, strong=["second"])
+        self.assertFalse(self.table.is_harmful("second"))
+        self.crash("e3", strong=["second"])
+        self.assertTrue(self.table.is_harmful("second"))
+
+    def test_records_of_harmful_requests_outlast_many_others(self):
+        # Guards against a full table that forgets a harmful request.
+        self.crash("e1", strong=["poison"])
+        self.crash("e2", strong=["poison"])
+        for number in range(2 * crashes.MAX_DIGESTS):
+            self.clock.advance(1)
+            self.crash("e3", strong=[f"other-{number}"])
+        self.assertTrue(self.table.is_harmful("poison"))
