Check for crash records before each send of a request

Cause: crash records were looked up once, when a request is accepted. A second send, a resume and the send after a prefill did not ask again.

Change: both relays ask before each send, the one of streams also after a prefill, whose handle is then freed.

Before: both tests of LaterSends failed (a request accepted first was sent to three endpoints and got 504 in place of 502).

--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -32,6 +32,7 @@
         """
         last = None
         while True:
+            self._crash_guard.check(exchange.call)
             state = self._choose_endpoint(exchange)
             if state is None:
                 break
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -69,6 +69,7 @@
         stream = stream_answer.StreamAnswer(exchange)
         last = None
         while True:
+            self._crash_guard.check(exchange.call)
             plan = self._placer.place(exchange, last)
             self._drain.check_stream(exchange, plan.option.first_ms)
             spent = _budgeted_sends(exchange, plan)
@@ -103,7 +104,7 @@
         prefilled = None
         if plan.prefill_engine is not None:
             prefilled = await self._prefill(exchange, plan)
-            self._check_drain(exchange, plan, prefilled)
+            self._check_after_prefill(exchange, plan, prefilled)
         exchange.sends += 1
         exchange.run_began_at = None
         decode_engine = plan.decode_engine
@@ -166,16 +167,18 @@
                 )
         decode_engine.health.record_success()
 
-    def _check_drain(self, exchange, plan, prefilled):
-        """Refuse a stream that cannot end before the process stops.
+    def _check_after_prefill(self, exchange, plan, prefilled):
+        """Refuse a request that must not be run any more.
 
-        The drain may have begun during the prefill.
+        Meanwhile a drain may have begun in which it cannot be finished, or
+        the request may have crashed engines through other gateways.
 
-        :raises Leaving: it cannot be finished here.
+        :raises Draining, HarmfulRequest: it must not be run.
         """
         try:
             self._drain.check_stream(exchange, 0)
-        except errors.Draining:
+            self._crash_guard.check(exchange.call)
+        except (errors.Draining, errors.HarmfulRequest):
             self._group.start_soon(
                 self._free_handle, plan.prefill_engine, prefilled
             )
--- a/tests/integration/test_gateway_crashing.py
+++ b/tests/integration/test_gateway_crashing.py
@@ -27,6 +27,8 @@
 # only so often.
 KNOWN_SECONDS = 3.0
 MAX_LATE_ARRIVALS = 3
+# How long the first endpoint works on a request that turns out harmful.
+EARLY_SECONDS = 1.0
 
 
 class Engine:
@@ -146,3 +148,56 @@
         third = self.crashes[2] if len(self.crashes) > 2 else time.monotonic()
         late = [at for at in self.arrivals if at > third + KNOWN_SECONDS]
         self.assertLessEqual(len(late), MAX_LATE_ARRIVALS)
+
+
+class LaterSends(gateway_base.GatewayCase):
+    """A request that turns out to be harmful while it is being served."""
+
+    def setUp(self):
+        """Publish routes of calls and streams; start four endpoints each."""
+        super().setUp()
+        self.publish(
+            route("look", "app", "safe", max_attempts=3),
+            route("chat", "model", "stream", resumable=True, max_attempts=3),
+        )
+        self.attempts = []
+        for number in range(4):
+            self.endpoint(f"app-{number}", self._script)
+            self.endpoint(
+                f"engine-{number}", self._script, "model", stage="decode"
+            )
+        self.front = self.gateway(budget_slack=400)
+
+    def _script(self, _endpoint, request):
+        attempt = request.header_by_name.get("attempt-id")
+        if attempt is None:
+            yield scripted.answer(request, b"", 404)
+            return
+        self.attempts.append(attempt)
+        if attempt == "early":
+            yield EARLY_SECONDS
+        yield scripted.RESET
+
+    def check(self, path):
+        """Check that the early request gets no endpoint after the others."""
+        headers = test_gateway_streams.MODEL_HEADERS
+        early = base.Background(
+            lambda: self.ask(
+                self.front, path, "early", content=HARMFUL, **headers
+            ),
+            [()],
+        )
+        bringup.wait_until(lambda: self.attempts, what="the early request")
+        for attempt in ("second", "third"):
+            self.ask(self.front, path, attempt, content=HARMFUL, **headers)
+        [(_, answer)] = early.join()
+        self.assertEqual(answer.status_code, 502)
+        self.assertEqual(self.attempts, ["early", "second", "second"])
+
+    def test_a_call_that_turns_out_harmful_is_not_sent_again(self):
+        # Guards against further crashes by requests accepted before.
+        self.check("/look/x")
+
+    def test_a_stream_that_turns_out_harmful_is_not_sent_again(self):
+        # Guards against further crashes by requests accepted before.
+        self.check("/chat/x")
