Record crashes of engines that are gone, and of ones that close in order

Cause: the engine was looked up in the fleet view when its connection broke. One whose record was gone by then left no crash record, one that was back under the same id got that of its earlier process. A stream that ended in the middle of an event without a reset did not count as broken off.

Change: the engine is the one of the plan, as it was chosen; a stream cut in the middle of an event counts as broken.

Before: test_a_crash_of_an_engine_that_is_gone_is_recorded and Truncated.test_it_counts_as_broken failed (the former also by its signature). After: tests.gateway, integration.test_gateway_streams, test_gateway_leaving and test_gateway_crashing pass.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -267,11 +267,6 @@
         state = self.state(endpoint)
         return None if state.is_leaving else state
 
-    def find_any(self, endpoint_id):
-        """Return the state of an endpoint, leaving or not, or ``None``."""
-        endpoint = self._fleet_view.endpoint_by_id.get(endpoint_id)
-        return None if endpoint is None else self.state(endpoint)
-
     def takes_work(self, state):
         """Return whether the endpoint still takes new work."""
         if state.rest_ms or state.is_leaving:
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -40,6 +40,13 @@
     run_urgency: int = placement.URGENCY_NORMAL
     prefill_scale: float = 1.0
 
+    def engine(self, endpoint_id):
+        """Return the engine of this id, as it was when it was chosen."""
+        prefill_engine = self.prefill_engine
+        if prefill_engine and prefill_engine.endpoint.id == endpoint_id:
+            return prefill_engine
+        return self.decode_engine
+
     @property
     def measures_prefill_speed(self):
         """Tell whether only the engine's speed determines the prefill time."""
--- a/clementinewall/gateway/stream_answer.py
+++ b/clementinewall/gateway/stream_answer.py
@@ -46,7 +46,9 @@
                 await self._forward_events(head, new_events)
             part = await sent.read_part()
         if not self.events.is_complete:
-            raise sent.failure("stream ended in the middle of an event")
+            raise sent.failure(
+                "stream ended in the middle of an event", broken=True
+            )
         await self._forward_events(head, b"")
         await self._exchange.connection.finish()
 
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -87,7 +87,7 @@
                 unused = _refundable_sends(plan, spent, exc)
                 if unused:
                     self._budgets.refund(exchange.service, unused)
-                self._record_failure(exchange, exc)
+                self._record_failure(exchange, plan, exc)
                 if not exchange.may_retry():
                     break
                 continue
@@ -329,10 +329,10 @@
                     why=exc.why,
                 )
 
-    def _record_failure(self, exchange, exc):
+    def _record_failure(self, exchange, plan, exc):
         exchange.record_failure(exc)
-        state = self._endpoints.find_any(exc.endpoint_id)
-        if state is not None and exc.answer is None:
+        if exc.answer is None:
+            state = plan.engine(exc.endpoint_id)
             state.record_failure(exc.absent)
             self._crash_guard.record_failure(
                 exchange.call, state, exc, self._has_just_begun(exchange)
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -6,6 +6,8 @@
 from clementinewall import clock
 from clementinewall.gateway import crash_guard
 from clementinewall.gateway import exchange as exchanges
+from clementinewall.gateway import placing
+from clementinewall.gateway import stream_answer
 from clementinewall.gateway import stream_relay
 from clementinewall.http1 import messages
 from clementinewall import verdicts
@@ -48,7 +50,8 @@
         failure = exchanges.AttemptFailed(
             verdicts.Verdict.MAY_HAVE_RUN, "cut", "e1", broken=True
         )
-        self.relay._record_failure(exchange, failure)
+        plan = placing.Plan(None, self.state, None, 0)
+        self.relay._record_failure(exchange, plan, failure)
 
     def is_strong(self):
         """Tell whether the only record is a strong one."""
@@ -78,3 +81,43 @@
         self.state.apply_answer(LEAVING)
         self.fail_request()
         self.assertEqual(len(self.guard.message()), 1)
+
+    def test_a_crash_of_an_engine_that_is_gone_is_recorded(self):
+        # Guards against requests that crash further engines unnoticed.
+        self.endpoints._fleet_view.endpoint_by_id = {}
+        self.fail_request()
+        self.assertEqual(len(self.guard.message()), 1)
+
+
+class _Sent:
+    """A stream that its engine closes after ``parts``."""
+
+    head = messages.Head(200, b"", ((b"Server-Stamp", b"s"),))
+
+    def __init__(self, *parts):
+        self._parts = [*parts, None]
+
+    async def read_part(self):
+        """Return the next part."""
+        return self._parts.pop(0)
+
+    def failure(self, why, broken=False):
+        """Return the error for an answer that cannot be used."""
+        return exchanges.AttemptFailed(
+            verdicts.Verdict.MAY_HAVE_RUN, why, "e1", broken=broken
+        )
+
+
+class Truncated(unittest.IsolatedAsyncioTestCase):
+    """A connection that is closed in order, in the middle of an event."""
+
+    async def test_it_counts_as_broken(self):
+        # Guards against crashes without a record: the system of a crashed
+        # process may close its connections in order.
+        exchange = types.SimpleNamespace(
+            call=types.SimpleNamespace(resume_after=None)
+        )
+        stream = stream_answer.StreamAnswer(exchange)
+        with self.assertRaises(exchanges.AttemptFailed) as caught:
+            await stream.forward(_Sent(b"id: 1\nda"))
+        self.assertTrue(caught.exception.broken)
