Clear the crash records of a stream that was answered in full

Cause: calls clear the records of their request when they are answered, streams never did.

Change: they do. An engine crashes by what it runs, and this one ran it.

Before: the third caller in test_a_request_that_was_answered_is_not_refused got 502. After: 200; the other tests of that file pass.

--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -91,6 +91,7 @@
                 if not exchange.may_retry():
                     break
                 continue
+            self._crash_guard.record_answer(exchange.call)
             if exchange.first_event_ms is not None:
                 self._drain.record_stream(exchange, exchange.first_event_ms)
             return
--- a/tests/integration/test_gateway_crashing.py
+++ b/tests/integration/test_gateway_crashing.py
@@ -201,3 +201,32 @@
     def test_a_stream_that_turns_out_harmful_is_not_sent_again(self):
         # Guards against further crashes by requests accepted before.
         self.check("/chat/x")
+
+
+class AnsweredStreams(gateway_base.GatewayCase):
+    """Equal streams of many callers, some cut by unrelated crashes."""
+
+    def _script(self, _endpoint, request):
+        if "attempt-id" not in request.header_by_name:
+            yield scripted.answer(request, b"", 404)
+        elif request.header_by_name["attempt-id"] == "cut":
+            yield scripted.RESET
+        else:
+            yield from test_gateway_streams.whole_stream(request, (1, 2))
+
+    def test_a_request_that_was_answered_is_not_refused(self):
+        # Guards against refusing a frequent request to all of its callers.
+        self.publish(route("chat", "model", "stream", resumable=True))
+        for number in range(3):
+            self.endpoint(
+                f"engine-{number}", self._script, "model", stage="decode"
+            )
+        front = self.gateway(budget_slack=400)
+        headers = test_gateway_streams.MODEL_HEADERS
+        statuses = [
+            self.ask(
+                front, "/chat/x", attempt, content=b"popular", **headers
+            ).status_code
+            for attempt in ("first", "cut", "last")
+        ]
+        self.assertEqual(statuses, [200, 502, 200])
