Log the request limits that endpoints name

Gateways now log when an endpoint names a limit, another one, or none any more; a malformed value is logged and ignored. What is sent where stays as it is. tests.platform, gateway.test_endpoints and integration.test_gateway_rest pass.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -63,6 +63,8 @@
         # When its record was found missing, ``None`` while it is there.
         self.missing_since = None
         self.cache = cache_view.CacheView()
+        # Requests a second, as the endpoint named it last; ``None`` without.
+        self.request_limit = None
 
     @property
     def rest_ms(self):
@@ -93,6 +95,27 @@
             )
         self._rest_until = max(self._rest_until, self._now() + asked_ms)
 
+    def apply_request_limit(self, head):
+        """Apply the limit that the answer to a caller's request names."""
+        try:
+            limit = calls.decode_request_limit(head)
+        except errors.BadRecord as exc:
+            _log.warning(
+                "request limit ignored",
+                endpoint=self.endpoint.id,
+                why=exc.message,
+            )
+            return
+        if limit != self.request_limit:
+            _log.info(
+                "names a request limit"
+                if limit is not None
+                else "names no request limit any more",
+                endpoint=self.endpoint.id,
+                per_second=limit,
+            )
+        self.request_limit = limit
+
     async def acquire_link(self):
         """Return a connection for one request.
 
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -102,6 +102,7 @@
         state.record_response()
         sent = SentRequest(state, link, head, watch)
         state.apply_answer(head)
+        state.apply_request_limit(head)
         _record_load(state, head, now())
         if calls.reports_not_run(head):
             await sent.read_all()
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -17,6 +17,7 @@
 _ENCODING_HEADER = b"content-encoding"
 _REST_HEADER = b"retry-after"
 _LEAVING_HEADER = b"server-leaving"
+_LIMIT_HEADER = b"server-limit"
 _UNAVAILABLE_STATUS = 503
 # Endpoints ask for seconds.  A mistaken value must not exclude one for days.
 MAX_REST_MS = 600_000
@@ -352,6 +353,26 @@
     return min(MAX_REST_MS, seconds * 1_000)
 
 
+def decode_request_limit(head):
+    """Return how many requests a second an endpoint takes from all gateways.
+
+    It is ``None`` if the answer names no limit, or comes from another endpoint
+    than the expected one.
+
+    :raises BadRecord: the value is not a number of requests.
+    """
+    value = head.header(_LIMIT_HEADER)
+    if value is None or is_misdirected(head):
+        return None
+    try:
+        per_second = float(value)
+    except ValueError:
+        per_second = math.nan
+    if not 0 <= per_second < math.inf:
+        raise errors.BadRecord(f"{value!r} is not a number of requests")
+    return per_second
+
+
 def reports_leaving(head):
     """Tell whether the expected endpoint reports that it is leaving."""
     value = head.header(_LEAVING_HEADER) or b""
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -157,6 +157,33 @@
         self.assertFalse(self.reports_leaving(421, header))
 
 
+class RequestLimit(unittest.TestCase):
+    """How many requests a second an endpoint takes."""
+
+    def decode(self, value, status=200):
+        """Return the limit in an answer with this value."""
+        head = messages.Head(status, b"", ((b"Server-Limit", value),))
+        return calls.decode_request_limit(head)
+
+    def test_numbers_may_have_fractions(self):
+        self.assertEqual(self.decode(b"5.8"), 5.8)
+        self.assertEqual(self.decode(b"0", 503), 0)
+
+    def test_an_answer_without_the_header_names_none(self):
+        head = messages.Head(200, b"", ())
+        self.assertIsNone(calls.decode_request_limit(head))
+
+    def test_another_endpoint_at_the_address_names_only_its_own(self):
+        # Guards against limits of a process that reuses an address.
+        self.assertIsNone(self.decode(b"5", 421))
+
+    def test_malformed_limits_are_bad_records(self):
+        # Guards against endpoints that are excluded by a mistaken value.
+        for value in (b"", b"-1", b"nan", b"inf", b"five", b"5,8"):
+            with self.assertRaises(errors.BadRecord):
+                self.decode(value)
+
+
 class Caches(unittest.TestCase):
     """Decoding of engines' lists of cached prompt parts."""
 
