--- a/tests/integration/test_gateway_crashing.py
+++ b/tests/integration/test_gateway_crashing.py
@@ -81,6 +81,7 @@
         self.arrivals = []
         self.crashes = []
         self._stop = threading.Event()
+        self.addCleanup(self._stop.set)
         self._timers = []
         self.publish(
             route("chat", "model", "stream", resumable=True, timeout_ms=9_000)
