--- /dev/null
+++ b/tests/integration/test_gateway_request_limits.py
@@ -0,0 +1,189 @@
+"""Endpoints that name how many requests a second they take."""
+
+import bisect
+import itertools
+import threading
+import time
+
+import httpx
+
+from standins import bringup
+from tests.integration import base
+from tests.integration import gateway_base
+from tests.integration import test_gateway_rest
+from tests.integration import test_gateway_streams
+
+route = gateway_base.route
+
+GATEWAYS = 5
+CALLERS = 30
+REQUESTS_PER_SECOND = 4.0
+# From this time after the first answer that names a limit, it holds in each
+# window: half as much again is allowed, and some requests beyond.
+STABLE_SECONDS = 3.0
+WINDOW_SECONDS = 4.0
+MAX_ARRIVALS = 1.5 * REQUESTS_PER_SECOND * WINDOW_SECONDS + 5
+LIMITED_SECONDS = STABLE_SECONDS + 2 * WINDOW_SECONDS
+
+
+class Limited:
+    """The script of an endpoint that names a limit for a time."""
+
+    def __init__(self):
+        """Name none until ``is_limited`` is set."""
+        self.arrivals = []
+        self.named_at = None
+        self.is_limited = False
+
+    def __call__(self, _endpoint, request):
+        """Serve a request and record when it arrived."""
+        now = time.monotonic()
+        self.arrivals.append(now)
+        headers = {}
+        if self.is_limited:
+            headers["Server_Limit"] = str(REQUESTS_PER_SECOND)
+            self.named_at = self.named_at or now
+        yield test_gateway_rest.serve(request, **headers)
+
+    def most_arrivals(self, end):
+        """Return how many requests came in the worst window up to ``end``."""
+        start = self.named_at + STABLE_SECONDS
+        times = sorted(at for at in self.arrivals if start <= at < end)
+        return max(
+            (
+                bisect.bisect_left(times, at + WINDOW_SECONDS) - place
+                for place, at in enumerate(times)
+            ),
+            default=0,
+        )
+
+
+class RequestLimits(gateway_base.GatewayCase):
+    """Gateways that share the limit of an endpoint."""
+
+    def setUp(self):
+        """Publish routes and start gateways that know each other."""
+        super().setUp()
+        self.publish(
+            route("look", "app", "safe"),
+            route("chat", "model", "stream", resumable=True),
+        )
+        self.stop = threading.Event()
+        self.addCleanup(self.stop.set)
+        self.answers = []
+
+    def start(self):
+        """Start the gateways."""
+        names = [f"gateway-{n}" for n in range(1, GATEWAYS + 1)]
+        self.fronts = [
+            self.start_without_waiting(name, f"127.0.0.{n}", budget_slack=400)
+            for n, name in enumerate(names, 1)
+        ]
+        bringup.wait_until(
+            lambda: all(
+                self.is_ready(name) and len(self.addresses(name)) == len(names)
+                for name in names
+            ),
+            what="acquaintance",
+        )
+
+    def engine(self, name, script, stage="decode"):
+        """Start an engine."""
+        return self.endpoint(name, script, "model", stage=stage)
+
+    def sound(self, _endpoint, request):
+        """Serve any request."""
+        yield test_gateway_rest.serve(request)
+
+    def send(self, caller, path, headers):
+        """Send requests one after the other, each at the next gateway."""
+        for number in itertools.count(caller):
+            if self.stop.is_set():
+                return
+            front = self.fronts[number % GATEWAYS]
+            attempt = f"{caller}-{number}"
+            at = time.monotonic()
+            try:
+                answer = self.ask(front, path, attempt, **headers)
+            except httpx.HTTPError as exc:
+                self.answers.append((at, repr(exc)))
+            else:
+                self.answers.append((at, answer))
+            time.sleep(0.05)
+
+    def check(self, path, limited, **headers):
+        """Send while a limit is named, and until it is not any more.
+
+        Return the answers of the time in which the limit has to hold.
+        """
+        self.start()
+        callers = base.Background(
+            lambda number: self.send(number, path, headers),
+            [(number,) for number in range(CALLERS)],
+        )
+        time.sleep(1)
+        limited.is_limited = True
+        bringup.wait_until(lambda: limited.named_at, what="an answer")
+        end = limited.named_at + LIMITED_SECONDS
+        time.sleep(end - time.monotonic())
+        self.assertLessEqual(limited.most_arrivals(end), MAX_ARRIVALS)
+        self.assertTrue(limited.most_arrivals(end))
+        limited.is_limited = False
+        bringup.wait_until(
+            lambda: (
+                len(limited.arrivals)
+                > bisect.bisect_left(limited.arrivals, end) + 2 * MAX_ARRIVALS
+            ),
+            seconds=10,
+            what="the end of the limit",
+        )
+        self.stop.set()
+        callers.join()
+        start = limited.named_at + STABLE_SECONDS
+        return [answer for at, answer in self.answers if start < at < end]
+
+    def test_calls_of_all_gateways_keep_to_the_limit(self):
+        # Guards against shares of a limit that add up to too much.
+        limited = Limited()
+        self.endpoint("one", limited)
+        self.endpoint("two", self.sound)
+        answers = self.check("/look/x", limited)
+        self.assertEqual({answer.status_code for answer in answers}, {200})
+
+    def test_streams_of_all_gateways_keep_to_the_limit(self):
+        # Guards against prompts that are read for an engine without room.
+        limited = Limited()
+        self.engine("one", limited)
+        self.engine("two", self.sound)
+        self.engine("three", self.sound, "prefill")
+        headers = dict(
+            test_gateway_streams.MODEL_HEADERS, Token_Usage="8000,2"
+        )
+        answers = self.check("/chat/x", limited, **headers)
+        served = [answer for answer in answers if answer.status_code == 200]
+        self.assertGreater(len(served), 0.9 * len(answers))
+
+    def test_prefills_of_all_gateways_keep_to_the_limit(self):
+        # Guards against a limit that holds for runs only.
+        limited = Limited()
+        self.engine("one", limited, "prefill")
+        self.engine("two", self.sound, "prefill")
+        self.engine("three", self.sound)
+        headers = dict(
+            test_gateway_streams.MODEL_HEADERS, Token_Usage="30000,2"
+        )
+        self.check("/chat/x", limited, **headers)
+
+    def test_callers_are_refused_at_once_while_no_engine_has_room(self):
+        # Guards against callers that wait for an engine without room.
+        limited = Limited()
+        self.engine("one", limited)
+        headers = test_gateway_streams.MODEL_HEADERS
+        answers = self.check("/chat/x", limited, **headers)
+        refused = [a for a in answers if a.status_code in (429, 503)]
+        served = [a for a in answers if a.status_code == 200]
+        self.assertEqual(len(refused) + len(served), len(answers))
+        self.assertGreater(len(served), REQUESTS_PER_SECOND)
+        for answer in refused:
+            self.assertLess(answer.elapsed.total_seconds(), 0.5)
+            self.assertGreater(float(answer.headers["retry-after"]), 0)
