--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -81,8 +81,17 @@
         return records
 
     def merge(self, rows):
-        """Merge the crash records of a peer."""
-        for crash in self._table.merge(members.Crash(*row) for row in rows):
+        """Merge the crash records of a peer.
+
+        :raises TypeError, ValueError, OverflowError: if malformed.
+        """
+        crashes_of_peer = [
+            members.Crash(
+                str(digest), str(endpoint), int(age_ms), bool(strong)
+            )
+            for digest, endpoint, age_ms, strong in rows
+        ]
+        for crash in self._table.merge(crashes_of_peer):
             self._note_new_record(crash.digest, "peer")
 
     def _note_new_record(self, digest, source):
--- a/clementinewall/membership/crashes.py
+++ b/clementinewall/membership/crashes.py
@@ -81,12 +81,13 @@
         """Add a crash record; return whether it is new or now strong."""
         if age_ms >= RECORD_LIFETIME_MS or digest in self._cleared:
             return False
-        records = self._records_by_digest.setdefault(digest, {})
+        records = self._records_by_digest.get(digest, {})
         known = records.get(endpoint)
         if known is not None and (known.strong or not strong):
             return False
         now = self._now()
         records[endpoint] = _CrashRecord(now - age_ms, strong)
+        self._records_by_digest[digest] = records
         self._digests_by_endpoint.setdefault(endpoint, set()).add(digest)
         self._new.append(_NewRecord(now, digest, endpoint))
         if len(records) >= MAX_CRASHES:
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -118,3 +118,20 @@
         self.assertFalse(is_refused(guard, HARMFUL))
         record_crash(guard, "e2", HARMFUL)
         self.assertTrue(is_refused(guard, HARMFUL))
+
+    def test_malformed_records_change_nothing(self):
+        # Guards against a foreign datagram that ends the process later.
+        guard = crash_guard.CrashGuard(clock.ManualClock(1_000).now)
+        for row in (
+            [],
+            ["d"],
+            ["d", "e1", "x", True],
+            ["d", "e1", float("nan"), True],
+            ["d", "e1", float("inf"), True],
+            ["d", "e1", 0, True, 1],
+        ):
+            with self.assertRaises((TypeError, ValueError, OverflowError)):
+                guard.merge([row])
+        guard.merge([["d", [], 0, "x"], [7, None, 0, {}]])
+        record_crash(guard, "e1", HARMFUL)
+        self.assertEqual(len(guard.message()), 3)
