Treat a request that a limit withholds as no failure of its engine

A report that was held back, since this gateway's share of the engine's limit was used up, counted as a failure of the engine, which a second one pauses; the order that follows a report would always have been held back, since the report had used the share. Withheld requests are no failures now, and an order goes with its report. Ages in statements of peers are converted when they arrive, so that no foreign datagram leaves one that never expires.

After: tests.gateway.test_stage_manager, test_endpoints and test_request_limits pass.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -160,17 +160,21 @@
         """Close a connection that cannot be used again."""
         self._pool.discard(link)
 
-    async def send_request(self, request, max_bytes, fresh=False):
+    async def send_request(
+        self, request, max_bytes, fresh=False, follows=False
+    ):
         """Send a request and return the head and body of its answer.
 
-        ``fresh`` uses a new connection and closes it afterwards.
+        ``fresh`` uses a new connection and closes it afterwards; ``follows``
+        tells that it completes what an earlier request began, and does not
+        wait for another share of a limit.
 
         :raises Withheld: the endpoint has asked for rest, or has named a limit
             of which this gateway's share is used up.
         :raises LinkBroken: the exchange failed, or the body is over
             ``max_bytes`` bytes.
         """
-        if not self.span_ms and self.rest_ms:
+        if not follows and not self.span_ms and self.rest_ms:
             self._withhold()
         self.use_share()
         connect = self._pool.connect if fresh else self._pool.acquire
--- a/clementinewall/gateway/request_limits.py
+++ b/clementinewall/gateway/request_limits.py
@@ -94,13 +94,13 @@
     def merge(self, rows):
         """Merge the statements that a peer passes on.
 
-        :raises TypeError, ValueError: if malformed.
+        :raises TypeError, ValueError, OverflowError: if malformed.
         """
         for endpoint_id, incarnation, address, per_second, age_ms in rows:
             if per_second is not None and not 0 <= per_second < float("inf"):
                 raise ValueError(f"limit of {endpoint_id!r}: {per_second!r}")
             key = str(endpoint_id), int(incarnation), str(address)
-            stated_at = self._now() - max(0, age_ms) - MIN_NEWER_MS
+            stated_at = self._now() - max(0, int(age_ms)) - MIN_NEWER_MS
             self._apply(key, per_second, stated_at, "peer")
 
     def message(self):
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -330,7 +330,7 @@
             self._lease.token,
             sequence,
         )
-        head, _body = await self._send_request(state, order)
+        head, _body = await self._send_request(state, order, follows=True)
         metrics.count("orders", status=head.status)
         _log.info(
             "stage ordered",
@@ -370,7 +370,8 @@
             )
         else:
             is_absent = isinstance(exc, client.LinkBroken) and exc.absent
-            state.record_failure(is_absent)
+            if not isinstance(exc, endpoints_module.Withheld):
+                state.record_failure(is_absent)
         metrics.count("orders", status=cause.value)
         self._cooldowns.start(state.endpoint.id, cause, rest_ms)
         _log.warning(
@@ -381,14 +382,14 @@
             why=getattr(exc, "why", None) or repr(exc),
         )
 
-    async def _send_request(self, state, request):
+    async def _send_request(self, state, request, follows=False):
         """Send a request on a new connection and return the response.
 
         A pooled connection may be dead.  Closing a connection of its own
         discards unsent data, so that an abandoned order can't arrive later.
         """
         return await state.send_request(
-            request, sending.MAX_ANSWER_BYTES, fresh=True
+            request, sending.MAX_ANSWER_BYTES, fresh=True, follows=follows
         )
 
 
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -181,6 +181,58 @@
         self.assertTrue(self.state.is_unavailable())
 
 
+class RequestLimit(unittest.TestCase):
+    """An endpoint that has named a limit, of which the share is used up."""
+
+    def setUp(self):
+        """Have it name one request a second."""
+        self.ticker = clock.ManualClock(100_000)
+        self.state = endpoint_state(self.ticker)
+        self.name_limit(b"1")
+
+    def name_limit(self, value):
+        """Apply an answer that names a limit."""
+        head = messages.Head(200, b"", ((b"Server-Limit", value),))
+        self.state.apply_request_limit(head)
+
+    def test_reports_wait_for_a_share(self):
+        # Guards against requests to an engine by paths that count nothing.
+        request = messages.Request(b"GET", b"/report", ())
+        for fresh in (False, True):
+            with self.assertRaises(endpoints.Withheld):
+                anyio.run(self.state.send_request, request, 100, fresh)
+
+    def test_a_request_that_was_counted_is_sent(self):
+        # Guards against prompts that are prefilled in vain.
+        self.ticker.advance(1_000)
+        self.state.use_share()
+        pool = self.state._pool = SlowPool(lambda: None)
+        anyio.run(self.state.acquire_link)
+        self.assertEqual(pool.discarded, 0)
+        self.assertGreater(self.state.rest_ms, 0)
+
+    def test_failures_count_while_a_share_is_awaited(self):
+        # Guards against a crashed engine that counts as sound.
+        self.name_limit(b"100")
+        for _ in range(3):
+            self.state.record_failure()
+        self.ticker.advance(10)
+        self.assertEqual(self.state.rest_ms, 0)
+        self.assertFalse(self.state.is_usable())
+
+    def test_a_malformed_limit_changes_nothing(self):
+        self.name_limit(b"many")
+        self.assertTrue(self.state.is_limited)
+
+    def test_an_answer_without_a_limit_ends_it(self):
+        self.state.apply_request_limit(messages.Head(200, b"", ()))
+        self.assertFalse(self.state.is_limited)
+
+    def test_another_process_at_the_address_does_not_end_it(self):
+        self.state.apply_request_limit(messages.Head(421, b"", ()))
+        self.assertTrue(self.state.is_limited)
+
+
 class Rest(unittest.TestCase):
     """An endpoint that has asked for no requests for three seconds."""
 
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -107,8 +107,10 @@
             ["e1", 1, "a", -1, 0],
             ["e1", 1, "a", "x", 0],
             ["e1", 1, "a", 1.0, "x"],
+            ["e1", 1, "a", 1.0, float("nan")],
+            ["e1", 1, "a", 1.0, float("inf")],
         ):
-            with self.assertRaises((TypeError, ValueError)):
+            with self.assertRaises((TypeError, ValueError, OverflowError)):
                 self.limits.merge([row])
 
 
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -3,6 +3,7 @@
 import json
 import types
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -115,7 +116,7 @@
         self.report_by_id[name] = report or {"sequence": 0}
         self.order_by_id[name] = order
 
-    async def answer(self, state, request):
+    async def answer(self, state, request, follows=False):
         """Answer a report or an order."""
         name = state.endpoint.id
         answer = self.report_by_id[name]
@@ -134,6 +135,17 @@
             self.clock.advance(stage_manager.POLL_INTERVAL_MS)
             anyio.run(self.manager.poll)
 
+    def test_a_report_that_was_withheld_is_no_failure_of_the_engine(self):
+        # Guards against sound engines that are paused for naming a limit.
+        self.engine("e1", domain.PREFILL, endpoints.Withheld())
+        self.engine("e2", domain.PREFILL, endpoints.Withheld())
+        with mock.patch.object(
+            endpoints.EndpointState, "record_failure", autospec=True
+        ) as record_failure:
+            self.poll_for(4_000)
+        self.assertTrue(self.manager._cooldowns.active("e1"))
+        record_failure.assert_not_called()
+
     def test_an_engine_that_refuses_connections_delays_no_other_order(self):
         for failure in (REFUSED, NO_ANSWER, TimeoutError()):
             with self.subTest(failure=repr(failure)):
