Let the soak's endpoints name request limits, and judge that they are kept

A new kind, limit: an endpoint names 1 to 6 requests a second for 6 to 9 s. From 3 s after the first such answer, all gateways that passed one on half a second before may send one and a half times that in 4 s, and five more; one that was restarted, paused or cut is excused.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -48,6 +48,7 @@
         self._rng = random.Random(name)
         self.crashed = False
         self._is_leaving = False
+        self._limit = None
         self._silent_until = 0.0
         self._resting_until = 0.0
         self._requested_rest_seconds = 0.0
@@ -91,6 +92,14 @@
         """Send nothing for a time, then continue."""
         self._silent_until = time.monotonic() + seconds
 
+    def name_limit(self, per_second, seconds):
+        """Name a request limit in every answer for a time."""
+        start = time.monotonic()
+        self._limit = history_module.LimitSpan(
+            self.name, per_second, start, start + seconds
+        )
+        self._history.add(self._history.limit_spans, self._limit)
+
     def announce_leaving(self):
         """Say in every answer from now on that this endpoint leaves."""
         self._is_leaving = True
@@ -145,11 +154,19 @@
 
     def _answer(self, request, body=b"fine", status=200, **headers):
         return scripted.answer(
-            request, body, status, **headers, **self._leave_headers()
+            request, body, status, **headers, **self._own_headers(request)
         )
 
-    def _leave_headers(self):
-        return {"Server_Leaving": 1} if self._is_leaving else {}
+    def _own_headers(self, request):
+        """Return what this endpoint says of itself in an answer."""
+        headers = {"Server_Leaving": 1} if self._is_leaving else {}
+        attempt = request.header_by_name.get("attempt-id")
+        now = time.monotonic()
+        if self._limit is not None and now < self._limit.end and attempt:
+            headers["Server_Limit"] = self._limit.per_second
+            row = history_module.LimitNotice(attempt, self.name, now)
+            self._history.add(self._history.limit_notices, row)
+        return headers
 
     def _refuse_for_rest(self, request):
         seconds = self._requested_rest_seconds
@@ -248,7 +265,7 @@
         headers = request.header_by_name
         last = int(headers.get("last-event-id", 0))
         self._record_leave_notice(request)
-        yield scripted.stream_head(request, **self._leave_headers())
+        yield scripted.stream_head(request, **self._own_headers(request))
         # An engine may repeat an event that the caller already has.
         first = max(1, last + self._rng.randint(0, 1))
         for number in range(first, _last_event(headers["token-usage"]) + 1):
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -28,6 +28,15 @@
 REST_DELAY_SECONDS = 0.5
 # Requests of one gateway that may reach an endpoint in its rest.
 MAX_ARRIVALS_IN_REST = 2
+# From this time after an endpoint first named a request limit, it holds in
+# each window: this many times the limit, and some requests beyond.
+LIMIT_DELAY_SECONDS = 3.0
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# Between a gateway's first answer with the limit and the time from which its
+# requests count.
+TOLD_DELAY_SECONDS = 0.5
 # Arrivals beyond the first of each request, for all gateways together.
 RETRY_RATIO = 0.2
 RETRY_SLACK = 10
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,6 +6,7 @@
 from bench.soak import endpoint_wishes
 from bench.soak import limits
 from bench.soak import losses
+from bench.soak import request_limits
 from bench.soak import retries
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -28,6 +29,7 @@
         *limits.find_violations(history),
         *retries.find_violations(history),
         *endpoint_wishes.find_violations(history),
+        *request_limits.find_violations(history),
     ]
 
 
--- a/bench/soak/endpoint_faults.py
+++ b/bench/soak/endpoint_faults.py
@@ -1,4 +1,4 @@
-"""What sound endpoints do: ask for rest, announce their end, fall silent.
+"""What sound endpoints do: ask for less, announce their end, fall silent.
 
 None of it excuses a loss.
 """
@@ -9,6 +9,8 @@
 
 REQUESTED_REST_SECONDS = (1.0, 3.0)
 SILENCE_SECONDS = (0.8, 1.3)
+LIMITED_SECONDS = (6.0, 9.0)
+REQUESTS_PER_SECOND = (1.0, 6.0)
 
 
 def rest(deployment, rng, length):
@@ -37,6 +39,19 @@
             backend.rest(length, requested)
 
 
+def name_limit(deployment, rng, _length):
+    """Let an endpoint name a request limit for some seconds."""
+    name = rng.choice(sorted(deployment.backend_by_name))
+    per_second = round(rng.uniform(*REQUESTS_PER_SECOND), 1)
+    seconds = rng.uniform(*LIMITED_SECONDS)
+    deployment.record_fault(
+        f"{name} names a limit of {per_second} a second for {seconds:.1f} s"
+    )
+    backend = deployment.backend_by_name.get(name)
+    if backend is not None:
+        backend.name_limit(per_second, seconds)
+
+
 def fall_silent(deployment, rng, _length):
     """Let an endpoint send nothing for about a second."""
     name = rng.choice(sorted(deployment.backend_by_name))
--- a/bench/soak/endpoint_wishes.py
+++ b/bench/soak/endpoint_wishes.py
@@ -30,7 +30,7 @@
         number = bisect.bisect_right(times, end) - bisect.bisect_left(
             times, row.at + bounds.REST_DELAY_SECONDS
         )
-        if number > bounds.MAX_ARRIVALS_IN_REST and not _excuses_rest(
+        if number > bounds.MAX_ARRIVALS_IN_REST and not excuses_sends(
             history, sent.gateway, row.endpoint, row.at, end
         ):
             key = sent.gateway, row.endpoint
@@ -57,8 +57,8 @@
     return times
 
 
-def _excuses_rest(history, gateway, endpoint, start, end):
-    """Return whether a restart, freeze or cut came in the time of rest."""
+def excuses_sends(history, gateway, endpoint, start, end):
+    """Return whether a restart, freeze or cut came in a time."""
     return _was_restarted(history, gateway, start, end) or any(
         not disturbance.is_planned
         and disturbance.target in (gateway, endpoint)
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -42,6 +42,7 @@
 # generator of their own.
 ENDPOINT_KINDS = {
     "announce-leave": endpoint_faults.announce_leave,
+    "limit": endpoint_faults.name_limit,
     "rest": endpoint_faults.rest,
     "rest-all": endpoint_faults.rest_all,
     "silence": endpoint_faults.fall_silent,
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -78,6 +78,23 @@
     seconds: float
 
 
+class LimitNotice(typing.NamedTuple):
+    """An answer that named how many requests a second its endpoint takes."""
+
+    attempt: str
+    endpoint: str
+    at: float
+
+
+class LimitSpan(typing.NamedTuple):
+    """The time in which an endpoint names a request limit."""
+
+    endpoint: str
+    per_second: float
+    start: float
+    end: float
+
+
 class LeaveNotice(typing.NamedTuple):
     """A successful answer that says that its endpoint leaves."""
 
@@ -140,6 +157,8 @@
         self.arrivals = []
         self.rest_requests = []
         self.leave_notices = []
+        self.limit_notices = []
+        self.limit_spans = []
         self.orders = []
         self.gateway_by_holder = {}
         self.disturbances = []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -47,6 +47,11 @@
             3, "hup-in-drain", "stop-twice", "hup-and-stop", planned=True
         )
 
+    def test_endpoints_that_name_limits(self):
+        # Guards against gateways that together send more than was named.
+        history = self.check(411, "limit", "hup", "publish", planned=True)
+        self.assertTrue(history.limit_notices)
+
     def test_endpoints_that_rest_leave_and_fall_silent(self):
         # Guards against requests to endpoints that asked for none.
         history = self.check(
