--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -134,6 +134,22 @@
         bringup.wait_until(lambda: self.is_ready(name), what=name)
         return front
 
+    def gateways(self, count, **bounds):
+        """Start gateways, wait until each lists all; return addresses."""
+        names = [f"gateway-{number}" for number in range(1, count + 1)]
+        fronts = [
+            self.start_without_waiting(name, f"127.0.0.{number}", **bounds)
+            for number, name in enumerate(names, 1)
+        ]
+        bringup.wait_until(
+            lambda: all(
+                self.is_ready(name) and len(self.addresses(name)) == count
+                for name in names
+            ),
+            what="acquaintance",
+        )
+        return fronts
+
     def start_without_waiting(
         self, name="gateway-1", ip="127.0.0.1", **bounds
     ):
--- a/tests/integration/test_gateway_crashing.py
+++ b/tests/integration/test_gateway_crashing.py
@@ -88,18 +88,7 @@
         )
         for number in range(ENGINES):
             Engine(self, number)
-        names = [f"gateway-{n}" for n in range(1, GATEWAYS + 1)]
-        self.fronts = [
-            self.start_without_waiting(name, f"127.0.0.{n}", budget_slack=400)
-            for n, name in enumerate(names, 1)
-        ]
-        bringup.wait_until(
-            lambda: all(
-                self.is_ready(name) and len(self.addresses(name)) == len(names)
-                for name in names
-            ),
-            what="acquaintance",
-        )
+        self.fronts = self.gateways(GATEWAYS, budget_slack=400)
 
     def run_later(self, seconds, action):
         """Call ``action`` later, unless the test ends before."""
--- a/tests/integration/test_gateway_request_limits.py
+++ b/tests/integration/test_gateway_request_limits.py
@@ -62,7 +62,7 @@
     """Gateways that share the limit of an endpoint."""
 
     def setUp(self):
-        """Publish routes and start gateways that know each other."""
+        """Publish a route of calls and one of streams."""
         super().setUp()
         self.publish(
             route("look", "app", "safe"),
@@ -72,21 +72,6 @@
         self.addCleanup(self.stop.set)
         self.answers = []
 
-    def start(self):
-        """Start the gateways."""
-        names = [f"gateway-{n}" for n in range(1, GATEWAYS + 1)]
-        self.fronts = [
-            self.start_without_waiting(name, f"127.0.0.{n}", budget_slack=400)
-            for n, name in enumerate(names, 1)
-        ]
-        bringup.wait_until(
-            lambda: all(
-                self.is_ready(name) and len(self.addresses(name)) == len(names)
-                for name in names
-            ),
-            what="acquaintance",
-        )
-
     def engine(self, name, script, stage="decode"):
         """Start an engine."""
         return self.endpoint(name, script, "model", stage=stage)
@@ -116,7 +101,7 @@
 
         Return the answers of the time in which the limit has to hold.
         """
-        self.start()
+        self.fronts = self.gateways(GATEWAYS, budget_slack=400)
         callers = base.Background(
             lambda number: self.send(number, path, headers),
             [(number,) for number in range(CALLERS)],
