Keep no answers and networks of tests that have ended

The tests of a gateway no longer load certificates for each plain request, the cases keep figures only. No check changes.

--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -58,6 +58,8 @@
     def start(self, size):
         """Start gateways that know each other."""
         self.network = dissemination.Network(size, LOSS, seed=3)
+        # The runner keeps the test case, and would keep the network.
+        self.addCleanup(delattr, self, "network")
         self.network.play(dissemination.WARM_UP_MS)
         self.ips = sorted(self.network.guard_by_ip)
         self.crashes = 0
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -217,6 +217,8 @@
             content=content,
             timeout=10,
             trust_env=False,
+            # Loading certificates takes longer than the request.
+            verify=False,
         )
 
     def terminate(self, name="gateway-1"):
--- a/tests/integration/test_gateway_request_limits.py
+++ b/tests/integration/test_gateway_request_limits.py
@@ -4,6 +4,7 @@
 import itertools
 import threading
 import time
+import typing
 
 import httpx
 
@@ -26,6 +27,15 @@
 LIMITED_SECONDS = STABLE_SECONDS + 2 * WINDOW_SECONDS
 
 
+class Answer(typing.NamedTuple):
+    """What a caller got; ``status`` is ``None`` if it was no answer."""
+
+    sent_at: float
+    status: int | None
+    seconds: float = 0.0
+    retry_after: float = 0.0
+
+
 class Limited:
     """The script of an endpoint that names a limit for a time."""
 
@@ -90,10 +100,16 @@
             at = time.monotonic()
             try:
                 answer = self.ask(front, path, attempt, **headers)
-            except httpx.HTTPError as exc:
-                self.answers.append((at, repr(exc)))
+            except httpx.HTTPError:
+                self.answers.append(Answer(at, None))
             else:
-                self.answers.append((at, answer))
+                row = Answer(
+                    at,
+                    answer.status_code,
+                    answer.elapsed.total_seconds(),
+                    float(answer.headers.get("retry-after", 0)),
+                )
+                self.answers.append(row)
             time.sleep(0.05)
 
     def check(self, path, limited, **headers):
@@ -125,7 +141,7 @@
         self.stop.set()
         callers.join()
         start = limited.named_at + STABLE_SECONDS
-        return [answer for at, answer in self.answers if start < at < end]
+        return [row for row in self.answers if start < row.sent_at < end]
 
     def test_calls_of_all_gateways_keep_to_the_limit(self):
         # Guards against shares of a limit that add up to too much.
@@ -133,7 +149,7 @@
         self.endpoint("one", limited)
         self.endpoint("two", self.sound)
         answers = self.check("/look/x", limited)
-        self.assertEqual({answer.status_code for answer in answers}, {200})
+        self.assertEqual({answer.status for answer in answers}, {200})
 
     def test_streams_of_all_gateways_keep_to_the_limit(self):
         # Guards against prompts that are read for an engine without room.
@@ -145,7 +161,7 @@
             test_gateway_streams.MODEL_HEADERS, Token_Usage="8000,2"
         )
         answers = self.check("/chat/x", limited, **headers)
-        served = [answer for answer in answers if answer.status_code == 200]
+        served = [answer for answer in answers if answer.status == 200]
         self.assertGreater(len(served), 0.9 * len(answers))
 
     def test_prefills_of_all_gateways_keep_to_the_limit(self):
@@ -165,10 +181,9 @@
         self.engine("one", limited)
         headers = test_gateway_streams.MODEL_HEADERS
         answers = self.check("/chat/x", limited, **headers)
-        refused = [a for a in answers if a.status_code in (429, 503)]
-        served = [a for a in answers if a.status_code == 200]
+        refused = [a for a in answers if a.status in (429, 503)]
+        served = [a for a in answers if a.status == 200]
         self.assertEqual(len(refused) + len(served), len(answers))
         self.assertGreater(len(served), REQUESTS_PER_SECOND)
-        for answer in refused:
-            self.assertLess(answer.elapsed.total_seconds(), 0.5)
-            self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.assertLess(max(answer.seconds for answer in refused), 0.5)
+        self.assertGreater(min(answer.retry_after for answer in refused), 0)
