--- a/bench/dissemination.py
+++ b/bench/dissemination.py
@@ -120,7 +120,7 @@
             for number in range(max(4, size // GATEWAYS_PER_ENGINE))
             for found in [endpoint(number)]
         }
-        cell = cell_membership.CellMembership(settings, view)
+        cell = cell_membership.CellMembership(settings, view, now)
         guard = self.guard_by_ip[ip] = crash_guard.CrashGuard(now)
         known = endpoints.Endpoints(view, now)
         self.limits_by_ip[ip] = known.request_limits
@@ -166,6 +166,7 @@
         found = self.peers_by_ip.get(ip)
         if found is not None:
             self._cell_by_ip[ip].update(found.table.members())
+            found._endpoints.sweep()
             self._at(250, self._sweep, ip)
 
     def carry(self, raw, sender, ip):
--- a/clementinewall/gateway/cell_membership.py
+++ b/clementinewall/gateway/cell_membership.py
@@ -7,19 +7,36 @@
 
 _log = logs.PartLog("cell")
 
+# A gateway that hears fewer others may only be cut off from them: for this
+# time its share of a request limit stays that of the larger cell.
+SIZE_MEMORY_MS = 600_000
+
 
 class CellMembership:
     """Keeps the cell of this gateway current."""
 
-    def __init__(self, settings, fleet_view):
-        """Start as the only gateway, without engines."""
+    def __init__(self, settings, fleet_view, now):
+        """Start as the only gateway, without engines; ``now`` returns ms."""
         self._ip = settings.ip
         self._fleet_view = fleet_view
+        self._now = now
         self._cell = cells.Cell(frozenset((self._ip,)), frozenset())
         self._assigned = None
+        self._largest_size = 1
+        self._largest_at = now()
 
     def update(self, live_ips):
         """Reassign the cells if the live gateways or engines changed."""
+        self._assign(live_ips)
+        size = len(self._cell.gateways)
+        if (
+            size >= self._largest_size
+            or self._now() - self._largest_at > SIZE_MEMORY_MS
+        ):
+            self._largest_size = size
+            self._largest_at = self._now()
+
+    def _assign(self, live_ips):
         engines = [
             cells.Engine(endpoint.id, endpoint.service, endpoint.stage)
             for endpoint in self._fleet_view.endpoint_by_id.values()
@@ -52,12 +69,15 @@
     def limit_group(self, endpoint, all_ips):
         """Return the gateways that share the request limit of an endpoint.
 
-        ``all_ips`` are those of the other gateways.
+        ``all_ips`` are those of all other gateways that ever registered.
         """
         if endpoint.stage not in domain.STAGES:
-            return request_limits.Group(frozenset((self._ip, *all_ips)), True)
+            ips = frozenset((self._ip, *all_ips))
+            return request_limits.Group(ips, len(ips), True)
         is_member = endpoint.id in self._cell.engines
-        return request_limits.Group(self._cell.gateways, is_member)
+        return request_limits.Group(
+            self._cell.gateways, self._largest_size, is_member
+        )
 
     def cell_engines(self, states):
         """Return those of the cell, or all if it has no decode engine."""
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -133,7 +133,7 @@
             )
             return
         if not calls.is_misdirected(head):
-            self._limits.state(self.endpoint, per_second)
+            self._limits.record(self.endpoint, per_second)
 
     async def acquire_link(self):
         """Return a connection for one request, counted by :meth:`use_share`.
@@ -440,7 +440,7 @@
 
     def sweep(self):
         """Close the connections of removed endpoints, and idle ones."""
-        self.request_limits.sweep()
+        self.request_limits.sweep(self._fleet_view.endpoint_by_id)
         current = {
             endpoint.incarnation_key
             for endpoint in self._fleet_view.endpoint_by_id.values()
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -58,7 +58,7 @@
         self._endpoints = endpoints.Endpoints(self._fleet_view, now)
         self._crash_guard = crash_guard.CrashGuard(now)
         self._cell_membership = cell_membership.CellMembership(
-            settings, self._fleet_view
+            settings, self._fleet_view, now
         )
         self._peers = peers.Peers(
             settings,
--- a/clementinewall/gateway/request_limits.py
+++ b/clementinewall/gateway/request_limits.py
@@ -5,16 +5,12 @@
 shares of :mod:`clementinewall.policy.request_limit` follow from the gateways
 that share an endpoint: those of its cell for an engine, all for a service.
 Views of these differ for a while when gateways start or stop, so a share that
-grows is used only after :data:`GROWTH_DELAY_MS`, and a gateway that hears
-fewer others keeps its share for :data:`GROUP_MEMORY_MS`: it may only be cut
-off from them.
+grows is used only after :data:`GROWTH_DELAY_MS`.
 """
 
-import collections
+import math
 import typing
 
-from clementinewall import clock
-from clementinewall import domain
 from clementinewall import logs
 from clementinewall.membership import members
 from clementinewall import metrics
@@ -23,9 +19,6 @@
 _log = logs.PartLog("limit")
 
 GROWTH_DELAY_MS = 3_000
-GROUP_MEMORY_MS = 600_000
-# A share is computed anew after this time.
-REFRESH_MS = 250
 # Statements are passed on while they are younger, and kept that long if they
 # say that there is no limit any more.
 SPREAD_MS = 5_000
@@ -39,19 +32,17 @@
 
 
 class Group(typing.NamedTuple):
-    """The gateways that share an endpoint; ``is_member`` if this one does."""
+    """The gateways that share an endpoint.
+
+    ``ips`` are those known now, ``size`` is how many there may be, and
+    ``is_member`` tells whether this gateway is one of them.
+    """
 
     ips: frozenset[str]
+    size: int
     is_member: bool
 
 
-class Share(typing.NamedTuple):
-    """How often this gateway may use an endpoint, computed at ``at``."""
-
-    at: clock.Millis
-    interval_ms: float
-
-
 class _Limit:
     """What is known of the limit of one incarnation of an endpoint."""
 
@@ -60,7 +51,17 @@
         self.stated_at = now
         # When this gateway used its share last.
         self.used_at = now
-        self.shares = collections.deque()
+        # The time between two uses, ``None`` until the share is known.
+        self.interval_ms = None
+        self.may_grow_at = now
+
+    def apply_interval(self, interval_ms, now):
+        """Apply a share: a smaller one at once, a larger one if it lasts."""
+        if self.interval_ms is None or interval_ms >= self.interval_ms:
+            self.may_grow_at = now + GROWTH_DELAY_MS
+        elif now < self.may_grow_at:
+            return
+        self.interval_ms = interval_ms
 
 
 class RequestLimits:
@@ -72,7 +73,6 @@
         self._now = now
         self._limit_by_incarnation = {}
         self._find_group = _only_own
-        self._largest_by_kind = {}
 
     def share_with(self, own_ip, find_group):
         """Share limits with the :class:`Group` of ``find_group(endpoint)``."""
@@ -84,12 +84,39 @@
         limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
         return limit and limit.per_second
 
-    def state(self, endpoint, per_second):
-        """Apply what an endpoint says now; ``None`` is no limit."""
+    def wait_ms(self, endpoint):
+        """Return after which time this gateway may use an endpoint."""
+        limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
+        if limit is None or limit.per_second is None:
+            return 0
+        interval_ms = limit.interval_ms
+        if interval_ms is None:
+            interval_ms = request_limit.EXCLUDED_INTERVAL_MS
+        return max(0, limit.used_at + interval_ms - self._now())
+
+    def message(self):
+        """Return the latest statements as plain data, for peers."""
+        now = self._now()
+        recent = [
+            (now - limit.stated_at, key, limit.per_second)
+            for key, limit in self._limit_by_incarnation.items()
+            if now - limit.stated_at < SPREAD_MS
+        ]
+        recent.sort(key=lambda row: row[0])
+        return [
+            [*key, per_second, age_ms]
+            for age_ms, key, per_second in recent[:MAX_ROWS]
+        ]
+
+    def record(self, endpoint, per_second):
+        """Record what an endpoint says now; ``None`` is no limit."""
         key = endpoint.incarnation_key
         if per_second is None and key not in self._limit_by_incarnation:
             return
         self._apply(key, per_second, self._now(), "own")
+        limit = self._limit_by_incarnation.get(key)
+        if limit is not None and limit.interval_ms is None:
+            self._update_share(endpoint, limit)
 
     def merge(self, rows):
         """Merge the statements that a peer passes on.
@@ -97,25 +124,30 @@
         :raises TypeError, ValueError, OverflowError: if malformed.
         """
         for endpoint_id, incarnation, address, per_second, age_ms in rows:
-            if per_second is not None and not 0 <= per_second < float("inf"):
+            if per_second is not None and not 0 <= per_second < math.inf:
                 raise ValueError(f"limit of {endpoint_id!r}: {per_second!r}")
             key = str(endpoint_id), int(incarnation), str(address)
             stated_at = self._now() - max(0, int(age_ms)) - MIN_NEWER_MS
             self._apply(key, per_second, stated_at, "peer")
 
-    def message(self):
-        """Return the latest statements as plain data, for peers."""
+    def use(self, endpoint):
+        """Count a request that is sent to an endpoint, or soon will be."""
+        limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
+        if limit is not None:
+            limit.used_at = self._now()
+
+    def sweep(self, endpoint_by_id):
+        """Forget old statements and update the shares of known endpoints."""
         now = self._now()
-        recent = [
-            (now - limit.stated_at, key, limit.per_second)
-            for key, limit in self._limit_by_incarnation.items()
-            if now - limit.stated_at < SPREAD_MS
-        ]
-        recent.sort(key=lambda row: row[0])
-        return [
-            [*key, per_second, age_ms]
-            for age_ms, key, per_second in recent[:MAX_ROWS]
-        ]
+        for key, limit in list(self._limit_by_incarnation.items()):
+            is_over = limit.per_second is None
+            kept_ms = SPREAD_MS if is_over else RETENTION_MS
+            if now - limit.stated_at > kept_ms:
+                del self._limit_by_incarnation[key]
+                continue
+            endpoint = endpoint_by_id.get(key[0])
+            if endpoint is not None and endpoint.incarnation_key == key:
+                self._update_share(endpoint, limit)
 
     def _apply(self, key, per_second, stated_at, source):
         limit = self._limit_by_incarnation.get(key)
@@ -131,7 +163,7 @@
         if limit.per_second is None:
             limit.used_at = self._now()
         limit.per_second = per_second
-        limit.shares.clear()
+        limit.interval_ms = None
         metrics.count("request_limits", source=source)
         _log.info(
             "endpoint names no limit any more"
@@ -142,69 +174,29 @@
             source=source,
         )
 
-    def wait_ms(self, endpoint):
-        """Return after which time this gateway may use an endpoint."""
-        limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
-        if limit is None or limit.per_second is None:
-            return 0
-        interval_ms = self._interval_ms(endpoint, limit)
-        return max(0, limit.used_at + interval_ms - self._now())
-
-    def use(self, endpoint):
-        """Count a request that is sent to an endpoint, or soon will be."""
-        limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
-        if limit is not None:
-            limit.used_at = self._now()
-
-    def _interval_ms(self, endpoint, limit):
-        """Return the longest interval of the last shares."""
-        now = self._now()
-        shares = limit.shares
-        if not shares or now - shares[-1].at >= REFRESH_MS:
-            share = self._share(endpoint, limit.per_second, now)
-            if not shares or shares[-1].interval_ms != share.interval_ms:
-                _log.info(
-                    "share of a limit",
-                    endpoint=endpoint.id,
-                    per_second=limit.per_second,
-                    interval_ms=round(share.interval_ms),
-                )
-            shares.append(share)
-        while now - shares[0].at > GROWTH_DELAY_MS and len(shares) > 1:
-            shares.popleft()
-        return max(share.interval_ms for share in shares)
-
-    def _share(self, endpoint, per_second, now):
+    def _update_share(self, endpoint, limit):
+        if limit.per_second is None:
+            return
+        before = limit.interval_ms
+        interval_ms = self._share(endpoint, limit.per_second)
+        limit.apply_interval(interval_ms, self._now())
+        if limit.interval_ms != before:
+            _log.info(
+                "share of a limit",
+                endpoint=endpoint.id,
+                per_second=limit.per_second,
+                interval_ms=round(limit.interval_ms),
+            )
+
+    def _share(self, endpoint, per_second):
+        """Return the time between two requests of this gateway, in ms."""
         group = self._find_group(endpoint)
         count = request_limit.max_senders(per_second)
         senders = members.rendezvous(endpoint.id, group.ips)[:count]
         if not group.is_member or self._own_ip not in senders:
-            return Share(now, request_limit.EXCLUDED_INTERVAL_MS)
-        kind = endpoint.stage in domain.STAGES
-        largest = self._largest(kind, len(group.ips), now)
-        return Share(
-            now,
-            request_limit.interval_ms(per_second, min(count, largest)),
-        )
-
-    def _largest(self, kind, size, now):
-        """Return the largest size of a kind of group in the last time."""
-        known, known_at = self._largest_by_kind.get(kind, (0, now))
-        if size >= known or now - known_at > GROUP_MEMORY_MS:
-            known, known_at = size, now
-        self._largest_by_kind[kind] = known, known_at
-        return known
-
-    def sweep(self):
-        """Forget limits that are over, and those nobody spoke of for long."""
-        now = self._now()
-        for key, limit in list(self._limit_by_incarnation.items()):
-            is_over = limit.per_second is None
-            if now - limit.stated_at > (
-                SPREAD_MS if is_over else RETENTION_MS
-            ):
-                del self._limit_by_incarnation[key]
+            return request_limit.EXCLUDED_INTERVAL_MS
+        return request_limit.interval_ms(per_second, min(count, group.size))
 
 
 def _only_own(_endpoint):
-    return Group(frozenset(("",)), True)
+    return Group(frozenset(("",)), 1, True)
--- a/clementinewall/lab/gateway.py
+++ b/clementinewall/lab/gateway.py
@@ -39,7 +39,7 @@
         self.endpoints = endpoints.Endpoints(view, loop.time_ms)
         self.table = peer_table.PeerTable(ip, loop.time_ms)
         self._cell_membership = cell_membership.CellMembership(
-            _settings(ip), view
+            _settings(ip), view, loop.time_ms
         )
         self.placer = placing.Placer(
             _settings(ip),
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -64,7 +64,7 @@
             lambda: True,
             self.endpoints,
             crash_guard.CrashGuard(now),
-            cell_membership.CellMembership(SETTINGS, known),
+            cell_membership.CellMembership(SETTINGS, known, now),
         )
         self.wire = _Wire()
         self.peers._datagrams = self.wire
@@ -285,7 +285,7 @@
             lambda: True,
             endpoints.Endpoints(known, now),
             crash_guard.CrashGuard(now),
-            cell_membership.CellMembership(SETTINGS, known),
+            cell_membership.CellMembership(SETTINGS, known, now),
         )
         heartbeat = ["10.0.0.2", "", "a", True, 0]
         state = {"sign": heartbeat, "work": {}, "away": {}}
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -75,7 +75,7 @@
         }
         self.endpoints = endpoints.Endpoints(self.fleet_view, now)
         self.cell_membership = cell_membership.CellMembership(
-            SETTINGS, self.fleet_view
+            SETTINGS, self.fleet_view, now
         )
         self.cell_membership.update(GATEWAYS[1:])
         table = peer_table.PeerTable(GATEWAYS[0], now)
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -27,13 +27,16 @@
         """Share limits with seven other gateways."""
         self.clock = clock.ManualClock(100_000)
         self.limits = request_limits.RequestLimits(self.clock.now)
-        self.group = request_limits.Group(frozenset((OWN, *OTHERS)), True)
+        self.group = request_limits.Group(
+            frozenset((OWN, *OTHERS)), 1 + len(OTHERS), True
+        )
         self.limits.share_with(OWN, lambda _endpoint: self.group)
 
     def sends(self, milliseconds):
         """Return how many requests are sent if there are always some."""
         sent = 0
         for _ in range(milliseconds // STEP_MS):
+            self.limits.sweep({ENGINE.id: ENGINE})
             if not self.limits.wait_ms(ENGINE):
                 self.limits.use(ENGINE)
                 sent += 1
@@ -41,47 +44,63 @@
         return sent
 
     def test_without_a_limit_nothing_waits(self):
-        self.limits.state(ENGINE, None)
+        self.limits.record(ENGINE, None)
         self.assertEqual(self.sends(1_000), 1_000 // STEP_MS)
 
     def test_the_share_is_used_at_even_intervals(self):
-        self.limits.state(ENGINE, 100.0)
+        self.limits.record(ENGINE, 100.0)
         self.assertAlmostEqual(self.sends(WINDOW_MS), 400 / 8, delta=3)
 
     def test_the_end_of_a_limit_ends_the_wait(self):
-        self.limits.state(ENGINE, PER_SECOND)
+        self.limits.record(ENGINE, PER_SECOND)
         self.assertGreater(self.limits.wait_ms(ENGINE), 0)
-        self.limits.state(ENGINE, None)
+        self.limits.record(ENGINE, None)
         self.assertEqual(self.limits.wait_ms(ENGINE), 0)
 
     def test_another_incarnation_has_named_no_limit(self):
-        self.limits.state(ENGINE, PER_SECOND)
+        self.limits.record(ENGINE, PER_SECOND)
         other = ENGINE._replace(incarnation=2)
         self.assertEqual(self.limits.wait_ms(other), 0)
 
     def test_a_limit_of_zero_leaves_a_request_at_times(self):
         # Guards against a limit whose end nobody hears of.
-        self.limits.state(ENGINE, 0.0)
-        self.group = request_limits.Group(frozenset((OWN,)), True)
+        self.limits.record(ENGINE, 0.0)
+        self.group = request_limits.Group(frozenset((OWN,)), 1, True)
         self.assertLessEqual(self.sends(60_000), 6)
         self.assertGreater(self.sends(60_000), 0)
 
-    def test_fewer_known_gateways_do_not_enlarge_the_share(self):
-        # Guards against a gateway that is cut off from the others and takes
-        # their shares for its own.
-        self.limits.state(ENGINE, 100.0)
+    def test_a_share_that_grows_is_used_later(self):
+        # Guards against shares of two views of the gateways at once.
+        self.limits.record(ENGINE, 100.0)
+        self.sends(1_000)
+        self.group = request_limits.Group(frozenset((OWN,)), 1, True)
+        small = self.sends(request_limits.GROWTH_DELAY_MS)
+        self.assertAlmostEqual(small, 300 / 8, delta=3)
+        self.assertAlmostEqual(self.sends(WINDOW_MS), 400 / 2, delta=10)
+
+    def test_a_share_that_shrinks_is_used_at_once(self):
+        self.group = request_limits.Group(frozenset((OWN,)), 1, True)
+        self.limits.record(ENGINE, 100.0)
         self.sends(1_000)
-        self.group = request_limits.Group(frozenset((OWN,)), True)
+        self.group = request_limits.Group(self.group.ips, 8, True)
         self.assertAlmostEqual(self.sends(WINDOW_MS), 400 / 8, delta=3)
 
     def test_an_engine_that_joins_the_cell_is_not_used_at_once(self):
         # Guards against shares of two cells while gateways differ in views.
-        self.group = request_limits.Group(self.group.ips, False)
-        self.limits.state(ENGINE, PER_SECOND)
+        self.group = self.group._replace(is_member=False)
+        self.limits.record(ENGINE, PER_SECOND)
         self.sends(1_000)
-        self.group = request_limits.Group(self.group.ips, True)
-        delay_ms = request_limits.GROWTH_DELAY_MS - request_limits.REFRESH_MS
+        self.group = self.group._replace(is_member=True)
+        delay_ms = request_limits.GROWTH_DELAY_MS - STEP_MS
         self.assertEqual(self.sends(delay_ms), 0)
+        self.assertGreater(self.sends(WINDOW_MS), 0)
+
+    def test_a_limit_heard_from_a_peer_waits_for_the_share(self):
+        # Guards against requests before the number of senders is known.
+        self.limits.merge([[*ENGINE.incarnation_key, 100.0, 0]])
+        self.clock.advance(1_000)
+        self.assertGreater(self.limits.wait_ms(ENGINE), 0)
+        self.assertAlmostEqual(self.sends(WINDOW_MS), 400 / 8, delta=3)
 
     def test_a_later_statement_of_a_peer_holds(self):
         self.limits.merge([[*ENGINE.incarnation_key, PER_SECOND, 0]])
@@ -92,9 +111,9 @@
 
     def test_an_earlier_statement_of_a_peer_is_ignored(self):
         # Guards against limits that come back while peers pass them on.
-        self.limits.state(ENGINE, PER_SECOND)
+        self.limits.record(ENGINE, PER_SECOND)
         self.clock.advance(1_000)
-        self.limits.state(ENGINE, None)
+        self.limits.record(ENGINE, None)
         self.limits.merge([[*ENGINE.incarnation_key, PER_SECOND, 500]])
         self.assertIsNone(self.limits.per_second(ENGINE))
 
@@ -123,16 +142,19 @@
         self.addCleanup(loguru.logger.enable, "clementinewall")
         network = dissemination.Network(size, loss, seed=5)
         network.play(dissemination.WARM_UP_MS)
+        for peers in network.peers_by_ip.values():
+            known = peers._endpoints._fleet_view.endpoint_by_id
+            known[endpoint.id] = endpoint
         limits = network.limits_by_ip
         first = sorted(limits)[0]
-        limits[first].state(endpoint, PER_SECOND)
+        limits[first].record(endpoint, PER_SECOND)
         network.play(3_000)
         times = []
         for _ in range(3 * WINDOW_MS // FLEET_STEP_MS):
             for ip in limits:
                 if not limits[ip].wait_ms(endpoint):
                     limits[ip].use(endpoint)
-                    limits[ip].state(endpoint, PER_SECOND)
+                    limits[ip].record(endpoint, PER_SECOND)
                     times.append(network.clock.now())
             network.play(FLEET_STEP_MS)
         most = max(
@@ -165,9 +187,9 @@
         for ip in ips:
             limits = request_limits.RequestLimits(now)
             limits.share_with(
-                ip, lambda _endpoint: request_limits.Group(ips, True)
+                ip, lambda _endpoint: request_limits.Group(ips, 350, True)
             )
-            limits.state(SERVICE, PER_SECOND)
+            limits.record(SERVICE, PER_SECOND)
             excluded_ms = request_limit.EXCLUDED_INTERVAL_MS
             senders += limits.wait_ms(SERVICE) < excluded_ms
         self.assertEqual(senders, request_limit.max_senders(PER_SECOND))
