Look a request up in the crash records once for each send, by one digest

A request was checked when it was accepted and again before its first send, and each look read its whole body for the digest, up to four times a request. The relays' look before each send covers the first one, so the other is gone, and the exchange makes the digest once. New records that are passed on were only dropped when a message was made, so a gateway without peers kept each for ever: they are now dropped with the expired ones.

Before: test_records_are_kept_for_messages_only_as_long_as_they_are_sent failed (4,000 kept where 301 may be).

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -23,9 +23,7 @@
 class Callers:
     """Serves the callers' connections of this gateway."""
 
-    def __init__(
-        self, fleet_view, budgets, crash_guard, plain, streams, drain, now
-    ):
+    def __init__(self, fleet_view, budgets, plain, streams, drain, now):
         """Dispatch requests to the relays ``plain`` and ``streams``.
 
         ``drain`` decides which requests can be finished before the process
@@ -33,7 +31,6 @@
         """
         self._fleet_view = fleet_view
         self._budgets = budgets
-        self._crash_guard = crash_guard
         self._plain = plain
         self._streams = streams
         self._now = now
@@ -181,7 +178,6 @@
                 f"no service is configured for route {route.name}"
             )
         self._budgets.count_request(service)
-        self._crash_guard.check(call)
         exchange = exchanges.Exchange(
             connection, call, route, service, self._now
         )
--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -5,8 +5,6 @@
 the messages between gateways.
 """
 
-import hashlib
-
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall.membership import crashes
@@ -16,7 +14,6 @@
 
 _log = logs.PartLog("guard")
 
-DIGEST_BYTES = 8
 # 422 would blame the caller's request, which a crash record cannot prove:
 # endpoints also fail for unrelated reasons.
 STATUS = 502
@@ -30,21 +27,21 @@
         self._table = crashes.CrashTable(now)
         self._unsent = []
 
-    def check(self, call):
+    def check(self, exchange):
         """Refuse a request that crashed two endpoints.
 
         :raises HarmfulRequest: if it did.
         """
-        if self._table.is_harmful(_digest(call)):
+        if self._table.is_harmful(exchange.digest):
             error = errors.HarmfulRequest("this request crashed two endpoints")
             error.status = STATUS
             raise error
 
-    def record_answer(self, call):
+    def record_answer(self, exchange):
         """Clear the crash records of a request that was answered."""
-        self._table.clear(_digest(call))
+        self._table.clear(exchange.digest)
 
-    def record_failure(self, call, state, failure, strong):
+    def record_failure(self, exchange, state, failure, strong):
         """Record a crash if the request may have run when it broke off.
 
         ``strong`` tells that it had just begun to run, or not yet.
@@ -54,12 +51,12 @@
         if failure.verdict is not verdicts.Verdict.MAY_HAVE_RUN:
             return
         incarnation = f"{state.endpoint.id}/{state.endpoint.incarnation}"
-        digest = _digest(call)
+        digest = exchange.digest
         if self._table.add(digest, incarnation, strong=strong):
             self._unsent.append((digest, incarnation, 0, strong))
             _log.info(
                 "connection broke during a request; crash recorded",
-                request=call.attempt,
+                request=exchange.call.attempt,
                 endpoint=state.endpoint.id,
                 digest=digest,
             )
@@ -107,11 +104,3 @@
                 crashed=sorted(self._table.endpoints(digest)),
                 source=source,
             )
-
-
-def _digest(call):
-    digest = hashlib.sha256(call.host.encode())
-    digest.update(call.target)
-    digest.update(b"\0")
-    digest.update(call.body)
-    return digest.hexdigest()[: 2 * DIGEST_BYTES]
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -1,5 +1,7 @@
 """The state of one request, from its arrival to its answer."""
 
+import functools
+import hashlib
 import json
 import random
 
@@ -20,6 +22,7 @@
 # After so many unreachable endpoints a request fails: each one costs a round
 # trip or a connection timeout.
 MAX_UNREACHED_SENDS = 4
+DIGEST_BYTES = 8
 _REASONS = {
     400: b"Bad Request",
     404: b"Not Found",
@@ -88,6 +91,16 @@
         self.tried_ids = set()
         self._unreached = 0
 
+    @functools.cached_property
+    def digest(self):
+        """Return what identifies the request in crash records."""
+        call = self.call
+        digest = hashlib.sha256(call.host.encode())
+        digest.update(call.target)
+        digest.update(b"\0")
+        digest.update(call.body)
+        return digest.hexdigest()[: 2 * DIGEST_BYTES]
+
     @property
     def left_ms(self):
         """Return the time left until the deadline of the answer."""
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -32,7 +32,7 @@
         """
         last = None
         while True:
-            self._crash_guard.check(exchange.call)
+            self._crash_guard.check(exchange)
             state = self._choose_endpoint(exchange)
             if state is None:
                 break
@@ -55,7 +55,7 @@
                     break
                 continue
             state.health.record_success()
-            self._crash_guard.record_answer(exchange.call)
+            self._crash_guard.record_answer(exchange)
             await exchange.connection.answer(calls.forwarded_head(head), body)
             return
         if last is not None and last.answer is not None:
@@ -159,7 +159,7 @@
         exchange.record_failure(exc)
         if exc.answer is None:
             state.record_failure(exc.absent)
-        self._crash_guard.record_failure(exchange.call, state, exc, True)
+        self._crash_guard.record_failure(exchange, state, exc, True)
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -116,7 +116,6 @@
         self._callers = callers.Callers(
             self._fleet_view,
             self._budgets,
-            self._crash_guard,
             self._plain,
             self._streams,
             drain,
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -69,7 +69,7 @@
         stream = stream_answer.StreamAnswer(exchange)
         last = None
         while True:
-            self._crash_guard.check(exchange.call)
+            self._crash_guard.check(exchange)
             plan = self._placer.place(exchange, last)
             self._drain.check_stream(exchange, plan.option.first_ms)
             spent = _budgeted_sends(exchange, plan)
@@ -92,7 +92,7 @@
                 if not exchange.may_retry():
                     break
                 continue
-            self._crash_guard.record_answer(exchange.call)
+            self._crash_guard.record_answer(exchange)
             if exchange.first_event_ms is not None:
                 self._drain.record_stream(exchange, exchange.first_event_ms)
             return
@@ -179,7 +179,7 @@
         """
         try:
             self._drain.check_stream(exchange, 0)
-            self._crash_guard.check(exchange.call)
+            self._crash_guard.check(exchange)
         except (errors.Draining, errors.HarmfulRequest):
             self._group.start_soon(
                 self._free_handle, plan.prefill_engine, prefilled
@@ -337,7 +337,7 @@
             state = plan.engine(exc.endpoint_id)
             state.record_failure(exc.absent)
             self._crash_guard.record_failure(
-                exchange.call, state, exc, self._has_just_begun(exchange)
+                exchange, state, exc, self._has_just_begun(exchange)
             )
         _log.info(
             "attempt failed",
--- a/clementinewall/membership/crashes.py
+++ b/clementinewall/membership/crashes.py
@@ -81,6 +81,7 @@
         """Add a crash record; return whether it is new or now strong."""
         if age_ms >= RECORD_LIFETIME_MS or digest in self._cleared:
             return False
+        self._expire()
         records = self._records_by_digest.get(digest, {})
         known = records.get(endpoint)
         if known is not None and (known.strong or not strong):
@@ -199,12 +200,11 @@
     def _new_keys(self):
         """Return the records that are still passed on, as keys."""
         oldest = self._now() - SPREAD_MS
-        while self._new and self._new[0].learned_at < oldest:
-            self._new.popleft()
         return [
             (row.digest, row.endpoint)
             for row in self._new
-            if row.endpoint in self._records_by_digest.get(row.digest, ())
+            if row.learned_at >= oldest
+            and row.endpoint in self._records_by_digest.get(row.digest, ())
         ]
 
     def _priority(self, key):
@@ -232,6 +232,8 @@
         if now < self._expire_at:
             return
         self._expire_at = now + EXPIRY_INTERVAL_MS
+        while self._new and self._new[0].learned_at < now - SPREAD_MS:
+            self._new.popleft()
         oldest = now - RECORD_LIFETIME_MS
         expired = [
             (digest, endpoint)
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -82,7 +82,6 @@
     found = callers.Callers(
         fleet_view=fleet_view.FleetView(lambda: 0),
         budgets=None,
-        crash_guard=None,
         plain=None,
         streams=None,
         drain=types.SimpleNamespace(is_on=True),
@@ -160,7 +159,6 @@
         self.callers = callers.Callers(
             self.fleet_view,
             types.SimpleNamespace(count_request=lambda service: None),
-            types.SimpleNamespace(check=lambda call: None),
             self.endpoint,
             None,
             draining.Drain(self.ticker),
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -21,10 +21,9 @@
 
 
 def request(name):
-    """Return a request of its own host, path and body."""
-    return types.SimpleNamespace(
-        host="h", target=b"/chat/x", body=name.encode(), attempt=name
-    )
+    """Return a request that crash records know by its name."""
+    call = types.SimpleNamespace(attempt=name)
+    return types.SimpleNamespace(call=call, digest=name)
 
 
 def record_crash(guard, endpoint_id, name):
@@ -111,6 +110,26 @@
         self.check(61)
 
 
+class DigestTest(unittest.TestCase):
+    """Which requests count as the same."""
+
+    def digest(self, host="h", target=b"/chat/x", body=b"b", attempt="a1"):
+        """Return what identifies a request."""
+        call = types.SimpleNamespace(
+            host=host, target=target, body=body, attempt=attempt, wait_ms=None
+        )
+        route = types.SimpleNamespace(timeout_ms=None)
+        now = clock.ManualClock().now
+        return exchanges.Exchange(None, call, route, None, now).digest
+
+    def test_host_path_and_body_identify_a_request(self):
+        # Guards against a harmful request that a new attempt id hides.
+        own = self.digest()
+        self.assertEqual(self.digest(attempt="a2"), own)
+        for other in ({"host": "i"}, {"target": b"/y"}, {"body": b"c"}):
+            self.assertNotEqual(self.digest(**other), own)
+
+
 class CheckTest(unittest.TestCase):
     """What one gateway refuses."""
 
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -43,6 +43,7 @@
         )
         exchange = types.SimpleNamespace(
             call=call,
+            digest="d",
             service=types.SimpleNamespace(name="model"),
             record_failure=lambda _failure: None,
             run_began_at=None if ran_ms is None else 10_000 - ran_ms,
--- a/tests/membership/test_crashes.py
+++ b/tests/membership/test_crashes.py
@@ -88,3 +88,11 @@
             self.clock.advance(1)
             self.crash("e3", strong=[f"other-{number}"])
         self.assertTrue(self.table.is_harmful("poison"))
+
+    def test_records_are_kept_for_messages_only_as_long_as_they_are_sent(self):
+        # Guards against memory that grows in a process that sends nothing.
+        for number in range(2 * crashes.MAX_DIGESTS):
+            self.clock.advance(10)
+            self.crash("e1", strong=[f"request-{number}"])
+        kept_ms = crashes.SPREAD_MS + crashes.EXPIRY_INTERVAL_MS
+        self.assertLessEqual(len(self.table._new), kept_ms // 10 + 1)
