Write what several places share once

The decoding of spans and of limits parse a number alike; a limit in an answer of another process was ruled out twice, now in one place, where the span's state is; six test classes had the same method to start an engine, and three places counted the fullest window of a series, one of them for each pair of times. The bounds of a limit stand in the soak's bounds, which the integration test uses. The test that another process speaks for itself moved from the decoding to the endpoint, where it checks both ways.

No check is looser: the same bounds, and one property more of the window.

--- a/bench/soak/request_limits.py
+++ b/bench/soak/request_limits.py
@@ -1,10 +1,10 @@
 """Check that all gateways together keep to the limits that endpoints name."""
 
-import bisect
 import math
 
 from bench.soak import bounds
 from bench.soak import endpoint_wishes
+from bench import windows
 
 
 def find_violations(history):
@@ -13,7 +13,7 @@
     gateway_by_attempt = {sent.attempt: sent.gateway for sent in requests}
     for span in history.limit_spans:
         times = _counted_times(history, span, gateway_by_attempt)
-        found = _most_in_window(times)
+        found = windows.most_in_window(times, bounds.LIMIT_WINDOW_SECONDS)
         allowed = (
             bounds.LIMIT_FACTOR * span.per_second * bounds.LIMIT_WINDOW_SECONDS
             + bounds.LIMIT_SLACK
@@ -48,13 +48,3 @@
         ):
             times.append(arrival.at)
     return sorted(times)
-
-
-def _most_in_window(times):
-    return max(
-        (
-            bisect.bisect_left(times, at + bounds.LIMIT_WINDOW_SECONDS) - place
-            for place, at in enumerate(times)
-        ),
-        default=0,
-    )
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -122,7 +122,12 @@
         self._rest_until = max(self._rest_until, self._now() + asked_ms)
 
     def apply_request_limit(self, head):
-        """Apply the limit that the answer to a caller's request names."""
+        """Apply the limit that the answer to a caller's request names.
+
+        Other answers, such as reports, need not name it.
+        """
+        if calls.is_misdirected(head):
+            return
         try:
             per_second = calls.decode_request_limit(head)
         except errors.BadRecord as exc:
@@ -132,8 +137,7 @@
                 why=exc.message,
             )
             return
-        if not calls.is_misdirected(head):
-            self._limits.record(self.endpoint, per_second)
+        self._limits.record(self.endpoint, per_second)
 
     async def acquire_link(self):
         """Return a connection for one request, counted by :meth:`use_share`.
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -344,33 +344,32 @@
     value = head.header(_REST_HEADER)
     if head.status != _UNAVAILABLE_STATUS or value is None:
         return 0
-    try:
-        seconds = float(value)
-    except ValueError:
-        seconds = math.nan
-    if not 0 <= seconds < math.inf:
-        raise errors.BadRecord(f"{value!r} is not a number of seconds")
-    return min(MAX_REST_MS, seconds * 1_000)
+    return min(MAX_REST_MS, _decode_number(value, "seconds") * 1_000)
 
 
 def decode_request_limit(head):
     """Return how many requests a second an endpoint takes from all gateways.
 
-    It is ``None`` if the answer names no limit, or comes from another endpoint
-    than the expected one.
+    It is ``None`` if the answer names no limit.
 
     :raises BadRecord: the value is not a number of requests.
     """
     value = head.header(_LIMIT_HEADER)
-    if value is None or is_misdirected(head):
-        return None
+    return None if value is None else _decode_number(value, "requests")
+
+
+def _decode_number(value, unit):
+    """Return a number that is neither negative nor infinite.
+
+    :raises BadRecord: the value is not a number of ``unit``.
+    """
     try:
-        per_second = float(value)
+        number = float(value)
     except ValueError:
-        per_second = math.nan
-    if not 0 <= per_second < math.inf:
-        raise errors.BadRecord(f"{value!r} is not a number of requests")
-    return per_second
+        number = math.nan
+    if not 0 <= number < math.inf:
+        raise errors.BadRecord(f"{value!r} is not a number of {unit}")
+    return number
 
 
 def reports_leaving(head):
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -190,9 +190,9 @@
         self.state = endpoint_state(self.ticker)
         self.name_limit(b"1")
 
-    def name_limit(self, value):
+    def name_limit(self, value, status=200):
         """Apply an answer that names a limit."""
-        head = messages.Head(200, b"", ((b"Server-Limit", value),))
+        head = messages.Head(status, b"", ((b"Server-Limit", value),))
         self.state.apply_request_limit(head)
 
     def test_reports_wait_for_a_share(self):
@@ -228,9 +228,13 @@
         self.state.apply_request_limit(messages.Head(200, b"", ()))
         self.assertFalse(self.state.is_limited)
 
-    def test_another_process_at_the_address_does_not_end_it(self):
+    def test_another_process_at_the_address_speaks_for_itself(self):
+        # Guards against limits of a process that reuses an address.
         self.state.apply_request_limit(messages.Head(421, b"", ()))
         self.assertTrue(self.state.is_limited)
+        self.state.apply_request_limit(messages.Head(200, b"", ()))
+        self.name_limit(b"5", 421)
+        self.assertFalse(self.state.is_limited)
 
 
 class Rest(unittest.TestCase):
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -5,6 +5,7 @@
 import loguru
 
 from bench import dissemination
+from bench import windows
 from clementinewall import clock
 from clementinewall.gateway import request_limits
 from clementinewall.policy import request_limit
@@ -157,10 +158,7 @@
                     limits[ip].record(endpoint, PER_SECOND)
                     times.append(network.clock.now())
             network.play(FLEET_STEP_MS)
-        most = max(
-            sum(at <= other < at + WINDOW_MS for other in times)
-            for at in times
-        )
+        most = windows.most_in_window(times, WINDOW_MS)
         allowed = 1.5 * PER_SECOND * WINDOW_MS / 1_000 + 5
         self.assertLessEqual(most, allowed)
         self.assertGreaterEqual(most, PER_SECOND * WINDOW_MS / 1_000 / 2)
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -112,6 +112,10 @@
         self.register(name, endpoint.address, service, **more)
         return endpoint
 
+    def engine(self, name, script, stage="decode"):
+        """Start a scripted engine and register it."""
+        return self.endpoint(name, script, "model", stage=stage)
+
     def register(self, name, address, service="app", **more):
         """Write the record of an endpoint."""
         row = {
--- a/tests/integration/test_gateway_crashing.py
+++ b/tests/integration/test_gateway_crashing.py
@@ -153,9 +153,7 @@
         self.attempts = []
         for number in range(4):
             self.endpoint(f"app-{number}", self._script)
-            self.endpoint(
-                f"engine-{number}", self._script, "model", stage="decode"
-            )
+            self.engine(f"engine-{number}", self._script)
         self.front = self.gateway(budget_slack=400)
 
     def _script(self, _endpoint, request):
@@ -208,9 +206,7 @@
         # Guards against refusing a frequent request to all of its callers.
         self.publish(route("chat", "model", "stream", resumable=True))
         for number in range(3):
-            self.endpoint(
-                f"engine-{number}", self._script, "model", stage="decode"
-            )
+            self.engine(f"engine-{number}", self._script)
         front = self.gateway(budget_slack=400)
         headers = test_gateway_streams.MODEL_HEADERS
         statuses = [
--- a/tests/integration/test_gateway_draining.py
+++ b/tests/integration/test_gateway_draining.py
@@ -39,10 +39,6 @@
             route("chat", "model", "stream", resumable=True, timeout_ms=20_000)
         )
 
-    def engine(self, name, script, stage="decode"):
-        """Start an engine."""
-        return self.endpoint(name, script, "model", stage=stage)
-
     def stream(self, front, usage="100,400", attempt="a1", **headers):
         """Ask for a stream."""
         headers = {**MODEL_HEADERS, **headers}
--- a/tests/integration/test_gateway_leaving.py
+++ b/tests/integration/test_gateway_leaving.py
@@ -43,10 +43,6 @@
             route("chat", "model", "stream", resumable=True),
         )
 
-    def engine(self, name, script, stage="decode"):
-        """Start an engine."""
-        return self.endpoint(name, script, "model", stage=stage)
-
     def check_left_alone(self, path, endpoint, **headers):
         """Check that an endpoint gets nothing after its first answers."""
         front = self.gateway()
--- a/tests/integration/test_gateway_request_limits.py
+++ b/tests/integration/test_gateway_request_limits.py
@@ -9,6 +9,8 @@
 
 import httpx
 
+from bench.soak import bounds
+from bench import windows
 from standins import bringup
 from tests.integration import base
 from tests.integration import gateway_base
@@ -20,14 +22,13 @@
 GATEWAYS = 5
 CALLERS = 30
 REQUESTS_PER_SECOND = 4.0
-# From this time after the first answer that names a limit, it holds in each
-# window: half as much again is allowed, and some requests beyond.
-STABLE_SECONDS = 3.0
-WINDOW_SECONDS = 4.0
-MAX_ARRIVALS = 1.5 * REQUESTS_PER_SECOND * WINDOW_SECONDS + 5
+MAX_ARRIVALS = (
+    bounds.LIMIT_FACTOR * REQUESTS_PER_SECOND * bounds.LIMIT_WINDOW_SECONDS
+    + bounds.LIMIT_SLACK
+)
+LIMITED_SECONDS = bounds.LIMIT_DELAY_SECONDS + 2 * bounds.LIMIT_WINDOW_SECONDS
 # Shorter than the time between two requests of one gateway.
 MAX_HELD_SECONDS = 0.25
-LIMITED_SECONDS = STABLE_SECONDS + 2 * WINDOW_SECONDS
 
 
 class Answer(typing.NamedTuple):
@@ -59,15 +60,9 @@
 
     def most_arrivals(self, end):
         """Return how many requests came in the worst window up to ``end``."""
-        start = self.named_at + STABLE_SECONDS
+        start = self.named_at + bounds.LIMIT_DELAY_SECONDS
         times = sorted(at for at in self.arrivals if start <= at < end)
-        return max(
-            (
-                bisect.bisect_left(times, at + WINDOW_SECONDS) - place
-                for place, at in enumerate(times)
-            ),
-            default=0,
-        )
+        return windows.most_in_window(times, bounds.LIMIT_WINDOW_SECONDS)
 
 
 class RequestLimits(gateway_base.GatewayCase):
@@ -84,10 +79,6 @@
         self.addCleanup(self.stop.set)
         self.answers = []
 
-    def engine(self, name, script, stage="decode"):
-        """Start an engine."""
-        return self.endpoint(name, script, "model", stage=stage)
-
     def sound(self, _endpoint, request):
         """Serve any request."""
         yield test_gateway_rest.serve(request)
@@ -141,7 +132,7 @@
         )
         self.stop.set()
         callers.join()
-        start = limited.named_at + STABLE_SECONDS
+        start = limited.named_at + bounds.LIMIT_DELAY_SECONDS
         return [row for row in self.answers if start < row.sent_at < end]
 
     def test_calls_of_all_gateways_keep_to_the_limit(self):
--- a/tests/integration/test_gateway_rest.py
+++ b/tests/integration/test_gateway_rest.py
@@ -80,10 +80,6 @@
             route("chat", "model", "stream", resumable=True),
         )
 
-    def engine(self, name, script, stage="decode"):
-        """Start an engine."""
-        return self.endpoint(name, script, "model", stage=stage)
-
     def ask_through_span(self, path, resting, **headers):
         """Send requests until the span is over; return answers within it."""
         front = self.gateway()
--- a/tests/integration/test_gateway_silence.py
+++ b/tests/integration/test_gateway_silence.py
@@ -21,10 +21,6 @@
         super().setUp()
         self.publish(route("chat", "model", "stream", resumable=True))
 
-    def engine(self, name, script, stage="decode"):
-        """Start an engine."""
-        return self.endpoint(name, script, "model", stage=stage)
-
     def test_stream_of_an_engine_that_was_silent_for_a_second_is_complete(
         self,
     ):
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -51,10 +51,6 @@
             route("once", "model", "stream", max_attempts=2),
         )
 
-    def engine(self, name, script, stage="decode"):
-        """Start an engine."""
-        return self.endpoint(name, script, "model", stage=stage)
-
     def test_whole_stream(self):
         def script(_endpoint, request):
             yield from whole_stream(request, range(1, 6))
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -173,10 +173,6 @@
         head = messages.Head(200, b"", ())
         self.assertIsNone(calls.decode_request_limit(head))
 
-    def test_another_endpoint_at_the_address_names_only_its_own(self):
-        # Guards against limits of a process that reuses an address.
-        self.assertIsNone(self.decode(b"5", 421))
-
     def test_malformed_limits_are_bad_records(self):
         # Guards against endpoints that are excluded by a mistaken value.
         for value in (b"", b"-1", b"nan", b"inf", b"five", b"5,8"):
