--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -1,287 +1,21 @@
-"""This gateway's state for each endpoint: connections, work, cache."""
+"""The endpoints that this gateway knows, and what it tells peers of them."""
 
 from clementinewall import domain
-from clementinewall import errors
 from clementinewall.gateway import cache_holders
 from clementinewall.gateway import cache_view
-from clementinewall.gateway import peer_messages
+from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import request_limits
-from clementinewall.http1 import client
 from clementinewall import logs
-from clementinewall import metrics
-from clementinewall.platform import calls
 from clementinewall.policy import endpoint_health
-from clementinewall.policy import prefill_queue
 from clementinewall.policy import prefill_scale
-from clementinewall.policy import silence
-from clementinewall import verdicts
 
 _log = logs.PartLog("endpoint")
 
-# A host that is down does not refuse connections; waiting for it uses up part
-# of the request's target time.
-CONNECT_TIMEOUT_MS = 200
-# With open requests, an endpoint that sends nothing for so long counts as
-# unresponsive.
-RESPONSE_TIMEOUT_MS = 1_000
-
-
 # The record of a running endpoint may expire and come back.  What the endpoint
 # said of itself holds for as long as the process that said it.
 KEEP_MISSING_MS = 30_000
 
 
-class Withheld(client.LinkBroken):
-    """Nothing was sent, since the endpoint wants no request now."""
-
-    def __init__(self):
-        """Create the error for an endpoint that rests or named a limit."""
-        super().__init__(
-            verdicts.Progress.NEVER_CONNECTED,
-            "the endpoint asked for rest, or for fewer requests",
-        )
-
-
-class EndpointState:
-    """The state of one incarnation of an endpoint."""
-
-    def __init__(self, endpoint, now, limits):
-        """Start without connections or work.
-
-        ``limits`` are the request limits that endpoints named.
-        """
-        self.endpoint = endpoint
-        self._limits = limits
-        self._now = now
-        self._last_response_at = None
-        self._pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
-        self._rest_until = now()
-        self.is_leaving = False
-        self.health = endpoint_health.Health()
-        self.open = 0
-        self.streams = 0
-        self.jobs = []
-        self.last_prefill_end = now()
-        self.load = None
-        self.load_at = None
-        # The engine takes no work until then because its stage changes.
-        self.unavailable_until = 0
-        # When its record was found missing, ``None`` while it is there.
-        self.missing_since = None
-        self.cache = cache_view.CacheView()
-
-    @property
-    def rest_ms(self):
-        """Return for how many ms the endpoint still wants no requests.
-
-        Either it asked for rest, or this gateway has used its share of a
-        limit that the endpoint named.
-        """
-        return max(self.span_ms, self._limits.wait_ms(self.endpoint))
-
-    @property
-    def span_ms(self):
-        """Return what is left of the span for which it asked for rest."""
-        return max(0, self._rest_until - self._now())
-
-    @property
-    def is_limited(self):
-        """Tell whether the endpoint has named a request limit."""
-        return self._limits.per_second(self.endpoint) is not None
-
-    def use_share(self):
-        """Count a request that will be sent by :meth:`acquire_link`.
-
-        It is counted when the endpoint is chosen: a prompt that is prefilled
-        elsewhere first must not find the share used up afterwards.
-        """
-        self._limits.use(self.endpoint)
-
-    def apply_answer(self, head):
-        """Apply what the head of an answer says of the endpoint itself."""
-        if calls.reports_leaving(head) and not self.is_leaving:
-            self.is_leaving = True
-            metrics.count("leaving", service=self.endpoint.service)
-            _log.info("reports that it leaves", endpoint=self.endpoint.id)
-        try:
-            asked_ms = calls.decode_rest_ms(head)
-        except errors.BadRecord as exc:
-            _log.warning(
-                "request for rest ignored",
-                endpoint=self.endpoint.id,
-                why=exc.message,
-            )
-            return
-        if asked_ms and not self.span_ms:
-            metrics.count("rests", service=self.endpoint.service)
-            _log.info(
-                "asked for rest",
-                endpoint=self.endpoint.id,
-                rest_ms=round(asked_ms),
-            )
-        self._rest_until = max(self._rest_until, self._now() + asked_ms)
-
-    def apply_request_limit(self, head):
-        """Apply the limit that the answer to a caller's request names.
-
-        Other answers, such as reports, need not name it.
-        """
-        if calls.is_misdirected(head):
-            return
-        try:
-            per_second = calls.decode_request_limit(head)
-        except errors.BadRecord as exc:
-            _log.warning(
-                "request limit ignored",
-                endpoint=self.endpoint.id,
-                why=exc.message,
-            )
-            return
-        self._limits.record(self.endpoint, per_second)
-
-    async def acquire_link(self):
-        """Return a connection for one request, counted by :meth:`use_share`.
-
-        :raises Withheld: the endpoint has asked for rest.
-        :raises LinkBroken: the connection could not be established.
-        """
-        return await self._connect(self._pool.acquire)
-
-    async def _connect(self, connect):
-        self._check_rest()
-        link = await connect()
-        if self.span_ms:
-            # It asked for rest while the connection was established.
-            self._pool.discard(link)
-            self._check_rest()
-        return link
-
-    def release_link(self, link):
-        """Return a connection whose answer was read to its end."""
-        self._pool.release(link)
-
-    def discard_link(self, link):
-        """Close a connection that cannot be used again."""
-        self._pool.discard(link)
-
-    async def send_request(
-        self, request, max_bytes, fresh=False, follows=False
-    ):
-        """Send a request and return the head and body of its answer.
-
-        ``fresh`` uses a new connection and closes it afterwards; ``follows``
-        tells that it completes what an earlier request began, and does not
-        wait for another share of a limit.
-
-        :raises Withheld: the endpoint has asked for rest, or has named a limit
-            of which this gateway's share is used up.
-        :raises LinkBroken: the exchange failed, or the body is over
-            ``max_bytes`` bytes.
-        """
-        if not follows and not self.span_ms and self.rest_ms:
-            self._withhold()
-        self.use_share()
-        connect = self._pool.connect if fresh else self._pool.acquire
-        link = await self._connect(connect)
-        return await self._pool.exchange(
-            link, request, max_bytes, fresh, self.apply_answer
-        )
-
-    def _check_rest(self):
-        if self.span_ms:
-            self._withhold()
-
-    def _withhold(self):
-        metrics.count("withheld", service=self.endpoint.service)
-        raise Withheld()
-
-    def prune_links(self):
-        """Close the idle connections whose keep-alive time is over."""
-        self._pool.prune()
-
-    def close_links(self):
-        """Close all idle connections."""
-        self._pool.close()
-
-    def begin(self):
-        """Count a request as open."""
-        if not self.open:
-            self._last_response_at = self._now()
-        self.open += 1
-
-    def end(self):
-        """Count the end of a request."""
-        self.open -= 1
-
-    def record_response(self):
-        """Record that the endpoint sent data."""
-        self._last_response_at = self._now()
-
-    def is_usable(self):
-        """Return whether new work may be sent to the endpoint."""
-        now = self._now()
-        if now < self.unavailable_until or self._is_timed_out():
-            return False
-        return not self.rest_ms and self.health.is_usable(now)
-
-    def record_failure(self, absent=False):
-        """Record a request that failed; ``absent`` if nothing listens there.
-
-        An endpoint that asked for rest has said itself when to try again.
-        """
-        if absent or not self.span_ms:
-            self.health.record_failure(self._now(), absent)
-
-    def is_unavailable(self):
-        """Return whether requests to the endpoint would get no answer."""
-        return self._now() < self.unavailable_until or self.is_unresponsive()
-
-    def is_unresponsive(self):
-        """Return whether the endpoint answers no requests at all.
-
-        A time-out alone is not enough: a single lost answer keeps a request
-        open while the endpoint answers all others.
-        """
-        now = self._now()
-        if self.health.is_absent(now):
-            return True
-        return self._is_timed_out() and not self.health.is_usable(now)
-
-    def may_be_pausing(self):
-        """Return whether a sound endpoint could be silent for as long.
-
-        It is then usable but for its silence.
-        """
-        now = self._now()
-        if now < self.unavailable_until or not self.health.is_usable(now):
-            return False
-        return not self._is_silent_for(silence.SOUND_SILENCE_MS)
-
-    def _is_timed_out(self):
-        return self._is_silent_for(RESPONSE_TIMEOUT_MS)
-
-    def _is_silent_for(self, ms):
-        return bool(self.open) and self._now() - self._last_response_at > ms
-
-    def begin_prompt(self, urgency, cost_ms):
-        """Record a prompt sent now; return its job for ``end_prompt``."""
-        job = prefill_queue.Job(urgency, cost_ms, self._now())
-        self.jobs.append(job)
-        return job
-
-    def end_prompt(self, job, was_read):
-        """Record that a prompt was answered or abandoned."""
-        self.jobs.remove(job)
-        if was_read:
-            self.last_prefill_end = self._now()
-
-    def own_work(self):
-        """Return this gateway's unfinished work."""
-        return peer_messages.Work(
-            tuple(self.jobs), self.streams, self.last_prefill_end
-        )
-
-
 class Endpoints:
     """All endpoints, by id."""
 
@@ -300,7 +34,9 @@
         """Return the state of this incarnation of an endpoint."""
         state = self._state_by_incarnation.get(endpoint.incarnation_key)
         if state is None:
-            state = EndpointState(endpoint, self._now, self.request_limits)
+            state = endpoint_state.EndpointState(
+                endpoint, self._now, self.request_limits
+            )
             self._state_by_incarnation[endpoint.incarnation_key] = state
         if state.endpoint.stage != endpoint.stage:
             # Failures in its previous stage do not apply to the new one.
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -5,6 +5,7 @@
 
 from clementinewall import domain
 from clementinewall import errors
+from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import exchange as exchanges
 from clementinewall import logs
@@ -32,11 +33,11 @@
     ``prefill_scale`` the factor applied to the predicted prefill time.
     """
 
-    prefill_engine: endpoints_module.EndpointState | None
-    decode_engine: endpoints_module.EndpointState
+    prefill_engine: endpoint_state.EndpointState | None
+    decode_engine: endpoint_state.EndpointState
     option: placement.Option
     urgency: int
-    source: endpoints_module.EndpointState | None = None
+    source: endpoint_state.EndpointState | None = None
     run_urgency: int = placement.URGENCY_NORMAL
     prefill_scale: float = 1.0
 
@@ -69,7 +70,7 @@
     """The engines that are left for a request, by id, and the best of them."""
 
     demand: placement.Demand
-    state_by_id: dict[str, endpoints_module.EndpointState]
+    state_by_id: dict[str, endpoint_state.EndpointState]
     known: list[placement.Engine]
     chosen: placement.Option | placement.Refusal
     urgency: int
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -14,6 +14,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import cooldowns
+from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import lease as lease_module
 from clementinewall.gateway import sending
@@ -370,7 +371,7 @@
             )
         else:
             is_absent = isinstance(exc, client.LinkBroken) and exc.absent
-            if not isinstance(exc, endpoints_module.Withheld):
+            if not isinstance(exc, endpoint_state.Withheld):
                 state.record_failure(is_absent)
         metrics.count("orders", status=cause.value)
         self._cooldowns.start(state.endpoint.id, cause, rest_ms)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -7,6 +7,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import cell_membership
+from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import fleet_view
@@ -172,7 +173,7 @@
         ]
         for state in states:
             state.begin()
-        self.ticker.advance(endpoints.RESPONSE_TIMEOUT_MS + 1)
+        self.ticker.advance(endpoint_state.RESPONSE_TIMEOUT_MS + 1)
         self.assertFalse(self.placer.can_place_again(exchange))
         states[0].record_response()
         # The only responsive engine is the one that is to be left.
@@ -207,6 +208,6 @@
             if state is not silent:
                 state.streams = state.endpoint.slots // 2
         silent.begin()
-        self.ticker.advance(endpoints.RESPONSE_TIMEOUT_MS + 1)
+        self.ticker.advance(endpoint_state.RESPONSE_TIMEOUT_MS + 1)
         for _ in range(20):
             self.assertIsNot(self.place().decode_engine, silent)
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -9,6 +9,7 @@
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import stage_manager
 from clementinewall.http1 import client
@@ -137,10 +138,10 @@
 
     def test_a_report_that_was_withheld_is_no_failure_of_the_engine(self):
         # Guards against sound engines that are paused for naming a limit.
-        self.engine("e1", domain.PREFILL, endpoints.Withheld())
-        self.engine("e2", domain.PREFILL, endpoints.Withheld())
+        self.engine("e1", domain.PREFILL, endpoint_state.Withheld())
+        self.engine("e2", domain.PREFILL, endpoint_state.Withheld())
         with mock.patch.object(
-            endpoints.EndpointState, "record_failure", autospec=True
+            endpoint_state.EndpointState, "record_failure", autospec=True
         ) as record_failure:
             self.poll_for(4_000)
         self.assertTrue(self.manager._cooldowns.active("e1"))
