--- a/clementinewall/gateway/request_limits.py
+++ b/clementinewall/gateway/request_limits.py
@@ -54,6 +54,9 @@
         # The time between two uses, ``None`` until the share is known.
         self.interval_ms = None
         self.may_grow_at = now
+        # The share as computed last, and for which group.
+        self.share_ms = None
+        self.group = None
 
     def apply_interval(self, interval_ms, now):
         """Apply a share: a smaller one at once, a larger one if it lasts."""
@@ -164,6 +167,7 @@
             limit.used_at = self._now()
         limit.per_second = per_second
         limit.interval_ms = None
+        limit.group = None
         metrics.count("request_limits", source=source)
         _log.info(
             "endpoint names no limit any more"
@@ -177,9 +181,12 @@
     def _update_share(self, endpoint, limit):
         if limit.per_second is None:
             return
+        group = self._find_group(endpoint)
+        if group != limit.group:
+            limit.group = group
+            limit.share_ms = self._share(endpoint, group, limit.per_second)
         before = limit.interval_ms
-        interval_ms = self._share(endpoint, limit.per_second)
-        limit.apply_interval(interval_ms, self._now())
+        limit.apply_interval(limit.share_ms, self._now())
         if limit.interval_ms != before:
             _log.info(
                 "share of a limit",
@@ -188,9 +195,8 @@
                 interval_ms=round(limit.interval_ms),
             )
 
-    def _share(self, endpoint, per_second):
+    def _share(self, endpoint, group, per_second):
         """Return the time between two requests of this gateway, in ms."""
-        group = self._find_group(endpoint)
         count = request_limit.max_senders(per_second)
         senders = members.rendezvous(endpoint.id, group.ips)[:count]
         if not group.is_member or self._own_ip not in senders:
--- a/tests/gateway/test_request_limits.py
+++ b/tests/gateway/test_request_limits.py
@@ -1,6 +1,7 @@
 """What gateways do with the request limits that they hear of."""
 
 import unittest
+from unittest import mock
 
 import loguru
 
@@ -8,6 +9,7 @@
 from bench import windows
 from clementinewall import clock
 from clementinewall.gateway import request_limits
+from clementinewall.membership import members
 from clementinewall.policy import request_limit
 from tests.gateway import test_endpoints
 
@@ -133,6 +135,18 @@
             with self.assertRaises((TypeError, ValueError, OverflowError)):
                 self.limits.merge([row])
 
+    def test_a_share_is_computed_once_for_a_group(self):
+        # Guards against work that grows with gateways times limits.
+        with mock.patch.object(
+            members, "rendezvous", wraps=members.rendezvous, autospec=True
+        ) as rendezvous:
+            self.limits.record(ENGINE, PER_SECOND)
+            self.sends(1_000)
+            self.assertEqual(rendezvous.call_count, 1)
+            self.group = self.group._replace(size=9)
+            self.sends(1_000)
+            self.assertEqual(rendezvous.call_count, 2)
+
 
 class FleetTest(unittest.TestCase):
     """All gateways of a fleet, each with more requests than it may send."""
