--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,6 +8,7 @@
                     [--role=R] [--ignore-fencing]
   standins service ADDRESS [--id=ID] [--delay-ms=N]
   standins proxy ADDRESS CONTROL TARGET
+  standins egress ADDRESS CONTROL
   standins store ADDRESS
 
 Options:
@@ -28,6 +29,7 @@
 import anyio
 import docopt
 
+from standins import egress
 from standins import engine
 from standins import instances
 from standins import log
@@ -41,6 +43,7 @@
     "engine": engine.main,
     "service": service.main,
     "proxy": proxy.main,
+    "egress": egress.main,
     "store": store.main,
 }
 
--- a/standins/bringup.py
+++ b/standins/bringup.py
@@ -159,6 +159,14 @@
         wait_until(lambda: self._answers(control), what=name)
         return where
 
+    def egress(self, name):
+        """Start an egress and return its address."""
+        control = address()
+        self.address_by_name[f"{name}-control"] = control
+        where = self.standin(name, "egress", control)
+        wait_until(lambda: self._answers(control), what=name)
+        return where
+
     def platform(self, log_options=()):
         """Start the log service and the instance list."""
         log = self.standin("log", "log", *log_options)
