Reach endpoints through other gateways when the direct way is cut

Most got 503 after four connections that timed out after 200 ms each.

Cause: a gateway knew one way to an endpoint, the direct one, took its failure for that of the endpoint, and kept taking callers.

Change: the reach of each endpoint is kept apart from its health. If all that answer are refused too, the endpoint is down, as before. If nobody reaches it for longer than sound engines pause, requests are refused at once with a time to return. An endpoint that owes an answer and sends nothing for 400 ms is checked by a connection, so that links that hang are found without a new one.

Only bytes are relayed: placement, attempts, budgets, deadlines, limits, crash records and the verdict of a booking stay with the gateway that took the request, and one hop is all there can be, since a relay connects directly or not at all. A caller that leaves ends both connections. Frames mark the end of the endpoint's data, so that a tunnel that breaks doesn't end an answer without a length. A relay opens tunnels to known endpoints only, none while it drains, and waits for those that are open. Orders to engines are never relayed: engines tell holders apart by machine.

--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -2,6 +2,7 @@
 
 from clementinewall import errors
 from clementinewall.gateway import cache_view
+from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import peer_messages
 from clementinewall.http1 import client
 from clementinewall import logs
@@ -20,6 +21,8 @@
 # With open requests, an endpoint that sends nothing for so long counts as
 # unresponsive.
 RESPONSE_TIMEOUT_MS = 1_000
+# After such a silence it is checked whether the endpoint can be reached.
+SILENCE_CHECK_MS = 400
 
 
 class Withheld(client.LinkBroken):
@@ -36,16 +39,25 @@
 class EndpointState:
     """The state of one incarnation of an endpoint."""
 
-    def __init__(self, endpoint, now, limits):
+    def __init__(self, endpoint, now, limits, relays=None):
         """Start without connections or work.
 
-        ``limits`` are the request limits that endpoints named.
+        ``limits`` are the request limits that endpoints named, ``relays`` the
+        gateways through which it may be reached.
         """
         self.endpoint = endpoint
         self._limits = limits
         self._now = now
-        self._last_response_at = None
-        self._pool = client.Pool(endpoint.address, now, CONNECT_TIMEOUT_MS)
+        self._last_response_at = now()
+        self._relays = relays
+        self.path = endpoint_path.EndpointPath(
+            endpoint.address,
+            CONNECT_TIMEOUT_MS,
+            relays,
+            self._apply_reach,
+            now,
+        )
+        self._pool = client.Pool(self.path, now)
         self._rest_until = now()
         self.is_leaving = False
         self.health = endpoint_health.Health()
@@ -172,7 +184,9 @@
         if not follows and not self.span_ms and self.rest_ms:
             self._withhold()
         self.use_share()
-        connect = self._pool.connect if fresh else self._pool.acquire
+        # Engines tell holders of the lease apart by the machine from which an
+        # order comes, so what has a connection of its own is never relayed.
+        connect = self._pool.connect_directly if fresh else self._pool.acquire
         link = await self._connect(connect)
         return await self._pool.exchange(
             link, request, max_bytes, fresh, self.apply_answer
@@ -191,8 +205,45 @@
         self._pool.prune()
 
     def close_links(self):
-        """Close all idle connections."""
+        """Close all idle connections; the endpoint is gone."""
         self._pool.close()
+        self.path.close()
+
+    def check_path_if_silent(self):
+        """Start a check of the path if an answer is waited for."""
+        if self._is_silent_for(SILENCE_CHECK_MS):
+            self.start_path_check()
+
+    def check_path_if_connected(self):
+        """Start a check of the path if there are connections."""
+        if self._pool.open_links:
+            self.start_path_check()
+
+    def start_path_check(self):
+        """Start a check of the path, unless one has just been made."""
+        if self.path.is_check_due:
+            self._relays.start(self.path.check)
+
+    def _apply_reach(self, before, after, after_ms):
+        """Apply that the endpoint is reached in another way."""
+        _log.info(
+            f"reach is {after.value}",
+            endpoint=self.endpoint.id,
+            service=self.endpoint.service,
+            address=self.endpoint.address,
+            before=before.value,
+            after_ms=after_ms,
+        )
+        metrics.count(
+            "reach_changes", service=self.endpoint.service, reach=after.value
+        )
+        if after is not endpoint_path.Reach.NONE:
+            # What failed before tells of the way, not of the endpoint.
+            self.health.record_success()
+            self._last_response_at = self._now()
+        self._pool.prune()
+        if after is endpoint_path.Reach.RELAYED:
+            self._relays.on_cut()
 
     def begin(self):
         """Count a request as open."""
@@ -220,12 +271,38 @@
 
         An endpoint that asked for rest has said itself when to try again.
         """
+        if self._has_new_way():
+            return
         if absent or not self.span_ms:
             self.health.record_failure(self._now(), absent)
 
+    def _has_new_way(self):
+        """Tell whether what fails now was probably sent by another way."""
+        return (
+            self.path.reach is endpoint_path.Reach.RELAYED
+            and self.path.changed_ms < RESPONSE_TIMEOUT_MS
+        )
+
+    async def has_crashed(self, failure):
+        """Tell whether the endpoint is down after ``failure`` of a send.
+
+        A connection that breaks tells less: it may be this gateway that is
+        cut off, or the gateway that carried it that ended.
+        """
+        if not failure.broken or failure.answer is not None:
+            return False
+        if failure.verdict is not verdicts.Verdict.MAY_HAVE_RUN:
+            return False
+        condition = await self.path.check()
+        return condition is endpoint_path.Condition.REFUSING
+
     def is_unavailable(self):
         """Return whether requests to the endpoint would get no answer."""
-        return self._now() < self.unavailable_until or self.is_unresponsive()
+        return (
+            self._now() < self.unavailable_until
+            or self.path.is_unreached
+            or self.is_unresponsive()
+        )
 
     def is_unresponsive(self):
         """Return whether the endpoint answers no requests at all.
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -19,8 +19,11 @@
 class Endpoints:
     """All endpoints, by id."""
 
-    def __init__(self, fleet_view, now):
-        """Use the endpoints of ``fleet_view``."""
+    def __init__(self, fleet_view, now, relays=None):
+        """Use the endpoints of ``fleet_view``.
+
+        ``relays`` are the gateways through which they may be reached.
+        """
         self._fleet_view = fleet_view
         self._now = now
         self.request_limits = request_limits.RequestLimits(now)
@@ -29,13 +32,16 @@
         self._changes = cache_view.UnsentChanges()
         self.scales = prefill_scale.PrefillScales()
         self.cache_holders = cache_holders.CacheHolders(now)
+        self._relays = relays
+        if relays is not None:
+            relays.on_cut = self.check_paths
 
     def state(self, endpoint):
         """Return the state of this incarnation of an endpoint."""
         state = self._state_by_incarnation.get(endpoint.incarnation_key)
         if state is None:
             state = endpoint_state.EndpointState(
-                endpoint, self._now, self.request_limits
+                endpoint, self._now, self.request_limits, self._relays
             )
             self._state_by_incarnation[endpoint.incarnation_key] = state
         if state.endpoint.stage != endpoint.stage:
@@ -178,6 +184,22 @@
                 work[state.endpoint.id] = own
         return work
 
+    def check_paths(self):
+        """Check the paths of the endpoints that this gateway works with.
+
+        Where one is cut, others may be, and their requests would find out one
+        by one.
+        """
+        for state in self._state_by_incarnation.values():
+            state.check_path_if_connected()
+
+    def at_address(self, address):
+        """Return the state of the endpoint at ``address``, or ``None``."""
+        for endpoint in self._fleet_view.endpoint_by_id.values():
+            if endpoint.address == address:
+                return self.state(endpoint)
+        return None
+
     def sweep(self):
         """Close the connections of removed endpoints, and idle ones."""
         self.request_limits.sweep(self._fleet_view.endpoint_by_id)
@@ -189,6 +211,7 @@
             if incarnation in current:
                 state.missing_since = None
                 state.prune_links()
+                state.check_path_if_silent()
                 continue
             state.close_links()
             if state.missing_since is None:
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -12,6 +12,8 @@
 
 # Added to the load of an endpoint in another data centre.
 REMOTE_PENALTY_CALLS = 0.2
+# Callers of a service that no gateway reaches return after this time.
+UNREACHED_RETRY_MS = 1_000
 
 
 class PlainRelay:
@@ -68,10 +70,16 @@
         )
 
     def _retry_after_ms(self, service):
-        """Return when callers should return, ``None`` unless all rest."""
-        spans = [s.rest_ms for s in self._endpoints.of_service(service.name)]
-        rest_ms = min(spans, default=0)
-        return exchanges.spread_retry_ms(rest_ms) if rest_ms else None
+        """Return when callers should return, ``None`` if that isn't known.
+
+        It is known if each endpoint rests or is reached by no gateway.
+        """
+        spans = [
+            UNREACHED_RETRY_MS if state.path.is_unreached else state.rest_ms
+            for state in self._endpoints.of_service(service.name)
+        ]
+        span_ms = min(spans, default=0)
+        return exchanges.spread_retry_ms(span_ms) if span_ms else None
 
     def _choose_endpoint(self, exchange):
         states = [
@@ -79,6 +87,7 @@
             for state in self._endpoints.of_service(exchange.service.name)
             if state.endpoint.id not in exchange.tried_ids
             and not state.rest_ms
+            and not state.path.is_unreached
         ]
         usable = [s for s in states if s.is_usable()] or states
         if not usable:
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -18,6 +18,8 @@
 from clementinewall.gateway import placing
 from clementinewall.gateway import plain_relay
 from clementinewall.gateway import registration
+from clementinewall.gateway import relay_server
+from clementinewall.gateway import relays
 from clementinewall.gateway import stage_manager
 from clementinewall.gateway import stream_relay
 from clementinewall.gateway import topic_followers
@@ -55,7 +57,11 @@
         self._now_with_suspend = ticker.now_with_suspend
         self._group = group
         self._fleet_view = fleet_view.FleetView(now, settings.bounds)
-        self._endpoints = endpoints.Endpoints(self._fleet_view, now)
+        self._relays = relays.Relays(settings, group, now)
+        self._endpoints = endpoints.Endpoints(
+            self._fleet_view, now, self._relays
+        )
+        self._relay_server = relay_server.RelayServer(self._endpoints)
         self._crash_guard = crash_guard.CrashGuard(now)
         self._cell_membership = cell_membership.CellMembership(
             settings, self._fleet_view, now
@@ -69,6 +75,7 @@
             self._cell_membership,
             ticker.time_of_day_seconds(),
         )
+        self._relays.table = self._peers.table
         self._endpoints.request_limits.share_with(
             settings.ip, self._limit_group
         )
@@ -154,6 +161,12 @@
         caller_listener = await tcp.listen(
             settings.callers, self._callers.serve, self._group
         )
+        # Tunnels are opened until the end, and refused while it drains.
+        await tcp.listen(
+            f"{settings.ip}:{settings.peer_port}",
+            self._relay_server.serve,
+            self._group,
+        )
         info_listeners = [
             await info_server.serve(address, handle, self._group)
             for address, handle in self._info_handlers.handlers()
@@ -206,6 +219,7 @@
             grace_ms * ACCEPT_FRACTION, grace_ms - ABORT_BEFORE_KILL_MS
         )
         self._callers.drain(left_ms)
+        self._relay_server.drain()
         # Callers with a cached address may still connect for a while.
         await self._wait_until(started + grace_ms * ACCEPT_FRACTION)
         caller_listener.close()
@@ -215,7 +229,7 @@
         )
         await self._wait_until(
             started + left_ms + ABORT_NOTICE_MS,
-            lambda: not self._callers.is_busy,
+            lambda: not (self._callers.is_busy or self._relay_server.is_busy),
         )
         # A connection accepted after the tasks have ended would not be served.
         for listener in info_listeners:
@@ -243,6 +257,7 @@
             self._fleet_view.expire()
             self._cell_membership.update(self._peers.table.members())
             self._endpoints.sweep()
+            self._relays.sweep()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
--- /dev/null
+++ b/clementinewall/gateway/relays.py
@@ -0,0 +1,159 @@
+"""Connects to endpoints through other gateways."""
+
+import random
+
+import anyio
+
+from clementinewall import clock
+from clementinewall.http1 import tunnel
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.policy import relay_choice
+
+_log = logs.PartLog("path")
+
+# A gateway needs up to the time of a connection to find out that it does not
+# reach the endpoint either.
+TUNNEL_TIMEOUT_MS = 350
+# The next gateway is asked after this time while others have not answered.
+ASK_INTERVAL_MS = 15
+# What a gateway said of an endpoint counts for this time.
+ANSWER_LIFETIME_MS = 2_000
+
+
+class Unreached(OSError):
+    """No gateway that was asked has a connection to the endpoint.
+
+    ``is_refused`` tells that the endpoint's address refuses connections, and
+    ``is_answered`` that at least one gateway has answered.
+    """
+
+    def __init__(self, is_refused, is_answered):
+        """Keep what the gateways answered."""
+        super().__init__("no other gateway reaches the endpoint")
+        self.is_refused = is_refused
+        self.is_answered = is_answered
+
+
+class Relays:
+    """The other gateways, as ways to endpoints that are not reached."""
+
+    def __init__(self, settings, group, now):
+        """Know no gateways until ``table``, a ``PeerTable``, is set.
+
+        ``group`` runs what outlives a request; ``now`` returns the time in ms.
+        ``on_cut()`` is called when an endpoint is found cut off from here.
+        """
+        self._settings = settings
+        self._group = group
+        self.table = None
+        self.on_cut = None
+        self._now = now
+        self._rng = random.Random()
+        # Pairs of whether a gateway reached an endpoint and when it said so.
+        self._answer_by_address_and_ip = {}
+
+    def start(self, function, *arguments):
+        """Run a coroutine function in the background."""
+        self._group.start_soon(function, *arguments)
+
+    def is_available(self, ip):
+        """Return whether the gateway at ``ip`` may carry tunnels."""
+        return any(peer.ip == ip for peer in self._ready_peers())
+
+    def _ready_peers(self):
+        return [peer for peer in self.table.live() if peer.ready]
+
+    async def connect(self, address):
+        """Return a stream to ``address`` through another gateway.
+
+        :raises Unreached: there is none that reaches it.
+        """
+        return await _Search(self, address).run()
+
+    def candidates(self, address):
+        """Return the addresses of the gateways to ask, the best first."""
+        known = [
+            relay_choice.Candidate(
+                peer.ip,
+                peer.data_centre,
+                self._has_answered(address, peer.ip, False),
+                self._has_answered(address, peer.ip, True),
+            )
+            for peer in self._ready_peers()
+        ]
+        return relay_choice.order(known, self._settings.data_centre, self._rng)
+
+    def _has_answered(self, address, ip, is_reached):
+        said, at = self._answer_by_address_and_ip.get((address, ip), (None, 0))
+        return said is is_reached and self._now() - at < ANSWER_LIFETIME_MS
+
+    def record_answer(self, address, ip, is_reached):
+        """Record whether the gateway at ``ip`` reached an endpoint."""
+        self._answer_by_address_and_ip[address, ip] = is_reached, self._now()
+
+    async def open_tunnel(self, ip, address):
+        """Return a tunnel through the gateway at ``ip``."""
+        return await tunnel.open_tunnel(
+            f"{ip}:{self._settings.peer_port}", address, TUNNEL_TIMEOUT_MS
+        )
+
+    def sweep(self):
+        """Forget what gateways said long ago."""
+        since = self._now() - ANSWER_LIFETIME_MS
+        for key, (_, at) in list(self._answer_by_address_and_ip.items()):
+            if at < since:
+                del self._answer_by_address_and_ip[key]
+
+
+class _Search:
+    """Asks gateways, one shortly after the other, until one is connected."""
+
+    def __init__(self, relays, address):
+        self._relays = relays
+        self._address = address
+        self._stream = None
+        self._statuses = []
+
+    async def run(self):
+        async with anyio.create_task_group() as group:
+            for ip in self._relays.candidates(self._address):
+                ended = anyio.Event()
+                group.start_soon(self._ask, ip, ended, group.cancel_scope)
+                with anyio.move_on_after(clock.seconds(ASK_INTERVAL_MS)):
+                    await ended.wait()
+        if self._stream is None:
+            answers = [s for s in self._statuses if s is not None]
+            is_refused = bool(answers) and all(
+                status == tunnel.ENDPOINT_REFUSED for status in answers
+            )
+            raise Unreached(is_refused, bool(answers))
+        return self._stream
+
+    async def _ask(self, ip, ended, scope):
+        status = None
+        try:
+            stream = await self._relays.open_tunnel(ip, self._address)
+        except tunnel.NotConnected as exc:
+            status = exc.status
+            self._record_failure(ip, str(exc))
+        except (OSError, TimeoutError) as exc:
+            self._record_failure(ip, repr(exc))
+        else:
+            self._relays.record_answer(self._address, ip, True)
+            metrics.count("tunnels_opened")
+            self._stream = stream
+            scope.cancel()
+        finally:
+            if status != tunnel.NOT_RELAYED:
+                self._statuses.append(status)
+            ended.set()
+
+    def _record_failure(self, ip, why):
+        self._relays.record_answer(self._address, ip, False)
+        _log.debug(
+            "gateway does not reach the endpoint either",
+            by=ip,
+            address=self._address,
+            why=why,
+        )
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -5,6 +5,7 @@
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.http1 import client
 from clementinewall import logs
+from clementinewall import metrics
 from clementinewall.platform import calls
 from clementinewall import verdicts
 
@@ -90,6 +91,8 @@
     state.begin()
     try:
         link = await state.acquire_link()
+        if link.stream.relay_ip is not None:
+            _log_relayed(call, state, link)
         try:
             await _send_whole(link, request, watch)
             head = await _matching_head(call, link, watch)
@@ -167,6 +170,16 @@
     return head
 
 
+def _log_relayed(call, state, link):
+    metrics.count("sends_relayed", service=state.endpoint.service)
+    _log.info(
+        "sent through another gateway",
+        request=call.attempt,
+        endpoint=state.endpoint.id,
+        by=link.stream.relay_ip,
+    )
+
+
 def _record_load(state, head, now):
     load = calls.decode_load(head)
     if load is not None:
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -49,7 +49,7 @@
 
     def __init__(self, stream, now):
         """Own ``stream``, opened at ``now`` (milliseconds)."""
-        self._stream = stream
+        self.stream = stream
         self._h11 = _new_h11()
         self._sent_request = None
         self._idle_ms = DEFAULT_IDLE_MS
@@ -77,7 +77,7 @@
             data += self._h11.send(h11.Data(data=request.body))
         data += self._h11.send(h11.EndOfMessage()) or b""
         self.progress = verdicts.Progress.SENT_IN_PART
-        await self._write(self._stream.send(data, limit_ms))
+        await self._write(self.stream.send(data, limit_ms))
 
     async def finish_sending(self, limit_ms=None):
         """Go on with a :meth:`send` that timed out.
@@ -85,7 +85,7 @@
         :raises LinkBroken: the connection was reset.
         :raises TimeoutError: as for :meth:`send`.
         """
-        await self._write(self._stream.flush(limit_ms))
+        await self._write(self.stream.flush(limit_ms))
 
     async def _write(self, operation):
         try:
@@ -171,7 +171,7 @@
             if event is not h11.NEED_DATA:
                 return event
             try:
-                data = await self._stream.receive(limit_ms)
+                data = await self.stream.receive(limit_ms)
             except anyio.BrokenResourceError as exc:
                 raise self._broken("reset by the peer") from exc
             self._h11.receive_data(data)
@@ -205,11 +205,11 @@
 
     def is_idle(self):
         """Tell whether nothing was received since the last complete answer."""
-        if not self._stream.is_idle:
+        if not self.stream.is_idle:
             return False
         # Checks for data that the event loop has not read from the socket yet.
         poll = select.poll()
-        poll.register(self._stream.raw_socket.fileno(), select.POLLIN)
+        poll.register(self.stream.raw_socket.fileno(), select.POLLIN)
         return not poll.poll(0)
 
     def close(self):
@@ -218,20 +218,44 @@
         Unsent bytes of a request or an order must not reach the peer after
         the request was abandoned.
         """
-        self._stream.abort()
+        self.stream.abort()
+
+
+class DirectPath:
+    """Connects to an address; the default path of a :class:`Pool`."""
+
+    def __init__(self, address, connect_ms):
+        """Wait for a connection to ``address`` for ``connect_ms``."""
+        self._address = address
+        self._connect_ms = connect_ms
+
+    async def connect(self):
+        """Return a stream.
+
+        :raises OSError, TimeoutError: the connection failed.
+        """
+        return await streams.connect(self._address, self._connect_ms)
+
+    async def connect_directly(self):
+        """Return a stream, as :meth:`connect`."""
+        return await self.connect()
+
+    def is_current(self, _stream):
+        """Tell whether new requests may use an open stream."""
+        return True
 
 
 class Pool:
     """The idle links to one peer; the most recently used is reused first."""
 
-    def __init__(self, address, now, connect_ms):
-        """Pool links to ``address`` (``IP:port``).
+    def __init__(self, path, now):
+        """Pool links of streams that ``path`` connects.
 
-        ``now`` returns the time in milliseconds.
+        ``path`` has the interface of :class:`DirectPath`; ``now`` returns the
+        time in milliseconds.
         """
-        self.address = address
+        self._path = path
         self._now = now
-        self._connect_ms = connect_ms
         self._idle = []
         self.open_links = 0
 
@@ -242,7 +266,11 @@
         """
         while self._idle:
             link = self._idle.pop()
-            if link.idle_until > self._now() and link.is_idle():
+            if (
+                link.idle_until > self._now()
+                and self._path.is_current(link.stream)
+                and link.is_idle()
+            ):
                 return link
             self.discard(link)
         return await self.connect()
@@ -252,9 +280,19 @@
 
         :raises LinkBroken: the connection could not be established.
         """
+        return await self._open_link(self._path.connect)
+
+    async def connect_directly(self):
+        """Return a new link that no other gateway carries.
+
+        :raises LinkBroken: the connection could not be established.
+        """
+        return await self._open_link(self._path.connect_directly)
+
+    async def _open_link(self, open_stream):
         self.open_links += 1
         try:
-            stream = await streams.connect(self.address, self._connect_ms)
+            stream = await open_stream()
         except (OSError, TimeoutError) as exc:
             self.open_links -= 1
             raise LinkBroken(
@@ -273,12 +311,12 @@
     async def send_request(self, request, max_bytes, fresh=False):
         """Send a request and return the head and body of its answer.
 
-        ``fresh`` uses a new connection and closes it afterwards.
+        ``fresh`` uses a new direct connection and closes it afterwards.
 
         :raises LinkBroken: the exchange failed, or the body is over
             ``max_bytes`` bytes.
         """
-        link = await (self.connect() if fresh else self.acquire())
+        link = await (self.connect_directly() if fresh else self.acquire())
         return await self.exchange(link, request, max_bytes, fresh)
 
     async def exchange(
@@ -305,7 +343,9 @@
 
     def release(self, link):
         """Return a link to the pool, or close it if it can't be reused."""
-        if link.prepare_reuse(self._now()):
+        if self._path.is_current(link.stream) and link.prepare_reuse(
+            self._now()
+        ):
             self._idle.append(link)
         else:
             self.discard(link)
@@ -321,12 +361,16 @@
             self.discard(self._idle.pop())
 
     def prune(self):
-        """Close the idle links whose keep-alive time is over."""
+        """Close the idle links that new requests may not use any more."""
         now = self._now()
-        expired = [link for link in self._idle if link.idle_until <= now]
-        self._idle = [link for link in self._idle if link.idle_until > now]
-        for link in expired:
-            self.discard(link)
+        kept = []
+        for link in self._idle:
+            is_kept = link.idle_until > now
+            if is_kept and self._path.is_current(link.stream):
+                kept.append(link)
+            else:
+                self.discard(link)
+        self._idle = kept
 
 
 def _new_h11():
--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -235,6 +235,15 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
 
+    async def accept_tunnel(self):
+        """Accept a CONNECT request; return the stream for what follows.
+
+        Callers send nothing before they are told of the acceptance.
+        """
+        self.answer_started = True
+        await self._send(h11.Response(status_code=200, headers=[]))
+        return self._stream
+
     def _add_close(self, headers):
         """Announce the close of the connection, unless more bytes came.
 
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -27,6 +27,9 @@
 class Stream(asyncio.Protocol):
     """One connection, with at most one reading and one writing task."""
 
+    # The gateway that carries the connection, if it is not direct.
+    relay_ip = None
+
     def __init__(self, on_open=None):
         """Call ``on_open(stream)`` once connected."""
         self._on_open = on_open
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -55,7 +55,9 @@
 
         ``now`` returns the time in milliseconds.
         """
-        self._pool = client.Pool(address, now, CONNECT_TIMEOUT_MS)
+        self._pool = client.Pool(
+            client.DirectPath(address, CONNECT_TIMEOUT_MS), now
+        )
         self._host = address.encode()
 
     async def newest(self, topic):
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -12,6 +12,7 @@
 from clementinewall.gateway import draining
 from clementinewall.gateway import fleet_view
 from clementinewall.gateway import program
+from clementinewall.gateway import relay_server
 from clementinewall.http1 import messages
 from clementinewall.http1 import server
 from clementinewall.http1 import stream as streams
@@ -170,6 +171,7 @@
         )
         self.gateway._now_with_suspend = self.ticker.now_with_suspend
         self.gateway._callers = self.callers
+        self.gateway._relay_server = relay_server.RelayServer(None)
 
     def use_route(self, route):
         """Put a configuration with one route in force."""
