Record a crash only if the endpoint refuses new connections

No engine had crashed.

Cause: a connection that broke during a request was a crash record, and two of them make a request harmful everywhere. The gateway that is cut off can't tell the two cases apart by its own connection.

Change: before a record is made, a new connection to the endpoint is tried, by any way.

--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -52,7 +52,7 @@
                 last = exc
                 if spent and not exc.reached:
                     self._budgets.refund(exchange.service, spent)
-                self._record_failure(exchange, state, exc)
+                await self._record_failure(exchange, state, exc)
                 if not exchange.may_retry():
                     break
                 continue
@@ -164,11 +164,12 @@
             )
         return answer
 
-    def _record_failure(self, exchange, state, exc):
+    async def _record_failure(self, exchange, state, exc):
         exchange.record_failure(exc)
         if exc.answer is None:
+            if await state.has_crashed(exc):
+                self._crash_guard.record_failure(exchange, state, exc, True)
             state.record_failure(exc.absent)
-        self._crash_guard.record_failure(exchange, state, exc, True)
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -88,7 +88,7 @@
                 unused = _refundable_sends(plan, spent, exc)
                 if unused:
                     self._budgets.refund(exchange.service, unused)
-                self._record_failure(exchange, plan, exc)
+                await self._record_failure(exchange, plan, exc)
                 if not exchange.may_retry():
                     break
                 continue
@@ -331,14 +331,16 @@
                     why=exc.why,
                 )
 
-    def _record_failure(self, exchange, plan, exc):
+    async def _record_failure(self, exchange, plan, exc):
         exchange.record_failure(exc)
         if exc.answer is None:
+            has_just_begun = self._has_just_begun(exchange)
             state = plan.engine(exc.endpoint_id)
+            if await state.has_crashed(exc):
+                self._crash_guard.record_failure(
+                    exchange, state, exc, has_just_begun
+                )
             state.record_failure(exc.absent)
-            self._crash_guard.record_failure(
-                exchange, state, exc, self._has_just_begun(exchange)
-            )
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
