Leave changes of stages to gateways that reach the engine

A gateway that is cut off from an engine kept its place in line for changes of stages, and the lease: it asked the engine for a report, failed, waited two seconds and asked again, while those behind it waited for it to act.

Now the change of an engine that only others reach is left to them and the lease released. Such an order must not be relayed: engines tell holders apart by the machine that an order comes from. An engine that nobody reaches is handled as before, so that the change goes to another one. An order that could not be sent starts a check of the way.

Both tests fail without the change or with a simpler one that also left engines that nobody reaches.

--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -14,6 +14,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import cooldowns
+from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import lease as lease_module
@@ -90,7 +91,7 @@
         await self._refresh_claim()
         found = self._plan()
         now = self._clock.now()
-        if found is None:
+        if found is None or not self._can_order(found[1]):
             self._wanted_since = None
             await self._release()
             return
@@ -101,6 +102,18 @@
         if now - self._wanted_since >= self._action_delay_ms(found[1]):
             await self._act(*found)
 
+    def _can_order(self, change):
+        """Return whether no other gateway has to make a change.
+
+        Orders are never relayed: engines would take them for those of another
+        holder.  One of the gateways that reach the engine makes the change.
+        """
+        state = self._endpoints.find(change.id)
+        return (
+            state is None
+            or state.path.reach is not endpoint_path.Reach.RELAYED
+        )
+
     async def _release(self):
         """Release the lease once the orders sent under it took effect."""
         now = self._clock.now()
@@ -370,6 +383,7 @@
                 UNANSWERED_COOLDOWN_MS,
             )
         else:
+            state.start_path_check()
             is_absent = isinstance(exc, client.LinkBroken) and exc.absent
             if not isinstance(exc, endpoint_state.Withheld):
                 state.record_failure(is_absent)
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -9,6 +9,7 @@
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import stage_manager
@@ -34,7 +35,8 @@
     has_unreleased_claim = True
 
     def is_held(self):
-        """Return that it is held."""
+        """Return that it is held; count who asks."""
+        self.claims += 1
         return True
 
     def record_order(self):
@@ -43,6 +45,7 @@
     def __init__(self):
         """Start without calls."""
         self.refreshes = 0
+        self.claims = 0
 
     async def refresh(self):
         """Count a read of the newest claim."""
@@ -69,10 +72,11 @@
             notify=lambda: None,
             table=types.SimpleNamespace(states=list, group_rank=lambda: 0),
         )
+        self.endpoints = endpoints.Endpoints(self.fleet_view, self.clock.now)
         self.manager = stage_manager.StageManager(
             SETTINGS,
             self.fleet_view,
-            endpoints.Endpoints(self.fleet_view, self.clock.now),
+            self.endpoints,
             peers,
             lambda: True,
             self.clock,
@@ -180,6 +184,26 @@
         self.poll_for(4_000)
         self.assertEqual(self.ordered, ["a"])
 
+    def test_an_engine_that_only_others_reach_is_left_to_them(self):
+        # Guards against a gateway that is cut off and keeps the lease.
+        self.engine("a", domain.PREFILL)
+        path = self.endpoints.find("a").path
+        path._reach = endpoint_path.Reach.RELAYED
+        self.poll_for(2_000)
+        self.assertEqual(self.ordered, [])
+        self.assertEqual(self.manager._lease.claims, 0)
+        path._reach = endpoint_path.Reach.DIRECT
+        self.poll_for(1_000)
+        self.assertEqual(self.ordered, ["a"])
+
+    def test_an_engine_that_nobody_reaches_delays_no_other_order(self):
+        # Guards against a change that is left to others for ever.
+        self.engine("a", domain.PREFILL, NO_ANSWER)
+        self.engine("b", domain.PREFILL)
+        self.endpoints.find("a").path._reach = endpoint_path.Reach.NONE
+        self.poll_for(1_000)
+        self.assertEqual(self.ordered, ["b"])
+
     def test_an_engine_that_could_not_be_asked_is_tried_again(self):
         self.engine("a", domain.PREFILL, NO_ANSWER)
         self.poll_for(1_000)
