--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -298,11 +298,7 @@
 
     def is_unavailable(self):
         """Return whether requests to the endpoint would get no answer."""
-        return (
-            self._now() < self.unavailable_until
-            or self.path.is_unreached
-            or self.is_unresponsive()
-        )
+        return self._now() < self.unavailable_until or self.is_unresponsive()
 
     def is_unresponsive(self):
         """Return whether the endpoint answers no requests at all.
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -161,6 +161,7 @@
             state.endpoint.id: state
             for state in self._candidates(engines)
             if state.endpoint.id not in excluded_ids
+            and not state.path.is_unreached
         }
         prompt = exchange.call.prompt or EMPTY_PROMPT
         cached = max(
--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -53,9 +53,12 @@
         # Pairs of whether a gateway reached an endpoint and when it said so.
         self._answer_by_address_and_ip = {}
 
-    def start(self, function, *arguments):
-        """Run a coroutine function in the background."""
-        self._group.start_soon(function, *arguments)
+    def start(self, function):
+        """Run a coroutine function in the background.
+
+        An exception would end the process; it is logged instead.
+        """
+        self._group.start_soon(_run_logged, function)
 
     def is_available(self, ip):
         """Return whether the gateway at ``ip`` may carry tunnels."""
@@ -106,6 +109,14 @@
                 del self._answer_by_address_and_ip[key]
 
 
+async def _run_logged(function):
+    try:
+        await function()
+    except Exception as exc:
+        _log.error("unexpected exception of a check", why=repr(exc))
+        logs.traceback(_log)
+
+
 class _Search:
     """Asks gateways, one shortly after the other, until one is connected."""
 
