End tunnels whose other gateway lost power

Found by reading the fix as somebody else's: neither side of a tunnel without data would ever learn that the other machine is gone, and a gateway opens only so many tunnels. Both sides probe now, and give up after three seconds: the user time-out also decides when keep-alive probes do, whatever their count. Connections to endpoints have the time-out and no probes, so for these nothing follows from that.

--- a/clementinewall/gateway/relay_server.py
+++ b/clementinewall/gateway/relay_server.py
@@ -65,6 +65,7 @@
         metrics.count("tunnels_carried")
         try:
             caller = await connection.accept_tunnel()
+            caller.detect_loss(tunnel.LOSS_TIMEOUT_MS)
             await _carry(caller, endpoint)
         finally:
             self._open_tunnels -= 1
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import functools
+import socket
 
 import anyio
 
@@ -22,6 +23,8 @@
 # the process's memory.
 MAX_READ_AHEAD_BYTES = 65_536
 MAX_PENDING_CONNECTIONS = 1_024
+# Between keep-alive probes of a connection without data; the shortest time.
+KEEPALIVE_SECONDS = 1
 
 
 class Stream(asyncio.Protocol):
@@ -182,6 +185,22 @@
         if self._is_disconnected:
             raise anyio.BrokenResourceError from self._error
 
+    def detect_loss(self, timeout_ms):
+        """End the connection if its peer stays silent on the network.
+
+        Otherwise a peer that lost power would be waited for without end.  The
+        time-out holds for sent data and, as it overrides their count, for
+        keep-alive probes.
+        """
+        options = (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms),
+        )
+        for level, name, value in options:
+            self.raw_socket.setsockopt(level, name, value)
+
     def close(self):
         """Close the connection, abruptly if bytes are left to send."""
         if self._transport.get_write_buffer_size():
--- a/clementinewall/http1/tunnel.py
+++ b/clementinewall/http1/tunnel.py
@@ -22,6 +22,8 @@
 ENDPOINT_REFUSED = 502
 ENDPOINT_UNREACHED = 504
 NOT_RELAYED = 503
+# A tunnel ends if the other gateway stays silent on the network for so long.
+LOSS_TIMEOUT_MS = 3_000
 
 
 class NotConnected(Exception):
@@ -122,6 +124,7 @@
                 stream.abort()
     if not is_open:
         raise NotConnected(status)
+    stream.detect_loss(LOSS_TIMEOUT_MS)
     return TunnelStream(stream, relay.rpartition(":")[0])
 
 
--- a/tests/http1/test_tunnel.py
+++ b/tests/http1/test_tunnel.py
@@ -85,6 +85,16 @@
             await stream.receive(50)
         self.assertFalse(stream.is_idle)
 
+    async def test_a_gateway_that_lost_power_is_noticed(self):
+        # Guards against tunnels that stay open without end.
+        stream, _relay = await self.open()
+        raw = stream.raw_socket
+        self.assertTrue(raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+        self.assertEqual(
+            raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
+            tunnel.LOSS_TIMEOUT_MS,
+        )
+
     async def test_a_refusal_tells_why(self):
         answer = b"HTTP/1.1 502 \r\nContent-Length: 0\r\n\r\n"
         with self.assertRaises(ExceptionGroup) as caught:
