Let the soak cut gateways off from endpoints, and judge what callers see

One gateway, all but one, all of them, or one from some of the endpoints, for 4 to 8 s, by links that hang, are reset or refuse new connections; drawn by a generator of its own, so that the other kinds of a seed stay as they are, and overlapping with kills, pauses, crashes and what endpoints ask for. Planned runs have none, as before.

bench/soak/recovery.py judges the platform's rule by what callers got, from 3 s after the cut. Single requests of a gateway that is cut are excused, since the gateway that carries them may be killed.

--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -41,3 +41,9 @@
 RETRY_RATIO = 0.2
 RETRY_SLACK = 10
 RETRY_WINDOW_SECONDS = 10.0
+# Gateways that are cut off from endpoints are judged from this time on: they
+# serve this part of the others' share, or fail in no more requests than these.
+STABLE_SECONDS = 3.0
+MIN_CUT_SHARE = 2 / 3
+CUT_FAILURES = 10
+CUT_FAILURE_RATIO = 1 / 50
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -6,6 +6,7 @@
 from bench.soak import endpoint_wishes
 from bench.soak import limits
 from bench.soak import losses
+from bench.soak import recovery
 from bench.soak import request_limits
 from bench.soak import retries
 
@@ -30,6 +31,7 @@
         *retries.find_violations(history),
         *endpoint_wishes.find_violations(history),
         *request_limits.find_violations(history),
+        *recovery.find_violations(history),
     ]
 
 
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -29,11 +29,15 @@
 class Deployment:
     """All parts of one run, on which the kinds of fault act."""
 
-    def __init__(self, seed, gateways):
-        """Prepare ``gateways`` gateways; :meth:`bring_up` starts them."""
+    def __init__(self, seed, gateways, has_egress=False):
+        """Prepare ``gateways`` gateways; :meth:`bring_up` starts them.
+
+        With ``has_egress`` they can be cut off from endpoints.
+        """
         self.rng = random.Random(seed)
         self.gateways = [f"gateway-{n + 1}" for n in range(gateways)]
         self.case = _Case()
+        self.case.has_egress = has_egress
         self.history = history_module.History()
         self.backend_by_name = {}
         self.proxies = []
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -6,6 +6,7 @@
 from bench.soak import checks
 from bench.soak import deployment
 from bench.soak import endpoint_faults
+from bench.soak import partitions
 from bench.soak import planned_work
 from bench.soak import unplanned_faults
 
@@ -48,6 +49,16 @@
     "silence": endpoint_faults.fall_silent,
 }
 
+# What cuts gateways off from endpoints; drawn by a generator of its own, too.
+PARTITION_KINDS = {
+    "cut": partitions.cut_one,
+    "cut-most": partitions.cut_most,
+    "cut-all": partitions.cut_all,
+    "cut-some": partitions.cut_some,
+}
+PARTITION_GAP_SECONDS = (2.0, 6.0)
+SIDE_KINDS = {**ENDPOINT_KINDS, **PARTITION_KINDS}
+
 
 class Soak:
     """One seeded run."""
@@ -60,9 +71,12 @@
         self._seconds = seconds
         self._only = only
         self._endpoint_rng = random.Random(f"endpoints {seed}")
+        self._partition_rng = random.Random(f"partitions {seed}")
         self._function_by_kind = PLANNED_KINDS if planned else KINDS
         self._planned = planned
-        self._deployment = deployment.Deployment(seed, gateways)
+        self._deployment = deployment.Deployment(
+            seed, gateways, bool(self._partition_kinds())
+        )
         self.history = self._deployment.history
 
     def run(self):
@@ -70,11 +84,16 @@
         try:
             self._deployment.bring_up()
             threads = self._deployment.start_clients()
-            endpoint_thread = self._deployment.run_in_thread(
-                self._inject_endpoint_faults
-            )
+            side_threads = [
+                self._deployment.run_in_thread(inject)
+                for inject in (
+                    self._inject_endpoint_faults,
+                    self._inject_partitions,
+                )
+            ]
             self._inject()
-            endpoint_thread.join()
+            for thread in side_threads:
+                thread.join()
             time.sleep(SETTLE_SECONDS)
             self._deployment.stopping.set()
             for thread in threads:
@@ -96,7 +115,7 @@
             names, self._deployment.rng.randint(2, 5)
         )
         if self._only:
-            return tuple(k for k in self._only if k not in ENDPOINT_KINDS)
+            return tuple(k for k in self._only if k not in SIDE_KINDS)
         return tuple(names if self._planned else drawn)
 
     def _endpoint_kinds(self):
@@ -105,6 +124,12 @@
             return [kind for kind in self._only if kind in kinds]
         return kinds
 
+    def _partition_kinds(self):
+        """Return the kinds of cuts; planned work is run without them."""
+        if self._only:
+            return [kind for kind in self._only if kind in PARTITION_KINDS]
+        return [] if self._planned else sorted(PARTITION_KINDS)
+
     def _inject(self):
         rng = self._deployment.rng
 
@@ -123,12 +148,22 @@
 
         self._inject_series(rng, self._endpoint_kinds(), inject)
 
-    def _inject_series(self, rng, kinds, inject):
+    def _inject_partitions(self):
+        rng = self._partition_rng
+
+        def inject(kind):
+            return PARTITION_KINDS[kind](self._deployment, rng)
+
+        self._inject_series(
+            rng, self._partition_kinds(), inject, PARTITION_GAP_SECONDS
+        )
+
+    def _inject_series(self, rng, kinds, inject, gap_seconds=GAP_SECONDS):
         end = time.monotonic() + self._seconds
         threads = []
         while kinds and time.monotonic() < end:
             threads.append(inject(rng.choice(kinds)))
-            time.sleep(rng.uniform(*GAP_SECONDS))
+            time.sleep(rng.uniform(*gap_seconds))
         for thread in threads:
             if thread is not None:
                 thread.join()
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -6,6 +6,10 @@
 import typing
 
 
+# What the disturbance by a cut from endpoints is called.
+CUT = "cut off from endpoints"
+
+
 class Failure(enum.Enum):
     """Why a caller got no complete answer."""
 
@@ -145,6 +149,14 @@
     is_planned: bool = False
 
 
+class Cut(typing.NamedTuple):
+    """A time in which gateways were cut off from all endpoints."""
+
+    gateways: tuple[str, ...]
+    start: float
+    end: float
+
+
 class History:
     """All observations of a run; many threads write to it."""
 
@@ -162,6 +174,7 @@
         self.orders = []
         self.gateway_by_holder = {}
         self.disturbances = []
+        self.cuts = []
         self.stops = []
         self.readiness = []
         self.drained_at_by_endpoint = {}
@@ -189,17 +202,18 @@
 
     def has_no_disturbance(self, target, start, end):
         """Return whether a target was undisturbed from start to end."""
-        return not any(self._disturbances_of(target, start, end))
+        return not any(self.disturbances_of(target, start, end))
 
     def has_only_planned_work(self, targets, start, end):
         """Return whether nothing but planned work disturbed the targets."""
         return all(
             disturbance.is_planned
             for target in targets
-            for disturbance in self._disturbances_of(target, start, end)
+            for disturbance in self.disturbances_of(target, start, end)
         )
 
-    def _disturbances_of(self, target, start, end):
+    def disturbances_of(self, target, start, end):
+        """Return what disturbed a target from start to end."""
         return [
             disturbance
             for disturbance in list(self.disturbances)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -47,6 +47,11 @@
             3, "hup-in-drain", "stop-twice", "hup-and-stop", planned=True
         )
 
+    def test_gateways_that_are_cut_off_from_endpoints(self):
+        # Guards against gateways that know no other way to the endpoints.
+        history = self.check(1, *faults.PARTITION_KINDS, "kill", seconds=20)
+        self.assertTrue(history.cuts)
+
     def test_endpoints_that_name_limits(self):
         # Guards against gateways that together send more than was named.
         history = self.check(411, "limit", "hup", "publish", planned=True)
