Leave gateways that are cut off while they carry tunnels

A gateway that carries tunnels may be cut off in turn. Its tunnels hang, and as long as it lives and is ready, requests were sent on those that were idle. A silent endpoint is checked now also while it is relayed; the gateway that says that it doesn't reach it any more carries no further request there.

The record of an endpoint that runs may lapse and come back. Its reach was closed with the record and stayed direct for good. It starts anew now.

Tests: a chain of two cuts through real gateways; the reach of a record that comes back; what each answer of other gateways means.

--- a/clementinewall/gateway/endpoint_path.py
+++ b/clementinewall/gateway/endpoint_path.py
@@ -45,7 +45,8 @@
         """Start as reached directly.
 
         ``relays`` is ``None`` if there are no other gateways to ask;
-        ``on_change(before, after)`` is called when the reach changes.
+        ``on_change(before, after, after_ms)`` is called when the reach
+        changes, ``after_ms`` after the last time.
         """
         self._address = address
         self._connect_ms = connect_ms
@@ -58,7 +59,6 @@
         self._check_end = None
         self._condition = Condition.UNKNOWN
         self._is_probing = False
-        self._is_closed = False
 
     @property
     def reach(self):
@@ -81,7 +81,7 @@
     @property
     def is_check_due(self):
         """Tell whether a check may tell something new."""
-        if self._relays is None or self._reach is not Reach.DIRECT:
+        if self._relays is None or self._reach is Reach.NONE:
             return False
         return (
             self._checked_at is None
@@ -93,12 +93,12 @@
         if stream.relay_ip is None:
             return self._reach is not Reach.RELAYED
         return self._reach is Reach.RELAYED and self._relays.is_available(
-            stream.relay_ip
+            stream.relay_ip, self._address
         )
 
-    def close(self):
-        """End the probes: the endpoint is gone."""
-        self._is_closed = True
+    def forget(self):
+        """Start anew: the record of the endpoint is gone."""
+        self._reach = Reach.DIRECT
 
     async def connect(self):
         """Return a stream to the endpoint.
@@ -186,7 +186,7 @@
 
     def _set(self, reach):
         before = self._reach
-        if reach is before or self._is_closed:
+        if reach is before:
             return
         self._reach = reach
         self._changed_at, changed_ms = self._now(), self.changed_ms
@@ -198,7 +198,7 @@
     async def _probe(self):
         """Try to reach the endpoint directly until that succeeds."""
         try:
-            while self._reach is not Reach.DIRECT and not self._is_closed:
+            while self._reach is not Reach.DIRECT:
                 await anyio.sleep(clock.seconds(PROBE_INTERVAL_MS))
                 direct = await _condition_by(self.connect_directly)
                 if direct is Condition.ACCEPTING:
--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -207,7 +207,7 @@
     def close_links(self):
         """Close all idle connections; the endpoint is gone."""
         self._pool.close()
-        self.path.close()
+        self.path.forget()
 
     def check_path_if_silent(self):
         """Start a check of the path if an answer is waited for."""
--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -60,9 +60,14 @@
         """
         self._group.start_soon(_run_logged, function)
 
-    def is_available(self, ip):
-        """Return whether the gateway at ``ip`` may carry tunnels."""
-        return any(peer.ip == ip for peer in self._ready_peers())
+    def is_available(self, ip, address):
+        """Return whether the gateway at ``ip`` may carry on tunnels.
+
+        It may drain, or be cut off from the endpoint at ``address`` by now.
+        """
+        return any(
+            peer.ip == ip for peer in self._ready_peers()
+        ) and not self._has_answered(address, ip, False)
 
     def _ready_peers(self):
         return [peer for peer in self.table.live() if peer.ready]
@@ -105,7 +110,7 @@
         """Forget what gateways said long ago."""
         since = self._now() - ANSWER_LIFETIME_MS
         for key, (_, at) in list(self._answer_by_address_and_ip.items()):
-            if at < since:
+            if at <= since:
                 del self._answer_by_address_and_ip[key]
 
 
--- a/tests/gateway/test_endpoint_path.py
+++ b/tests/gateway/test_endpoint_path.py
@@ -46,7 +46,7 @@
         """Run a function until the test ends."""
         self.tasks.append(asyncio.create_task(function()))
 
-    def is_available(self, ip):
+    def is_available(self, ip, _address):
         """Tell whether a gateway may carry tunnels."""
         return ip in self.available_ips
 
@@ -198,7 +198,22 @@
     async def test_an_endpoint_that_is_gone_is_not_probed(self):
         # Guards against tasks that never end.
         await self.path.connect()
-        self.path.close()
+        self.path.forget()
         with anyio.fail_after(2):
             while self.path._is_probing:
                 await anyio.sleep(0.05)
+
+    async def test_an_endpoint_whose_record_comes_back_is_relayed_again(self):
+        # Guards against a cut that outlasts the lapse of a record.
+        await self.path.connect()
+        self.path.forget()
+        stream = await self.path.connect()
+        self.assertEqual(stream.relay_ip, "10.0.0.2")
+        self.assertIs(self.path.reach, Reach.RELAYED)
+
+    async def test_a_silent_endpoint_is_checked_while_it_is_relayed(self):
+        # Guards against a gateway that carries tunnels and is cut off itself.
+        await self.path.connect()
+        self.assertTrue(self.path.is_check_due)
+        await self.path.check()
+        self.assertFalse(self.path.is_check_due)
--- /dev/null
+++ b/tests/gateway/test_relays.py
@@ -0,0 +1,113 @@
+"""Whom a gateway asks for a tunnel, and what it makes of the answers."""
+
+import types
+import unittest
+from unittest import mock
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import domain
+from clementinewall.gateway import peer_messages
+from clementinewall.gateway import relays as relays_module
+from clementinewall.http1 import tunnel
+
+ADDRESS = "10.0.1.1:1"
+SETTINGS = domain.Settings(
+    "i", "10.0.0.1", "a", "", "", "", 7, "10.0.0.9:1", domain.Bounds()
+)
+
+
+class RelaysTest(unittest.IsolatedAsyncioTestCase):
+    """A gateway that knows three others."""
+
+    def setUp(self):
+        """Answer requests for tunnels as each test says."""
+        self.clock = clock.ManualClock(10_000)
+        self.relays = relays_module.Relays(SETTINGS, None, self.clock.now)
+        self.peers = [
+            peer_messages.Heartbeat(f"10.0.0.{n}", "", "a", True, 0)
+            for n in (2, 3, 4)
+        ]
+        self.relays.table = types.SimpleNamespace(live=lambda: self.peers)
+        self.outcome_by_ip = {}
+        self.asked = []
+        patch = mock.patch.object(
+            relays_module.tunnel, "open_tunnel", self.open_tunnel
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    async def open_tunnel(self, relay, _address, _limit_ms):
+        """Open a tunnel or fail; a number is a status, or a wait in s."""
+        ip = relay.rpartition(":")[0]
+        self.asked.append(ip)
+        outcome = self.outcome_by_ip.get(ip, 0.0)
+        if isinstance(outcome, Exception):
+            raise outcome
+        if isinstance(outcome, int):
+            raise tunnel.NotConnected(outcome)
+        await anyio.sleep(outcome)
+        return types.SimpleNamespace(relay_ip=ip)
+
+    async def unreached(self):
+        """Return the error of a search that finds no way."""
+        with self.assertRaises(relays_module.Unreached) as caught:
+            await self.relays.connect(ADDRESS)
+        return caught.exception
+
+    async def test_the_first_that_connects_is_used_again(self):
+        self.outcome_by_ip = {"10.0.0.2": 504, "10.0.0.3": OSError("lost")}
+        for _ in range(3):
+            found = await self.relays.connect(ADDRESS)
+            self.assertEqual(found.relay_ip, "10.0.0.4")
+        self.assertEqual(self.asked[-2:], ["10.0.0.4"] * 2)
+
+    async def test_a_gateway_that_does_not_answer_delays_little(self):
+        # Guards against gateways that are cut off and don't know it yet.
+        self.outcome_by_ip = {"10.0.0.2": 2.0, "10.0.0.3": 2.0}
+        with anyio.fail_after(1):
+            found = await self.relays.connect(ADDRESS)
+        self.assertEqual(found.relay_ip, "10.0.0.4")
+
+    async def test_an_endpoint_is_down_if_all_that_answer_are_refused(self):
+        # Guards against an endpoint that one cut makes look down.
+        self.outcome_by_ip = {ip: 502 for ip in ("10.0.0.2", "10.0.0.3")}
+        self.outcome_by_ip["10.0.0.4"] = TimeoutError()
+        found = await self.unreached()
+        self.assertTrue(found.is_refused)
+        self.outcome_by_ip["10.0.0.4"] = 504
+        found = await self.unreached()
+        self.assertFalse(found.is_refused)
+        self.assertTrue(found.is_answered)
+
+    async def test_without_an_answer_nothing_is_known(self):
+        for peers in (self.peers, []):
+            self.peers = peers
+            self.outcome_by_ip = {p.ip: TimeoutError() for p in peers}
+            found = await self.unreached()
+            self.assertFalse(found.is_refused)
+            self.assertFalse(found.is_answered)
+
+    async def test_gateways_that_open_no_tunnels_tell_nothing(self):
+        # Guards against a drain that makes an endpoint look down or well.
+        self.outcome_by_ip = {p.ip: 503 for p in self.peers}
+        self.assertFalse((await self.unreached()).is_answered)
+
+    async def test_gateways_that_are_not_ready_are_not_asked(self):
+        # Guards against tunnels through gateways that drain.
+        self.peers[0] = self.peers[0]._replace(ready=False)
+        for _ in range(20):
+            await self.relays.connect(ADDRESS)
+        self.assertNotIn("10.0.0.2", self.asked)
+        self.assertFalse(self.relays.is_available("10.0.0.2", ADDRESS))
+
+    async def test_tunnels_of_one_that_is_cut_off_by_now_are_left(self):
+        # Guards against requests on tunnels that hang.
+        self.relays.record_answer(ADDRESS, "10.0.0.2", False)
+        self.assertFalse(self.relays.is_available("10.0.0.2", ADDRESS))
+        self.assertTrue(self.relays.is_available("10.0.0.2", "10.0.1.2:1"))
+        self.clock.advance(relays_module.ANSWER_LIFETIME_MS)
+        self.assertTrue(self.relays.is_available("10.0.0.2", ADDRESS))
+        self.relays.sweep()
+        self.assertEqual(self.relays._answer_by_address_and_ip, {})
--- a/tests/integration/test_gateway_relays.py
+++ b/tests/integration/test_gateway_relays.py
@@ -17,6 +17,7 @@
 CUT = "gateway-1"
 EVENTS = 20
 EVENT_SECONDS = 0.1
+GOAL_MS = 400
 # A caller's close has to reach the endpoint within this time.
 CLOSE_SECONDS = 0.5
 # After the end of a cut all goes directly again within this time.
@@ -159,6 +160,27 @@
         self.assertEqual(self.ask_stream("a2").status_code, 200)
         self.assertNotEqual(self.relay_of("a2"), relay)
 
+    def test_a_relay_that_is_cut_off_in_turn_is_left(self):
+        # Guards against requests on tunnels that hang behind another gateway.
+        self.start()
+        self.cut(CUT, "hang")
+        self.ask(self.fronts[0], "/look/x", "a1")
+        relay = self.relay_of("a1")
+        self.cut(relay, "hang")
+        asked = base.Background(
+            lambda attempt: self.ask(self.fronts[0], "/look/x", attempt),
+            [("b1",), ("b2",), ("b3",)],
+        )
+        for _, answer in asked.join():
+            self.assertEqual(answer.status_code, 200)
+        for number in range(6):
+            answer = self.ask(self.fronts[0], "/book/x", f"c{number}")
+            self.assertEqual(answer.status_code, 200)
+            self.assertNotEqual(self.relay_of(f"c{number}"), relay)
+        for row in self.lines(CUT, "gateway: answered"):
+            if row["request"].startswith("c"):
+                self.assertLess(row["took_ms"], GOAL_MS)
+
     def test_a_booking_whose_relay_is_killed_runs_once(self):
         # Guards against bookings that are sent again on another way.
         def book(_endpoint, request):
