Look one gateway up instead of listing all for each tunnel that is used

In a fleet of 350 gateways each send through a tunnel, and each look at an idle one, listed all that are live. The answers are the same; the test uses the real table of peers now.

--- a/clementinewall/gateway/peer_table.py
+++ b/clementinewall/gateway/peer_table.py
@@ -190,6 +190,10 @@
         limit = self._now() - HEARTBEAT_TIMEOUT_MS
         return known is not None and known.received_at >= limit
 
+    def is_ready(self, ip):
+        """Return whether the gateway at ``ip`` is live and takes callers."""
+        return self.is_live(ip) and self._heartbeat_by_ip[ip].ready
+
     def live(self):
         """Return the heartbeats that have not timed out."""
         limit = self._now() - HEARTBEAT_TIMEOUT_MS
--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -65,12 +65,9 @@
 
         It may drain, or be cut off from the endpoint at ``address`` by now.
         """
-        return any(
-            peer.ip == ip for peer in self._ready_peers()
-        ) and not self._has_answered(address, ip, False)
-
-    def _ready_peers(self):
-        return [peer for peer in self.table.live() if peer.ready]
+        return self.table.is_ready(ip) and not self._has_answered(
+            address, ip, False
+        )
 
     async def connect(self, address):
         """Return a stream to ``address`` through another gateway.
@@ -88,7 +85,8 @@
                 self._has_answered(address, peer.ip, False),
                 self._has_answered(address, peer.ip, True),
             )
-            for peer in self._ready_peers()
+            for peer in self.table.live()
+            if peer.ready
         ]
         return relay_choice.order(known, self._settings.data_centre, self._rng)
 
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -9,6 +9,7 @@
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall.gateway import peer_messages
+from clementinewall.gateway import peer_table
 from clementinewall.gateway import relays as relays_module
 from clementinewall.http1 import tunnel
 
@@ -26,10 +27,10 @@
         self.clock = clock.ManualClock(10_000)
         self.relays = relays_module.Relays(SETTINGS, None, self.clock.now)
         self.peers = [
-            peer_messages.Heartbeat(f"10.0.0.{n}", "", "a", True, 0)
+            peer_messages.Heartbeat(f"10.0.0.{n}", "", "a", True, 10_000)
             for n in (2, 3, 4)
         ]
-        self.relays.table = types.SimpleNamespace(live=lambda: self.peers)
+        self.relays.table = peer_table.PeerTable("10.0.0.1", self.clock.now)
         self.outcome_by_ip = {}
         self.asked = []
         patch = mock.patch.object(
@@ -38,6 +39,12 @@
         patch.start()
         self.addCleanup(patch.stop)
 
+    def connect(self):
+        """Return a tunnel, while the peers are live as the test has them."""
+        for peer in self.peers:
+            self.relays.table.record_heartbeat(peer)
+        return self.relays.connect(ADDRESS)
+
     async def open_tunnel(self, relay, _address, _limit_ms):
         """Open a tunnel or fail; a number is a status, or a wait in s."""
         ip = relay.rpartition(":")[0]
@@ -53,13 +60,13 @@
     async def unreached(self):
         """Return the error of a search that finds no way."""
         with self.assertRaises(relays_module.Unreached) as caught:
-            await self.relays.connect(ADDRESS)
+            await self.connect()
         return caught.exception
 
     async def test_the_first_that_connects_is_used_again(self):
         self.outcome_by_ip = {"10.0.0.2": 504, "10.0.0.3": OSError("lost")}
         for _ in range(3):
-            found = await self.relays.connect(ADDRESS)
+            found = await self.connect()
             self.assertEqual(found.relay_ip, "10.0.0.4")
         self.assertEqual(self.asked[-2:], ["10.0.0.4"] * 2)
 
@@ -67,7 +74,7 @@
         # Guards against gateways that are cut off and don't know it yet.
         self.outcome_by_ip = {"10.0.0.2": 2.0, "10.0.0.3": 2.0}
         with anyio.fail_after(1):
-            found = await self.relays.connect(ADDRESS)
+            found = await self.connect()
         self.assertEqual(found.relay_ip, "10.0.0.4")
 
     async def test_an_endpoint_is_down_if_all_that_answer_are_refused(self):
@@ -82,7 +89,7 @@
         self.assertTrue(found.is_answered)
 
     async def test_without_an_answer_nothing_is_known(self):
-        for peers in (self.peers, []):
+        for peers in ([], self.peers):
             self.peers = peers
             self.outcome_by_ip = {p.ip: TimeoutError() for p in peers}
             found = await self.unreached()
@@ -98,16 +105,21 @@
         # Guards against tunnels through gateways that drain.
         self.peers[0] = self.peers[0]._replace(ready=False)
         for _ in range(20):
-            await self.relays.connect(ADDRESS)
+            await self.connect()
         self.assertNotIn("10.0.0.2", self.asked)
         self.assertFalse(self.relays.is_available("10.0.0.2", ADDRESS))
 
     async def test_tunnels_of_one_that_is_cut_off_by_now_are_left(self):
         # Guards against requests on tunnels that hang.
+        await self.connect()
         self.relays.record_answer(ADDRESS, "10.0.0.2", False)
         self.assertFalse(self.relays.is_available("10.0.0.2", ADDRESS))
         self.assertTrue(self.relays.is_available("10.0.0.2", "10.0.1.2:1"))
         self.clock.advance(relays_module.ANSWER_LIFETIME_MS)
+        self.peers = [p._replace(received_at=12_000) for p in self.peers]
+        await self.connect()
+        self.clock.advance(1)
         self.assertTrue(self.relays.is_available("10.0.0.2", ADDRESS))
+        self.clock.advance(relays_module.ANSWER_LIFETIME_MS)
         self.relays.sweep()
         self.assertEqual(self.relays._answer_by_address_and_ip, {})
