Judge cut gateways only in seconds in which others were judged

The share of one time was compared with that of another.

Now both are compared second by second: a cut gateway has to serve two thirds of what it would by the others' share of the same second. That is no weaker where others are judged: good seconds of one side don't make up for bad ones of the other any more. Both have a test.

--- a/bench/soak/recovery.py
+++ b/bench/soak/recovery.py
@@ -1,5 +1,7 @@
 """Check that gateways that are cut off serve their callers as others do."""
 
+import collections
+
 from bench.soak import bounds
 from bench.soak import history as history_module
 
@@ -10,35 +12,43 @@
 def find_violations(history):
     """Yield a sentence for each cut in which callers were served worse."""
     for cut in history.cuts:
-        own, others = _judged(history, cut)
-        if not own or not others:
-            continue
+        own, expected = _judged(history, cut)
         failures = len(own) - sum(own)
         allowed = bounds.CUT_FAILURES + bounds.CUT_FAILURE_RATIO * len(own)
-        share = sum(own) / len(own)
-        other_share = sum(others) / len(others)
-        if share < bounds.MIN_CUT_SHARE * other_share and failures > allowed:
+        if sum(own) < bounds.MIN_CUT_SHARE * expected and failures > allowed:
             yield (
                 f"{', '.join(cut.gateways)}, cut off, served {sum(own)} of"
-                f" {len(own)}, the others {sum(others)} of {len(others)}"
+                f" {len(own)}; {expected:.1f} by the share of the others"
             )
 
 
 def _judged(history, cut):
-    """Return whether requests were served, at cut gateways and at others."""
+    """Return whether requests at cut gateways were served, and the measure.
+
+    That is how many would have been by the others' share.  Only seconds count
+    in which the others had requests: endpoints may refuse everybody at times.
+    """
+    own_by_second = collections.defaultdict(list)
+    others_by_second = collections.defaultdict(list)
     start = cut.start + bounds.STABLE_SECONDS
-    own, others = [], []
     for sent in history.sent:
         if sent.kind in UNJUDGED_KINDS or not start <= sent.at <= cut.end:
             continue
         if not _is_in_touch(history, sent):
             continue
         is_served = sent.status == 200 and sent.is_correct
+        second = int(sent.at - start)
         if sent.gateway in cut.gateways:
-            own.append(is_served)
+            own_by_second[second].append(is_served)
         elif not _is_cut(history, sent):
-            others.append(is_served)
-    return own, others
+            others_by_second[second].append(is_served)
+    own = []
+    expected = 0.0
+    for second, others in others_by_second.items():
+        here = own_by_second[second]
+        own += here
+        expected += len(here) * sum(others) / len(others)
+    return own, expected
 
 
 def _is_in_touch(history, sent):
--- a/tests/soak/test_recovery.py
+++ b/tests/soak/test_recovery.py
@@ -71,6 +71,21 @@
         self.disturb("pause", base.GATEWAY)
         self.assertEqual(self.violations(), 0)
 
+    def test_seconds_without_a_measure_do_not_count(self):
+        # Endpoints may refuse everybody while no other gateway is judged.
+        self.record_requests(base.GATEWAY, 10, 0)
+        self.record_requests(OTHER, 10, 0)
+        self.record_requests(base.GATEWAY, 0, 30, at=JUDGED_AT + 2)
+        self.assertEqual(self.violations(), 0)
+
+    def test_a_bad_second_is_not_made_up_for_by_good_ones_of_others(self):
+        # Guards against a measure that the others' other requests raise.
+        self.record_requests(base.GATEWAY, 0, 30)
+        self.record_requests(OTHER, 10, 0)
+        self.record_requests(base.GATEWAY, 10, 0, at=JUDGED_AT + 2)
+        self.record_requests(OTHER, 0, 90, at=JUDGED_AT + 2)
+        self.assertEqual(self.violations(), 1)
+
     def test_gateways_in_another_cut_are_no_measure(self):
         self.record_requests(base.GATEWAY, 0, 30)
         self.record_requests(OTHER, 0, 30)
