--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -22,10 +22,10 @@
 class Endpoint:
     """Accepts connections on a port of its own until closed."""
 
-    def __init__(self, script):
+    def __init__(self, script, address=("127.0.0.1", 0)):
         """Answer by ``script(endpoint, request)``, which yields steps."""
         self._script = script
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._listener = socket.create_server(address)
         self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
         self.requests = []
         # What it says of its cache: tokens by part, and rows of changes.  It
