--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -131,7 +131,8 @@
 class Endpoint(typing.NamedTuple):
     """One endpoint as it registered itself.
 
-    ``incarnation`` grows with each restart under the same id.
+    ``incarnation`` grows with each restart under the same id; ``version`` is
+    that of its software, without an order.
     """
 
     id: str
@@ -142,6 +143,7 @@
     draining: bool
     stage: str | None
     incarnation: int
+    version: str = ""
 
     @property
     def incarnation_key(self):
@@ -183,7 +185,9 @@
     """A caller's request, decoded once.
 
     ``headers`` are those to be forwarded.  ``attempt`` is the caller's id
-    for this attempt, which the endpoint repeats in its answer.
+    for this attempt, which the endpoint repeats in its answer.  ``resumes``
+    is that of the attempt that brought the first event of a stream which
+    this call takes up after the event ``resume_after``.
     """
 
     attempt: str
@@ -196,6 +200,12 @@
     wait_ms: clock.Millis | None
     resume_after: int | None
     prompt: Prompt | None
+    resumes: str | None = None
+
+    @property
+    def takes_up(self):
+        """Tell whether the caller has events of this stream."""
+        return bool(self.resume_after) or self.resumes is not None
 
 
 class Prefilled(typing.NamedTuple):
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -188,6 +188,7 @@
             version=configuration.version,
             goal_ms=route.goal_ms,
             left_ms=exchange.left_ms,
+            **_return_fields(call),
             **self._drain_fields(exchange),
         )
         return exchange
@@ -267,6 +268,13 @@
             connection.close_after_answer()
 
 
+def _return_fields(call):
+    """Return the log fields for a request that takes up a stream."""
+    if not call.takes_up:
+        return {}
+    return {"resumes": call.resumes, "after": call.resume_after}
+
+
 def _choose_service(shares):
     """Return a service name, drawn by the weights of the route."""
     if len(shares) == 1:
--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -161,6 +161,7 @@
                 stage=found.stage,
                 leaving=found.draining,
                 born=found.incarnation,
+                version=found.version,
                 offset=record.offset,
             )
         return is_update
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -215,6 +215,7 @@
             request=exchange.call.attempt,
             took_ms=took,
             predicted_ms=round(plan.option.first_ms),
+            version=plan.decode_engine.endpoint.version,
         )
 
     def _can_replace_prefill(self, exchange, prefill_engine, silent_ms):
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -11,6 +11,7 @@
 ATTEMPT_HEADER = b"attempt-id"
 _DEADLINE_HEADER = b"deadline-ms"
 _RESUME_HEADER = b"last-event-id"
+_RESUMES_HEADER = b"resumes"
 _SERVER_STAMP_HEADER = b"server-stamp"
 _NOT_RUN_HEADER = b"not-executed"
 _LOAD_HEADER = b"server-load"
@@ -82,9 +83,15 @@
         wait_ms=messages.parse_integer(request.header(_DEADLINE_HEADER)),
         resume_after=messages.parse_integer(request.header(_RESUME_HEADER)),
         prompt=_decode_prompt(request),
+        resumes=_decode_resumes(request),
     )
 
 
+def _decode_resumes(request):
+    value = request.header(_RESUMES_HEADER)
+    return value.decode("latin-1").strip() or None if value else None
+
+
 def _host_name(value):
     """Return the host name in lower case, without its port."""
     text = value.decode("latin-1").strip().lower()
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -69,6 +69,7 @@
             draining=state == "draining",
             stage=data.get("stage"),
             incarnation=_integer(data.get("born", 0)),
+            version=_optional_text(data.get("version")),
         )
     except _DECODE_ERRORS as exc:
         raise errors.BadRecord(
@@ -92,6 +93,10 @@
     return value
 
 
+def _optional_text(value):
+    return "" if value is None else _text(value)
+
+
 def _integer(value):
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(f"{value!r} is not an integer")
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -61,6 +61,13 @@
             [part.tokens for part in call.prompt.parts], [800, 410, 250]
         )
 
+    def test_what_a_call_takes_up_is_decoded(self):
+        call = decode((b"Resumes", b"a1"), (b"Last-Event-Id", b"4"))
+        self.assertEqual((call.resumes, call.resume_after), ("a1", 4))
+        self.assertTrue(call.takes_up)
+        self.assertFalse(decode().takes_up)
+        self.assertFalse(decode((b"Last-Event-Id", b"0")).takes_up)
+
     def test_missing_attempt_id_or_host_is_refused(self):
         for missing in (b"Attempt-Id", b"Host"):
             headers = tuple(row for row in HEADERS if row[0] != missing)
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -142,6 +142,15 @@
             with self.assertRaises(errors.BadRecord):
                 records.endpoint("e", raw)
 
+    def test_a_version_is_a_text_or_missing(self):
+        row = {"service": "app", "zone": "a", "state": "ready"}
+        row["address"] = "10.0.0.1:80"
+        for value, found in (("v1.1", "v1.1"), (None, "")):
+            raw = json.dumps(row | {"version": value}).encode()
+            self.assertEqual(records.endpoint("e", raw).version, found)
+        with self.assertRaises(errors.BadRecord):
+            records.endpoint("e", json.dumps(row | {"version": 2}).encode())
+
     def test_numbers_out_of_range_are_refused(self):
         # Guards against a gateway that ends when it reads or uses one.
         huge = 10**400
