Let streams go on only at the software version that began them

Cause: the version of an engine was part of no choice. The class of fault: the state of a conversation was taken for that of a request.

Change: a request keeps the version of its first event. Nobody knows it: it goes on only if all have seen one version. No engine of the version: 503 at once. A new connection is verified by its report while several versions are known, as an engine may restart under its id. Stage changes leave a version its last decode engine.

Why it works: the decision is made by what began the stream, not by the engines there are now, and what is known outlives the gateway that began it.

--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -118,6 +118,26 @@
     status = 503
 
 
+class UnknownOrigin(NotRunError):
+    """Nobody knows which software version began the stream to go on with.
+
+    Events of two versions don't fit together.  Start the stream anew.
+    """
+
+    code = "unknown_origin"
+    status = 503
+
+
+class NoEngineOfVersion(NotRunError):
+    """No engine of the software version that began the stream decodes now.
+
+    Retry after ``retry_after_ms``, or start the stream anew.
+    """
+
+    code = "no_engine_of_version"
+    status = 503
+
+
 class HarmfulRequest(ClementinewallError):
     """This request crashed two endpoints and is not tried again.
 
--- a/clementinewall/gateway/cell_membership.py
+++ b/clementinewall/gateway/cell_membership.py
@@ -79,10 +79,13 @@
             self._cell.gateways, self._largest_size, is_member
         )
 
-    def cell_engines(self, states):
-        """Return those of the cell, or all if it has no decode engine."""
+    def cell_engines(self, states, or_all=True):
+        """Return those of the cell.
+
+        With ``or_all``, return all if the cell has no decode engine.
+        """
         own = [s for s in states if self.is_cell_engine(s)]
-        return own if _has_decode_engine(own) else states
+        return own if not or_all or _has_decode_engine(own) else states
 
 
 def _has_decode_engine(states):
--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -1,5 +1,8 @@
 """What this gateway knows of one endpoint: connections, work, cache."""
 
+import anyio
+
+from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import cache_view
 from clementinewall.gateway import endpoint_path
@@ -23,6 +26,9 @@
 RESPONSE_TIMEOUT_MS = 1_000
 # After such a silence it is checked whether the endpoint can be reached.
 SILENCE_CHECK_MS = 400
+# Reports are answered at once, whatever work waits.
+VERIFY_TIMEOUT_MS = 300
+MAX_REPORT_BYTES = 1_000_000
 
 
 class Withheld(client.LinkBroken):
@@ -71,6 +77,10 @@
         self.unavailable_until = 0
         # When its record was found missing, ``None`` while it is there.
         self.missing_since = None
+        # Whether a request failed since the process there was last verified.
+        self.has_failed = False
+        # Tells whether another process may answer at the address by now.
+        self.is_doubtful = lambda: False
         self.cache = cache_view.CacheView()
 
     @property
@@ -146,9 +156,54 @@
         """Return a connection for one request, counted by :meth:`use_share`.
 
         :raises Withheld: the endpoint has asked for rest.
-        :raises LinkBroken: the connection could not be established.
+        :raises LinkBroken: the connection could not be established, or leads
+            to another process than that of the record.
+        """
+        link = await self._connect(self._pool.acquire)
+        if link.is_new and self.is_doubtful():
+            link = await self._verified(link)
+        return link
+
+    async def _verified(self, link):
+        """Return a new link to the process whose record is known.
+
+        :raises LinkBroken: another process answered, or none.
         """
-        return await self._connect(self._pool.acquire)
+        self.use_share()
+        try:
+            with anyio.fail_after(clock.seconds(VERIFY_TIMEOUT_MS)):
+                await link.send(calls.report_request())
+                head = await link.read_head()
+                self.apply_answer(head)
+                body = await link.read_rest(MAX_REPORT_BYTES)
+        except (client.LinkBroken, TimeoutError) as exc:
+            self._pool.discard(link)
+            raise client.LinkBroken(
+                verdicts.Progress.NEVER_CONNECTED,
+                "the engine did not report which process it is",
+            ) from exc
+        except BaseException:
+            self._pool.discard(link)
+            raise
+        born = calls.decode_incarnation(head, body)
+        if born not in (None, self.endpoint.incarnation):
+            self._pool.discard(link)
+            _log.info(
+                "another process answers at the address",
+                endpoint=self.endpoint.id,
+                born=born,
+                expected=self.endpoint.incarnation,
+            )
+            raise client.LinkBroken(
+                verdicts.Progress.NEVER_CONNECTED,
+                "another process answers at the engine's address",
+                absent=True,
+            )
+        self.has_failed = False
+        if link.prepare_reuse(self._now()):
+            return link
+        self._pool.discard(link)
+        return await self._connect(self._pool.connect)
 
     async def _connect(self, connect):
         self._check_rest()
@@ -271,6 +326,7 @@
 
         An endpoint that asked for rest has said itself when to try again.
         """
+        self.has_failed = True
         if self._has_new_way():
             return
         if absent or not self.span_ms:
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -43,6 +43,7 @@
             state = endpoint_state.EndpointState(
                 endpoint, self._now, self.request_limits, self._relays
             )
+            state.is_doubtful = lambda: self._is_doubtful(state)
             self._state_by_incarnation[endpoint.incarnation_key] = state
         if state.endpoint.stage != endpoint.stage:
             # Failures in its previous stage do not apply to the new one.
@@ -50,6 +51,22 @@
         state.endpoint = endpoint
         return state
 
+    def _is_doubtful(self, state):
+        """Tell whether another process may answer at a model engine.
+
+        An engine may start again under its id with other software, before
+        its new record is known here.
+        """
+        if not is_engine(state):
+            return False
+        if self._fleet_view.versions.are_several(state.endpoint.service):
+            return True
+        return state.has_failed and not self._fleet_view.is_current
+
+    def service(self, name):
+        """Return the service of this name, as operators configured it."""
+        return self._fleet_view.configuration.service_by_name[name]
+
     def of_service(self, service):
         """Return the states of the endpoints that don't leave."""
         states = [
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -88,6 +88,9 @@
         self.first_event_ms = None
         # When the engine that runs the request now sent its first event.
         self.run_began_at = None
+        # The software version of the engine that made the first event that
+        # the caller has of the stream, once it has one.
+        self.version = None
         self.tried_ids = set()
         self._unreached = 0
 
--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -10,6 +10,7 @@
 
 from clementinewall import domain
 from clementinewall import errors
+from clementinewall.gateway import software_versions
 from clementinewall.http1 import server
 from clementinewall import logs
 from clementinewall.platform import records
@@ -23,6 +24,8 @@
 # Records may have expired during an outage of at least this length.
 # Endpoints write about every 1,200 ms and expire after three missed writes.
 MIN_OUTAGE_MS = 1_500
+# Endpoints of which nothing has been read for longer may have changed.
+CURRENT_MS = 2_500
 
 
 class FleetView:
@@ -36,7 +39,9 @@
         # Pairs of the time at which limits were replaced, and these limits.
         self._replaced_limits = collections.deque()
         self.endpoint_by_id = {}
+        self.versions = software_versions.SoftwareVersions(now)
         self.is_fleet_known = False
+        self._fleet_read_at = None
         self._configuration_offset = -1
         self._offset_by_id = {}
         self._lapse_end_by_id = {}
@@ -50,6 +55,17 @@
         """Return whether enough is known to serve requests."""
         return self.configuration is not None and self.is_fleet_known
 
+    def record_fleet_read(self):
+        """Record that the endpoints are those of the store now."""
+        self._fleet_read_at = self._now()
+
+    @property
+    def is_current(self):
+        """Return whether the endpoints were read of the store lately."""
+        if self._fleet_read_at is None:
+            return False
+        return self._now() - self._fleet_read_at <= CURRENT_MS
+
     @property
     def limits(self):
         """Return the limits for callers.
@@ -153,6 +169,7 @@
         )
         self._rejected_ids.discard(record.key)
         self.endpoint_by_id[record.key] = found
+        self.versions.apply(known, found)
         if known != found:
             _log.info(
                 "endpoint changed" if known else "endpoint appeared",
@@ -197,7 +214,9 @@
 
     def _forget(self, name, why, offset):
         self._lapse_end_by_id.pop(name, None)
-        if self.endpoint_by_id.pop(name, None) is not None:
+        known = self.endpoint_by_id.pop(name, None)
+        if known is not None:
+            self.versions.apply(known, None)
             _log.info(f"endpoint {why}", endpoint=name, offset=offset)
 
     def record_store_recovery(self, away_ms):
@@ -208,6 +227,7 @@
     def expire(self):
         """Drop endpoints that did not re-register within the grace period."""
         now = self._now()
+        self.versions.expire()
         for name, end in list(self._lapse_end_by_id.items()):
             if now >= end:
                 self._forget(name, "missing after the store recovered", None)
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -71,7 +71,7 @@
         # until it has been asked.
         self.is_first_process = None
         self.updates = update_exchange.UpdateExchange(
-            settings.ip, self.table, self._send_to, self.notify
+            settings.ip, self.table, self.send_to, self.notify
         )
         self._rounds = heartbeat_rounds.HeartbeatRounds(
             settings,
@@ -79,9 +79,11 @@
             is_ready,
             self.table,
             incarnation,
-            self._send_to,
+            self.send_to,
             self._news,
         )
+        # Called as ``take(message, ip)`` with what known gateways send.
+        self.take_more = None
         self._cell_ips = frozenset()
         self._last_content = None
         self._last_at = -REPEAT_INTERVAL_MS
@@ -118,7 +120,7 @@
             self.table.register(record.key)
         return True
 
-    def _send_to(self, raw, ips):
+    def send_to(self, raw, ips):
         """Send a datagram to each of ``ips``, unless the socket is closed."""
         if self._datagrams is not None:
             self._datagrams.send(raw, ips)
@@ -190,7 +192,7 @@
         if self._is_due(work, now):
             self._send_state(work, now)
         elif lacking:
-            self._send_to(self._state_message(work, now), lacking)
+            self.send_to(self._state_message(work, now), lacking)
         self._rounds.send_if_due()
 
     def _is_due(self, work, now):
@@ -232,7 +234,7 @@
                 "state exceeds the datagram limit; not sent", size=len(raw)
             )
             return
-        self._send_to(raw, self._cell_peers())
+        self.send_to(raw, self._cell_peers())
 
     def _state_message(
         self, work, now, prefills=(), cache_changes=(), crash_records=()
@@ -300,6 +302,8 @@
         self._endpoints.cache_holders.merge(message.get("kept", ()))
         self._endpoints.request_limits.merge(message.get("limits", ()))
         self.updates.take(message, raw, ip)
+        if self.take_more is not None and self.table.is_known(ip):
+            self.take_more(message, ip)
         if was_silent and self.table.is_live(ip):
             # It may just have started, and know nobody.
             self._rounds.welcome(ip)
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -96,11 +96,12 @@
         :raises Overloaded: the request cannot be served in time.
         :raises ClementinewallError: no further send can serve the request.
         """
-        options = self._options(exchange, self._may_probe())
+        options = self._options(exchange, self._may_probe(), may_repeat=True)
         demand, states, known, chosen, urgency = options
         self._record_probe(known, chosen)
         if isinstance(chosen, placement.Refusal):
-            if last is None or not _is_worth_serving_late(chosen, exchange):
+            is_begun = last is not None or exchange.call.takes_up
+            if not is_begun or not _is_worth_serving_late(chosen, exchange):
                 self._refuse(exchange, demand, chosen, last)
             chosen = chosen.best
         _log.info(
@@ -147,8 +148,14 @@
         engine_ids = filter(None, (chosen.prefill, chosen.decode))
         return all(options.state_by_id[id_].is_usable() for id_ in engine_ids)
 
-    def _options(self, exchange, is_probe, excluded_ids=frozenset()):
-        """Return the engines that are left for the request, and the best."""
+    def _options(
+        self, exchange, is_probe, excluded_ids=frozenset(), may_repeat=False
+    ):
+        """Return the engines that are left for the request, and the best.
+
+        ``may_repeat`` lets a stream go on at an engine that broke it off, if
+        no other engine of its version decodes.
+        """
         excluded_ids = exchange.tried_ids | excluded_ids
         peers = self._peers.table.states()
         demand = self._demand(exchange, peers, is_probe)
@@ -156,13 +163,25 @@
             state
             for state in self._endpoints.of_service(exchange.service.name)
             if endpoints_module.is_engine(state)
+            and _may_go_on(state, exchange.version)
+        ]
+        candidates = [
+            state
+            for state in self._candidates(engines, exchange.version)
+            if not state.path.is_unreached
         ]
         states = {
             state.endpoint.id: state
-            for state in self._candidates(engines)
+            for state in candidates
             if state.endpoint.id not in excluded_ids
-            and not state.path.is_unreached
         }
+        if may_repeat and exchange.version is not None:
+            if not any(_decodes(state) for state in states.values()):
+                states |= {
+                    state.endpoint.id: state
+                    for state in candidates
+                    if _decodes(state) and not state.is_unavailable()
+                }
         prompt = exchange.call.prompt or EMPTY_PROMPT
         cached = max(
             (
@@ -185,18 +204,21 @@
         chosen = placement.choose(known, demand, holder)
         return Options(demand, states, known, chosen, urgency)
 
-    def _candidates(self, engines):
+    def _candidates(self, engines, version):
         """Return the engines of the cell, and others if most of these fail.
 
         When many engines crash at once, a cell may have no usable engine of
         a stage while other cells have headroom.  The work in other cells is
-        unknown here, so engines are drawn from them at random.
+        unknown here, so engines are drawn from them at random; so are those
+        for a stream whose ``version`` no engine of the cell has.
         """
-        close = self._cell_membership.cell_engines(engines)
+        close = self._cell_membership.cell_engines(engines, version is None)
         found = list(close)
         for stage in domain.STAGES:
             in_cell = [s for s in close if s.endpoint.stage == stage]
-            if sum(s.is_usable() for s in in_cell) * 2 >= len(in_cell):
+            is_missing = version is not None and not in_cell
+            usable = sum(s.is_usable() for s in in_cell)
+            if usable * 2 >= len(in_cell) and not is_missing:
                 continue
             others = [
                 state
@@ -296,8 +318,14 @@
             wait_ms=round(best.wait_ms) if best else None,
             left_ms=round(demand.left_ms),
             tokens=demand.tokens,
+            version=exchange.version,
         )
         metrics.count("refused", route=exchange.route.name)
+        if exchange.version is not None and best is None and last is None:
+            raise errors.NoEngineOfVersion(
+                f"no engine of version {exchange.version} takes the stream",
+                retry_after_ms=exchanges.spread_retry_ms(refusal.retry_ms),
+            )
         if last is not None and not refusal.all_rest:
             raise exchanges.final_error(exchange, last.why)
         retry_ms = exchanges.spread_retry_ms(refusal.retry_ms)
@@ -306,6 +334,20 @@
         raise errors.Overloaded(refusal.why, retry_after_ms=retry_ms)
 
 
+def _decodes(state):
+    return state.endpoint.stage == domain.DECODE
+
+
+def _may_go_on(state, version):
+    """Tell whether a stream of a version may go on at an engine.
+
+    ``None`` stands for a stream that has no event yet.
+    """
+    if version is None or not _decodes(state):
+        return True
+    return state.endpoint.version == version
+
+
 def _slowness(state, usable_stages):
     """Return the slowness to predict the times of an engine with.
 
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -21,6 +21,7 @@
 from clementinewall.gateway import relay_server
 from clementinewall.gateway import relays
 from clementinewall.gateway import stage_manager
+from clementinewall.gateway import stream_origins
 from clementinewall.gateway import stream_relay
 from clementinewall.gateway import topic_followers
 from clementinewall.http1 import stream as tcp
@@ -76,6 +77,14 @@
             ticker.time_of_day_seconds(),
         )
         self._relays.table = self._peers.table
+        self._origins = stream_origins.StreamOrigins(
+            settings.ip,
+            self._fleet_view,
+            self._peers.table,
+            self._peers.send_to,
+            now,
+        )
+        self._peers.take_more = self._origins.take
         self._endpoints.request_limits.share_with(
             settings.ip, self._limit_group
         )
@@ -99,6 +108,7 @@
             self._peers.announce_prompt,
             self._budgets,
             self._crash_guard,
+            self._origins,
             drain,
             group,
             now,
@@ -258,6 +268,7 @@
             self._cell_membership.update(self._peers.table.members())
             self._endpoints.sweep()
             self._relays.sweep()
+            self._origins.sweep()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
--- /dev/null
+++ b/clementinewall/gateway/software_versions.py
@@ -0,0 +1,59 @@
+"""The software versions of each service that serve, or served lately.
+
+Several versions may serve side by side, in no order.  What two of them write
+to one stream doesn't fit together.
+"""
+
+import collections
+import math
+
+# A stream may be taken up for this time after its version has left.
+RETENTION_MS = 60_000
+
+
+class SoftwareVersions:
+    """Counts the endpoints of each version, from records as they change."""
+
+    def __init__(self, now):
+        """Start without endpoints; ``now`` returns the time in ms."""
+        self._now = now
+        self._counts = collections.Counter()
+        # When the last endpoint of a version left, by service and version.
+        self._left_at_by_service = collections.defaultdict(dict)
+
+    def apply(self, before, after):
+        """Apply that an endpoint's record ``before`` became ``after``.
+
+        Either is ``None`` if there is none.
+        """
+        for endpoint, change in ((after, 1), (before, -1)):
+            if endpoint is None:
+                continue
+            key = endpoint.service, endpoint.version
+            self._counts[key] += change
+            left_at = math.inf if self._counts[key] else self._now()
+            self._left_at_by_service[endpoint.service][endpoint.version] = (
+                left_at
+            )
+
+    def recent(self, service):
+        """Return the versions of a service that serve or served lately."""
+        left_at_by_version = self._left_at_by_service.get(service, {})
+        since = self._now() - RETENTION_MS
+        return frozenset(
+            version
+            for version, left_at in left_at_by_version.items()
+            if left_at > since
+        )
+
+    def are_several(self, service):
+        """Tell whether streams of a service may belong to several versions."""
+        return len(self.recent(service)) > 1
+
+    def expire(self):
+        """Forget the versions that left long ago."""
+        for service, left_at_by_version in self._left_at_by_service.items():
+            recent = self.recent(service)
+            for version in left_at_by_version.keys() - recent:
+                del left_at_by_version[version]
+                del self._counts[service, version]
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -262,6 +262,7 @@
             streams,
             max(1, state.endpoint.slots),
             is_unresponsive,
+            state.endpoint.version,
         )
 
     async def _act(self, service, change):
--- /dev/null
+++ b/clementinewall/gateway/stream_origins.py
@@ -0,0 +1,254 @@
+"""At which software version each stream began, known to any gateway.
+
+A stream may go on only at the version that made its first event, and its
+caller may take it up at any gateway.  The gateway that passes the first event
+on tells a few owners (:mod:`clementinewall.policy.stream_owners`), before the
+caller gets it and without waiting for them.  A gateway that doesn't know a
+stream asks its owners.  While a service has one version nothing is told; what
+began before a second one came is told when it comes.
+"""
+
+import collections
+import typing
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import domain
+from clementinewall.gateway import peer_messages
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.policy import stream_owners
+
+_log = logs.PartLog("origin")
+
+# An origin is kept for the longest answer of its route, and at least so long.
+MIN_LIFETIME_MS = 30_000
+MAX_LIFETIME_MS = 600_000
+MAX_ORIGINS = 20_000
+ROWS_PER_MESSAGE = 200
+# Owners that don't answer are asked again after each of these times; after
+# the last, the stream counts as unknown.
+ASK_INTERVALS_MS = (50, 80, 120)
+# While all know of one version only, so many answers are enough.
+SUFFICIENT_ANSWERS = 2
+
+
+class Origin(typing.NamedTuple):
+    """The service and the software version that began a stream."""
+
+    service: str
+    version: str
+    expires_at: clock.Millis
+
+
+class _Query:
+    """What the owners of a stream have answered so far."""
+
+    def __init__(self, service, ips):
+        self.service = service
+        self.unanswered = set(ips)
+        self.answers = 0
+        self.versions = set()
+        self.origin = None
+        self.settled = anyio.Event()
+
+
+class StreamOrigins:
+    """The origins of the streams that this gateway began or owns."""
+
+    def __init__(self, own_ip, fleet_view, table, send, now):
+        """Share origins with the gateways in ``table``.
+
+        ``send(raw, ips)`` sends a datagram; ``now`` returns the time in ms.
+        """
+        self._own_ip = own_ip
+        self._fleet_view = fleet_view
+        self._table = table
+        self._send = send
+        self._now = now
+        self._origin_by_attempt = collections.OrderedDict()
+        self._untold_by_service = collections.defaultdict(dict)
+        self._query_by_attempt = {}
+
+    def record(self, attempt, service, version, lifetime_ms):
+        """Record at which version the stream of an attempt has an event.
+
+        Told again when a stream is taken up, since its owners may have
+        changed.
+        """
+        lifetime_ms = min(MAX_LIFETIME_MS, max(MIN_LIFETIME_MS, lifetime_ms))
+        origin = Origin(service, version, self._now() + lifetime_ms)
+        self._put(attempt, origin)
+        if self._fleet_view.versions.are_several(service):
+            self._tell({attempt: origin})
+        else:
+            self._untold_by_service[service][attempt] = origin
+
+    def sweep(self):
+        """Drop what has expired; tell what must be known by now."""
+        now = self._now()
+        origins = self._origin_by_attempt
+        while origins and next(iter(origins.values())).expires_at <= now:
+            origins.popitem(last=False)
+        for service, untold in self._untold_by_service.items():
+            if self._fleet_view.versions.are_several(service):
+                self._tell(untold)
+                untold.clear()
+            for attempt in [a for a in untold if a not in origins]:
+                del untold[attempt]
+
+    def _put(self, attempt, origin):
+        if len(attempt) > domain.MAX_TEXT:
+            return
+        self._origin_by_attempt[attempt] = origin
+        self._origin_by_attempt.move_to_end(attempt)
+        while len(self._origin_by_attempt) > MAX_ORIGINS:
+            self._origin_by_attempt.popitem(last=False)
+
+    def _known(self, attempt):
+        origin = self._origin_by_attempt.get(attempt)
+        if origin is None or origin.expires_at <= self._now():
+            return None
+        return origin
+
+    def _tell(self, origin_by_attempt):
+        """Tell the owners of some streams where these began."""
+        now = self._now()
+        ready = [peer.ip for peer in self._table.live() if peer.ready]
+        rows_by_ip = collections.defaultdict(list)
+        for attempt, origin in origin_by_attempt.items():
+            row = [
+                attempt,
+                origin.service,
+                origin.version,
+                origin.expires_at - now,
+            ]
+            for ip in stream_owners.rank(attempt, ready, stream_owners.TOLD):
+                rows_by_ip[ip].append(row)
+        for ip, rows in rows_by_ip.items():
+            for start in range(0, len(rows), ROWS_PER_MESSAGE):
+                part = rows[start : start + ROWS_PER_MESSAGE]
+                self._send_part("began", part, [ip])
+
+    def _send_part(self, name, rows, ips):
+        self._send(peer_messages.dump({"origins": {name: rows}}), ips)
+
+    async def find(self, attempt, service):
+        """Return the :class:`Origin` of the stream that an attempt began.
+
+        If nobody knows it and the service has had one version only, it is
+        that one; else ``None``.  ``attempt`` is ``None`` if the caller didn't
+        name it.
+        """
+        origin = None if attempt is None else self._known(attempt)
+        how = "own"
+        answers = 0
+        if origin is None:
+            query = await self._ask(attempt, service)
+            origin, answers, how = query.origin, query.answers, "owner"
+            if origin is None:
+                origin, how = self._only_version(query), "only version"
+        metrics.count("streams_taken_up", known=how if origin else "no")
+        _log.info(
+            "stream is taken up" if origin else "origin of stream not known",
+            resumes=attempt,
+            service=origin.service if origin else service,
+            version=origin.version if origin else None,
+            known=how if origin else None,
+            answers=answers,
+        )
+        return origin
+
+    def _only_version(self, query):
+        """Return the origin if only one version can have begun the stream.
+
+        A gateway that hears neither peers nor the store may not know of
+        another version.
+        """
+        versions = self._versions(query)
+        if len(versions) != 1:
+            return None
+        if not query.answers and not self._fleet_view.is_current:
+            return None
+        return Origin(query.service, *versions, self._now())
+
+    def _versions(self, query):
+        recent = self._fleet_view.versions.recent(query.service)
+        return query.versions | recent
+
+    async def _ask(self, attempt, service):
+        """Ask the owners of a stream; return their :class:`_Query`."""
+        if attempt is None:
+            return _Query(service, ())
+        query = self._query_by_attempt.get(attempt)
+        if query is None:
+            live = [peer.ip for peer in self._table.live()]
+            ips = stream_owners.rank(attempt, live, stream_owners.ASKED)
+            query = _Query(service, ips)
+            self._query_by_attempt[attempt] = query
+        try:
+            for interval_ms in ASK_INTERVALS_MS:
+                if query.settled.is_set() or not query.unanswered:
+                    break
+                self._send_part(
+                    "asked", [[attempt, service]], sorted(query.unanswered)
+                )
+                with anyio.move_on_after(clock.seconds(interval_ms)):
+                    await query.settled.wait()
+        finally:
+            if self._query_by_attempt.get(attempt) is query:
+                del self._query_by_attempt[attempt]
+        return query
+
+    def take(self, message, ip):
+        """Take in what the gateway at ``ip`` tells, asks or answers.
+
+        :raises AttributeError, KeyError, TypeError, ValueError: if malformed.
+        """
+        part = message.get("origins")
+        if part is None:
+            return
+        for row in part.get("began", ()):
+            self._take_origin(*row)
+        asked = part.get("asked", ())[:ROWS_PER_MESSAGE]
+        if asked:
+            self._send_part(
+                "known", [self._answer(*row) for row in asked], [ip]
+            )
+        for row in part.get("known", ()):
+            self._take_answer(ip, *row)
+
+    def _take_origin(self, attempt, service, version, left_ms):
+        left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
+        origin = Origin(str(service), str(version), self._now() + left_ms)
+        self._put(str(attempt), origin)
+
+    def _answer(self, attempt, service):
+        """Return what is known of a stream, as plain data."""
+        origin = self._known(str(attempt))
+        recent = self._fleet_view.versions.recent(str(service))
+        row = None
+        if origin is not None:
+            left_ms = origin.expires_at - self._now()
+            row = [origin.service, origin.version, left_ms]
+        return [attempt, row, sorted(recent)]
+
+    def _take_answer(self, ip, attempt, row, versions):
+        query = self._query_by_attempt.get(attempt)
+        if query is None or ip not in query.unanswered:
+            return
+        query.unanswered.discard(ip)
+        query.answers += 1
+        query.versions.update(str(version) for version in versions)
+        if row is not None:
+            self._take_origin(attempt, *row)
+            query.origin = self._known(attempt)
+        if self._is_settled(query):
+            query.settled.set()
+
+    def _is_settled(self, query):
+        if query.origin is not None or not query.unanswered:
+            return True
+        is_sufficient = query.answers >= SUFFICIENT_ANSWERS
+        return is_sufficient and len(self._versions(query)) <= 1
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -43,15 +43,18 @@
         announce_prompt,
         budgets,
         crash_guard,
+        origins,
         drain,
         group,
         now,
     ):
         """Use the gateway's shared components.
 
-        ``announce_prompt`` sends a new prompt to the peers; ``group`` is the
-        task group for work that outlives a request.
+        ``announce_prompt`` sends a new prompt to the peers, ``origins`` tells
+        at which software version a stream began, and ``group`` is the task
+        group for work that outlives a request.
         """
+        self._origins = origins
         self._drain = drain
         self._endpoints = endpoints
         self._placer = placer
@@ -66,6 +69,7 @@
 
         :raises ClementinewallError: no engine answered the request.
         """
+        await self._find_version(exchange)
         stream = stream_answer.StreamAnswer(exchange)
         last = None
         while True:
@@ -102,6 +106,34 @@
             return
         raise exchanges.final_error(exchange, last.why)
 
+    async def _find_version(self, exchange):
+        """Find the version at which a stream that is taken up has to go on.
+
+        :raises UnknownOrigin: nobody knows it, and there are several.
+        """
+        call = exchange.call
+        if not call.takes_up:
+            return
+        origin = await self._origins.find(call.resumes, exchange.service.name)
+        if origin is None:
+            raise errors.UnknownOrigin(
+                "it isn't known which software version began this stream"
+            )
+        if origin.service in {s.service for s in exchange.route.shares}:
+            exchange.service = self._endpoints.service(origin.service)
+            exchange.version = origin.version
+
+    def _record_version(self, exchange, engine):
+        """Record that the caller now has an event of the stream."""
+        call = exchange.call
+        exchange.version = engine.endpoint.version
+        self._origins.record(
+            call.resumes or call.attempt,
+            engine.endpoint.service,
+            engine.endpoint.version,
+            exchange.route.timeout_ms or exchanges.DEFAULT_TIMEOUT_MS,
+        )
+
     async def _run_plan(self, exchange, stream, plan):
         prefilled = None
         if plan.prefill_engine is not None:
@@ -205,6 +237,7 @@
             if job is None:
                 note = self._endpoints.record_fetch
             note(plan.decode_engine, exchange.call.prompt)
+        self._record_version(exchange, plan.decode_engine)
         took = exchange.waited_ms
         exchange.run_began_at = self._now()
         if exchange.first_event_ms is None:
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -80,6 +80,8 @@
         self.on_store_recovered = None
         # Called after each read of the store.
         self.on_read = None
+        # Called when all that the store had is known, also by an update.
+        self.on_synced = None
 
     def start_from(self, batch):
         """Start with a snapshot that was already read, and read on at once."""
@@ -171,6 +173,11 @@
     def _notify_read(self):
         if self.on_read is not None:
             self.on_read()
+        self._notify_synced()
+
+    def _notify_synced(self):
+        if self.on_synced is not None:
+            self.on_synced()
 
     def apply_update(self, update):
         """Apply what another gateway read of this topic."""
@@ -192,6 +199,7 @@
         self._next = update.end
         self._recent_reads.forget()
         self._synced_at = self._now()
+        self._notify_synced()
         self._due_at = math.inf
         self._update_received.set()
 
@@ -273,6 +281,7 @@
         ),
     )
     follower.on_store_recovered = fleet_view.record_store_recovery
+    follower.on_synced = fleet_view.record_fleet_read
     return follower
 
 
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -264,6 +264,17 @@
         ) from exc
 
 
+def decode_incarnation(head, body):
+    """Return the incarnation in a report, ``None`` if it names none."""
+    if head.status != 200:
+        return None
+    try:
+        born = json.loads(body).get("born")
+    except _DECODE_ERRORS:
+        return None
+    return born if type(born) is int else None
+
+
 def stage_order(endpoint, stage, holder, token, sequence):
     """Return the order that changes an engine's stage.
 
--- a/clementinewall/policy/stages.py
+++ b/clementinewall/policy/stages.py
@@ -14,6 +14,7 @@
 engine has changed, which is ordered at once.
 """
 
+import collections
 import math
 import typing
 
@@ -40,7 +41,8 @@
 class Engine(typing.NamedTuple):
     """An engine with the streams of all gateways on it.
 
-    ``unreachable`` tells that it doesn't answer requests.
+    ``unreachable`` tells that it doesn't answer requests; ``version`` is that
+    of its software, at which its streams have to go on.
     """
 
     id: str
@@ -48,6 +50,7 @@
     streams: int
     slots: int
     unreachable: bool = False
+    version: str = ""
 
 
 class Change(typing.NamedTuple):
@@ -81,27 +84,27 @@
         return None
     if not prefill_engines:
         return Change(
-            _least_loaded(decode_engines).id, True, "none reads prompts"
+            _best_to_prefill(decode_engines).id, True, "none reads prompts"
         )
     streams = sum(e.streams for e in decode_engines)
     slots = sum(e.slots for e in decode_engines)
     wanted = math.floor(len(engines) * _prefill_fraction(engines) + 0.5)
     if len(prefill_engines) > wanted and streams > UNEVEN_FRACTION * slots:
         return Change(
-            _least_loaded(prefill_engines).id,
+            _best_to_decode(prefill_engines, decode_engines).id,
             False,
             "more than half read prompts",
         )
     if streams > FULL_FRACTION * slots and len(prefill_engines) > 1:
         return Change(
-            _least_loaded(prefill_engines).id,
+            _best_to_decode(prefill_engines, decode_engines).id,
             False,
             "decoding slots are full",
             FULL_LASTING_MS,
         )
     if len(prefill_engines) >= wanted or len(decode_engines) < 2:
         return None
-    chosen = _least_loaded(decode_engines)
+    chosen = _best_to_prefill(decode_engines)
     if streams > LOW_LOAD_FRACTION * (slots - chosen.slots):
         return None
     return Change(chosen.id, True, "fewer than half read prompts")
@@ -116,3 +119,20 @@
 
 def _least_loaded(engines):
     return min(engines, key=lambda e: (e.streams, e.id))
+
+
+def _best_to_decode(prefill_engines, decode_engines):
+    """Return the engine to change, of a version that none decodes if any.
+
+    A stream that breaks off can only go on at its version.
+    """
+    decoded = {engine.version for engine in decode_engines}
+    missing = [e for e in prefill_engines if e.version not in decoded]
+    return _least_loaded(missing or prefill_engines)
+
+
+def _best_to_prefill(decode_engines):
+    """Return the engine to change, which its version can spare if any."""
+    counts = collections.Counter(e.version for e in decode_engines)
+    spare = [e for e in decode_engines if counts[e.version] > 1]
+    return _least_loaded(spare or decode_engines)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -88,6 +88,45 @@
             now,
         )
 
+    def set_versions(self, version_by_number):
+        """Give some engines versions of their own."""
+        for number, version in version_by_number.items():
+            name = f"i-{number:04}"
+            found = self.fleet_view.endpoint_by_id[name]
+            found = found._replace(version=version)
+            self.fleet_view.endpoint_by_id[name] = found
+
+    def place_at(self, version, tried_ids=()):
+        """Place a stream that has to go on at a version."""
+        exchange = self.exchange()
+        exchange.version = version
+        exchange.tried_ids.update(tried_ids)
+        return self.placer.place(exchange, None).decode_engine
+
+    def test_a_stream_goes_on_at_its_version_in_another_cell(self):
+        # Guards against a cell none of whose engines has the version.
+        outside = next(
+            state.endpoint
+            for state in self.endpoints.of_service("model")
+            if not self.cell_membership.is_cell_engine(state)
+            and state.endpoint.stage == domain.DECODE
+        )
+        self.set_versions({int(outside.id[2:]): "v2"})
+        for _ in range(10):
+            self.assertEqual(self.place_at("v2").endpoint.id, outside.id)
+            self.assertEqual(self.place_at("").endpoint.version, "")
+
+    def test_a_stream_goes_on_where_it_broke_off_if_nowhere_else(self):
+        # Guards against giving up while the engine serves others.
+        decode = domain.STAGES.index(domain.DECODE)
+        self.set_versions({decode: "v2"})
+        name = f"i-{decode:04}"
+        self.assertEqual(self.place_at("v2", [name]).endpoint.id, name)
+
+    def test_a_version_without_an_engine_is_refused(self):
+        with self.assertRaises(errors.NoEngineOfVersion):
+            self.place_at("v3")
+
     def exchange(self):
         """Return a new request."""
         call = domain.Call(
--- /dev/null
+++ b/tests/gateway/test_stream_origins.py
@@ -0,0 +1,170 @@
+"""At which version a stream began, told and asked between gateways."""
+
+import types
+import unittest
+
+import anyio
+
+from clementinewall import clock
+from clementinewall.gateway import peer_messages
+from clementinewall.gateway import peer_table
+from clementinewall.gateway import software_versions
+from clementinewall.gateway import stream_origins
+from clementinewall.policy import stream_owners
+from tests.gateway import test_placing
+
+SERVICE = "model"
+LIFETIME_MS = 5_000
+STREAMS = 40
+
+
+class Network:
+    """Gateways whose messages arrive at once, unless a gateway is down."""
+
+    def __init__(self, size, versions):
+        """Create gateways that know each other and engines of ``versions``."""
+        self.ticker = clock.ManualClock(100_000)
+        self.down = set()
+        self.sent = []
+        self.ips = [f"10.0.0.{n}" for n in range(1, size + 1)]
+        self.view_by_ip = {}
+        self.origins_by_ip = {ip: self._gateway(ip) for ip in self.ips}
+        for version in versions:
+            self.add_version(version)
+
+    def _gateway(self, ip):
+        now = self.ticker.now
+        table = peer_table.PeerTable(ip, now)
+        for other in self.ips:
+            table.record_heartbeat(
+                peer_messages.Heartbeat(other, f"{other}:1", "a", True, now())
+            )
+        view = types.SimpleNamespace(
+            versions=software_versions.SoftwareVersions(now), is_current=True
+        )
+        self.view_by_ip[ip] = view
+
+        def send(raw, ips):
+            for other in ips:
+                self._deliver(raw, ip, other)
+
+        return stream_origins.StreamOrigins(ip, view, table, send, now)
+
+    def _deliver(self, raw, sender, ip):
+        self.sent.append((sender, ip))
+        if not {sender, ip} & self.down:
+            self.origins_by_ip[ip].take(peer_messages.load(raw), sender)
+
+    def add_version(self, version, ips=None):
+        """Let gateways, by default all, learn of an engine of a version."""
+        engine = test_placing.engine(1, "decode", version=version)
+        for ip in ips or self.ips:
+            self.view_by_ip[ip].versions.apply(None, engine)
+
+    def begin(self, ip, attempt, version):
+        """Record the first event of a stream at a gateway."""
+        self.origins_by_ip[ip].record(attempt, SERVICE, version, LIFETIME_MS)
+
+    def find(self, ip, attempt):
+        """Return the version that a gateway finds for a stream."""
+
+        async def run():
+            return await self.origins_by_ip[ip].find(attempt, SERVICE)
+
+        origin = anyio.run(run)
+        return origin and origin.version
+
+
+class Origins(unittest.TestCase):
+    """Streams that begin at one gateway and are taken up at another."""
+
+    def check_found(self, network, gone=0):
+        """Check that streams are found after their gateway has ended."""
+        first, *others = network.ips
+        for number in range(STREAMS):
+            network.begin(first, f"a{number}", f"v{number % 2}")
+        network.down.update([first, *others[:gone]])
+        for number in range(STREAMS):
+            ip = others[gone + number % (len(others) - gone)]
+            found = network.find(ip, f"a{number}")
+            self.assertEqual(found, f"v{number % 2}")
+
+    def test_a_stream_is_found_after_its_gateway_has_ended(self):
+        self.check_found(Network(7, ("v0", "v1")))
+
+    def test_a_stream_is_found_after_two_more_gateways_have_ended(self):
+        self.check_found(Network(7, ("v0", "v1")), gone=2)
+
+    def test_a_stream_is_told_to_few_of_many_gateways(self):
+        network = Network(60, ("v0", "v1"))
+        network.begin(network.ips[0], "a", "v1")
+        self.assertEqual(len(network.sent), stream_owners.TOLD)
+
+    def test_nothing_is_told_while_one_version_serves(self):
+        network = Network(7, ("v0",))
+        network.begin(network.ips[0], "a", "v0")
+        self.assertEqual(network.sent, [])
+
+    def test_what_began_before_is_told_when_a_second_version_comes(self):
+        # Guards against streams that nobody told while there was only one.
+        network = Network(7, ("v0",))
+        network.begin(network.ips[0], "a", "v0")
+        network.add_version("v1")
+        network.origins_by_ip[network.ips[0]].sweep()
+        network.down.add(network.ips[0])
+        self.assertEqual(network.find(network.ips[1], "a"), "v0")
+
+    def test_an_unknown_stream_of_the_only_version_goes_on(self):
+        network = Network(7, ("v0",))
+        self.assertEqual(network.find(network.ips[1], "a"), "v0")
+
+    def test_an_unknown_stream_of_several_versions_is_unknown(self):
+        network = Network(7, ("v0", "v1"))
+        self.assertIsNone(network.find(network.ips[1], "a"))
+
+    def test_a_version_that_only_others_have_seen_counts(self):
+        # Guards against a gateway that started after a version had left.
+        network = Network(7, ("v1",))
+        network.add_version("v0", network.ips[2:])
+        self.assertIsNone(network.find(network.ips[1], "a"))
+
+    def test_a_gateway_that_is_cut_off_does_not_guess(self):
+        # Guards against a version that it has not heard of.
+        network = Network(7, ("v0",))
+        network.down.update({*network.ips} - {network.ips[1]})
+        network.view_by_ip[network.ips[1]].is_current = False
+        self.assertIsNone(network.find(network.ips[1], "a"))
+
+    def test_a_stream_without_a_name_goes_on_at_the_only_version(self):
+        network = Network(7, ("v0",))
+        self.assertEqual(network.find(network.ips[1], None), "v0")
+        network.add_version("v1")
+        self.assertIsNone(network.find(network.ips[1], None))
+
+    def test_an_origin_expires(self):
+        network = Network(7, ("v0", "v1"))
+        network.begin(network.ips[0], "a", "v0")
+        network.ticker.advance(stream_origins.MIN_LIFETIME_MS)
+        self.assertIsNone(network.find(network.ips[0], "a"))
+
+    def test_origins_are_bounded(self):
+        network = Network(1, ("v0", "v1"))
+        [ip] = network.ips
+        for number in range(stream_origins.MAX_ORIGINS + 1):
+            network.begin(ip, f"a{number}", "v0")
+        self.assertIsNone(network.find(ip, "a0"))
+        self.assertEqual(network.find(ip, "a1"), "v0")
+
+    def test_malformed_messages_raise_what_their_receiver_catches(self):
+        network = Network(2, ("v0", "v1"))
+        origins = network.origins_by_ip[network.ips[0]]
+        for part in (
+            1,
+            {"began": [1]},
+            {"began": [["a", "s", "v", None]]},
+            {"asked": 3},
+            {"asked": [["a"]]},
+            {"known": [["a", None]]},
+        ):
+            with self.assertRaises((AttributeError, TypeError, ValueError)):
+                origins.take({"origins": part}, network.ips[1])
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -38,6 +38,7 @@
             self.guard,
             None,
             None,
+            None,
             self.clock.now,
         )
 
--- a/tests/policy/test_stages.py
+++ b/tests/policy/test_stages.py
@@ -109,6 +109,28 @@
         self.fail("the plan proposes changes without end")
 
 
+class Versions(unittest.TestCase):
+    """Engines of several software versions."""
+
+    def test_a_version_keeps_its_last_decode_engine(self):
+        # Guards against streams that no engine can go on with.
+        fleet = [
+            stages.Engine("a", False, 0, 96, version="v1"),
+            stages.Engine("b", False, 1, 96, version="v2"),
+            stages.Engine("c", False, 2, 96, version="v2"),
+        ]
+        self.assertEqual(stages.plan(fleet).id, "b")
+
+    def test_a_version_that_none_decodes_gets_the_next_engine(self):
+        # Guards against streams that no engine can go on with.
+        fleet = [
+            stages.Engine("a", True, 0, 96, version="v1"),
+            stages.Engine("b", True, 0, 96, version="v2"),
+            stages.Engine("c", False, 95, 96, version="v1"),
+        ]
+        self.assertEqual(stages.plan(fleet).id, "b")
+
+
 class Unreachable(unittest.TestCase):
     """``plan`` while engines don't answer."""
 
