Keep a part of prompts that crashes engines from them

Cause: crash records named requests, by a digest of host, path and body. Each request with the part was new to all gateways and ended up to two engines. The class of fault: the unit that is counted is not the one that does the harm.

Change: when an engine goes down, the parts of the prompts that it had just begun, or not yet, get records; an answer that ends clears its parts. A part with one record is sent to one engine that all gateways choose alike; with two that no other part shares, requests with it are refused. A harmful part explains its crashes, which then count against no other request.

Why it works: the part that crashes engines is at each crash and in no answer, and no other part is both. While that isn't decided, requests with it end one engine at a time, whoever sends them.

--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -129,6 +129,7 @@
         """Return what all gateways have to know besides heartbeats."""
         return {
             "marks": self._crash_guard.message(),
+            "parts": self._crash_guard.parts_message(),
             "kept": self._endpoints.cache_holders.message(),
             "limits": self._endpoints.request_limits.message(),
         }
@@ -228,6 +229,7 @@
             self._endpoints.drain_prefills(),
             self._endpoints.drain_cache_changes(),
             self._crash_guard.drain_records(),
+            self._crash_guard.drain_parts(),
         )
         if len(raw) > MAX_BYTES:
             _log.warning(
@@ -237,7 +239,13 @@
         self.send_to(raw, self._cell_peers())
 
     def _state_message(
-        self, work, now, prefills=(), cache_changes=(), crash_records=()
+        self,
+        work,
+        now,
+        prefills=(),
+        cache_changes=(),
+        crash_records=(),
+        parts=None,
     ):
         heartbeat = peer_messages.Heartbeat(
             self._settings.ip,
@@ -259,6 +267,7 @@
                 "read": prefills,
                 "changed": cache_changes,
                 "marks": crash_records,
+                "parts": parts or {},
             }
         )
 
@@ -299,6 +308,7 @@
                 peer_messages.decode_heartbeat(row, now)
             )
         self._crash_guard.merge(message.get("marks", ()))
+        self._crash_guard.merge_parts(message.get("parts", {}))
         self._endpoints.cache_holders.merge(message.get("kept", ()))
         self._endpoints.request_limits.merge(message.get("limits", ()))
         self.updates.take(message, raw, ip)
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -2,6 +2,7 @@
 
 import random
 import typing
+import zlib
 
 from clementinewall import domain
 from clementinewall import errors
@@ -175,7 +176,11 @@
             for state in candidates
             if state.endpoint.id not in excluded_ids
         }
-        if may_repeat and exchange.version is not None:
+        if exchange.suspect_part is not None:
+            states = _isolated(
+                states, engines, exchange.suspect_part, excluded_ids
+            )
+        elif may_repeat and exchange.version is not None:
             if not any(_decodes(state) for state in states.values()):
                 states |= {
                     state.endpoint.id: state
@@ -348,6 +353,32 @@
     return state.endpoint.version == version
 
 
+def _isolated(state_by_id, engines, part, excluded_ids):
+    """Leave one decode engine, the same at all gateways, for a suspect part.
+
+    If the part crashes engines, requests with it that come together cost one.
+    The last decode engine, without which nothing is served, is spared.
+    """
+    able = [
+        state
+        for state in engines
+        if _decodes(state)
+        and state.is_usable()
+        and not state.path.is_unreached
+    ]
+    able.sort(key=lambda state: _isolation_rank(state, part))
+    found = {k: s for k, s in state_by_id.items() if not _decodes(s)}
+    if len(able) > 1:
+        left = [s for s in able if s.endpoint.id not in excluded_ids]
+        found |= {state.endpoint.id: state for state in left[:1]}
+    return found
+
+
+def _isolation_rank(state, part):
+    name = state.endpoint.id
+    return zlib.crc32(f"{part} {name}".encode()), name
+
+
 def _slowness(state, usable_stages):
     """Return the slowness to predict the times of an engine with.
 
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -168,7 +168,7 @@
         exchange.record_failure(exc)
         if exc.answer is None:
             if await state.has_crashed(exc):
-                self._crash_guard.record_failure(exchange, state, exc, True)
+                self._crash_guard.record_failure(exchange, state, exc)
             state.record_failure(exc.absent)
         _log.info(
             "attempt failed",
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -28,9 +28,6 @@
 PREFILL_SLACK_MS = 500
 # A second prefill and a second send of the request.
 PREFILL_RETRY_SENDS = 2
-# An engine that goes down so soon after it began to run a request may have
-# crashed because of it.
-BRIEF_RUN_MS = 500
 
 
 class StreamRelay:
@@ -96,8 +93,10 @@
                 if not exchange.may_retry():
                     break
                 continue
-            self._crash_guard.record_answer(exchange)
-            if exchange.first_event_ms is not None:
+            if exchange.first_event_ms is None:
+                self._crash_guard.record_answer(exchange)
+            else:
+                self._crash_guard.record_stream(exchange)
                 self._drain.record_stream(exchange, exchange.first_event_ms)
             return
         if last.answer is not None and not stream.head_sent:
@@ -368,12 +367,10 @@
     async def _record_failure(self, exchange, plan, exc):
         exchange.record_failure(exc)
         if exc.answer is None:
-            has_just_begun = self._has_just_begun(exchange)
+            ran_ms = self._ran_ms(exchange)
             state = plan.engine(exc.endpoint_id)
             if await state.has_crashed(exc):
-                self._crash_guard.record_failure(
-                    exchange, state, exc, has_just_begun
-                )
+                self._crash_guard.record_failure(exchange, state, exc, ran_ms)
             state.record_failure(exc.absent)
         _log.info(
             "attempt failed",
@@ -383,10 +380,11 @@
             why=exc.why,
         )
 
-    def _has_just_begun(self, exchange):
-        """Tell whether the engine has run the request briefly or not yet."""
-        began_at = exchange.run_began_at
-        return began_at is None or self._now() - began_at < BRIEF_RUN_MS
+    def _ran_ms(self, exchange):
+        """Return for how long the engine has run it, ``None`` if not yet."""
+        if exchange.run_began_at is None:
+            return None
+        return self._now() - exchange.run_began_at
 
 
 def _budgeted_sends(exchange, plan):
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -7,6 +7,7 @@
 
 from bench import dissemination
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import crash_guard
 from clementinewall.gateway import exchange as exchanges
@@ -22,19 +23,27 @@
 
 def request(name):
     """Return a request that crash records know by its name."""
-    call = types.SimpleNamespace(attempt=name)
+    call = types.SimpleNamespace(attempt=name, prompt=None)
     return types.SimpleNamespace(call=call, digest=name)
 
 
-def record_crash(guard, endpoint_id, name):
-    """Record that an endpoint crashed during a request."""
+def crash_of(endpoint_id, draining=False):
+    """Return the state of an endpoint that crashed, and the failure."""
     state = types.SimpleNamespace(
-        endpoint=types.SimpleNamespace(id=endpoint_id, incarnation=1)
+        endpoint=types.SimpleNamespace(
+            id=endpoint_id, incarnation=1, draining=draining
+        ),
+        is_leaving=False,
     )
     failure = exchanges.AttemptFailed(
         verdicts.Verdict.MAY_HAVE_RUN, "cut", endpoint_id, broken=True
     )
-    guard.record_failure(request(name), state, failure, True)
+    return state, failure
+
+
+def record_crash(guard, endpoint_id, name):
+    """Record that an endpoint crashed during a request."""
+    guard.record_failure(request(name), *crash_of(endpoint_id))
 
 
 def is_refused(guard, name):
@@ -110,6 +119,115 @@
         self.check(61)
 
 
+class PartsTest(unittest.TestCase):
+    """Gateways in virtual time that learn which part crashes engines."""
+
+    PARTS = ("first", "bad", "own")
+
+    def setUp(self):
+        """Start seven gateways that know each other."""
+        loguru.logger.disable("clementinewall")
+        self.addCleanup(loguru.logger.enable, "clementinewall")
+        self.network = dissemination.Network(7, LOSS, seed=4)
+        self.addCleanup(delattr, self, "network")
+        self.network.play(dissemination.WARM_UP_MS)
+        self.guards = self.network.guard_by_ip
+        self.ips = sorted(self.guards)
+
+    def prompt(self, name, *parts):
+        """Return a request whose prompt has some parts."""
+        found = request(name)
+        rows = tuple(domain.PromptPart(part, 40) for part in parts)
+        found.call.prompt = domain.Prompt("m", 100, 10, rows)
+        found.service = types.SimpleNamespace(name="model")
+        return found
+
+    def crash(self, ip, endpoint_id, *parts):
+        """Crash an engine during a request of one gateway."""
+        state, failure = crash_of(endpoint_id)
+        found = self.prompt(f"at-{endpoint_id}-{parts}", *parts)
+        self.guards[ip].record_failure(found, state, failure)
+
+    def check(self, *parts):
+        """Return which gateways refuse a prompt, and which suspect it."""
+        refused, suspected = set(), set()
+        for ip, guard in self.guards.items():
+            found = self.prompt("new", *parts)
+            try:
+                guard.check(found)
+            except errors.HarmfulRequest:
+                refused.add(ip)
+            else:
+                if found.suspect_part is not None:
+                    suspected.add(ip)
+        return refused, suspected
+
+    def test_a_part_is_known_to_all_and_to_one_that_starts(self):
+        # Guards against gateways that learn of a part by crashes of their own.
+        everybody = set(self.ips)
+        self.guards[self.ips[3]].record_stream(
+            self.prompt("sound", "first", "own")
+        )
+        self.crash(self.ips[0], "e1", *self.PARTS)
+        self.network.play(1_000)
+        self.assertEqual(self.check(*self.PARTS), (set(), everybody))
+        self.crash(self.ips[1], "e2", *self.PARTS)
+        self.network.play(1_000)
+        self.assertEqual(self.check(*self.PARTS), (everybody, set()))
+        self.network.restart(self.ips[2])
+        self.network.play(KNOWN_MS)
+        self.assertEqual(self.check(*self.PARTS), (everybody, set()))
+        self.assertEqual(self.check("first", "other", "own"), (set(), set()))
+
+    def test_one_answer_clears_a_part_for_all(self):
+        # Guards against refusing sound requests that share a first part.
+        self.crash(self.ips[0], "e1", "first", "own")
+        self.crash(self.ips[1], "e2", "first", "own")
+        self.guards[self.ips[4]].record_stream(
+            self.prompt("sound", "first", "own")
+        )
+        self.network.play(1_000)
+        self.assertEqual(self.check("first", "own"), (set(), set()))
+
+    def test_the_last_part_is_never_suspect(self):
+        # Guards against refusing what only one request or session has.
+        self.crash(self.ips[0], "e1", "first", "bad")
+        self.crash(self.ips[0], "e2", "second", "bad")
+        self.assertEqual(self.check("other", "bad", "own"), (set(), set()))
+
+    def test_a_crash_of_an_engine_that_leaves_makes_no_part_suspect(self):
+        # Guards against planned stops that make parts harmful.
+        state, failure = crash_of("e1", draining=True)
+        found = self.prompt("a", *self.PARTS)
+        self.guards[self.ips[0]].record_failure(found, state, failure)
+        self.assertEqual(self.check(*self.PARTS), (set(), set()))
+
+    def test_requests_beside_a_harmful_part_are_not_harmful(self):
+        # Guards against refusing a request for crashes that a part explains.
+        ip = self.ips[0]
+        for number in range(3):
+            state, failure = crash_of(f"e{number}")
+            own = "bad", f"s{number}", "own"
+            found = self.prompt(f"harmful-{number}", *own)
+            self.guards[ip].record_failure(found, state, failure)
+            beside = self.prompt("beside", "other", "own")
+            self.guards[ip].record_failure(beside, state, failure)
+        self.guards[ip].record_stream(self.prompt("sound", "other", "own"))
+        self.guards[ip].check(self.prompt("beside", "other", "own"))
+
+    def test_malformed_records_of_parts_raise_what_is_caught(self):
+        guard = self.guards[self.ips[0]]
+        for data in (
+            [],
+            {"crashed": 1},
+            {"crashed": [["p", "e"]]},
+            {"crashed": [["p", "e", None, 0]]},
+            {"sound": 3},
+        ):
+            with self.assertRaises((AttributeError, TypeError, ValueError)):
+                guard.merge_parts(data)
+
+
 class DigestTest(unittest.TestCase):
     """Which requests count as the same."""
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -123,6 +123,36 @@
         name = f"i-{decode:04}"
         self.assertEqual(self.place_at("v2", [name]).endpoint.id, name)
 
+    def place_suspect(self, part, tried_ids=()):
+        """Return the id of the decode engine for a suspect part."""
+        exchange = self.exchange()
+        exchange.suspect_part = part
+        exchange.tried_ids.update(tried_ids)
+        return self.placer.place(exchange, None).decode_engine.endpoint.id
+
+    def test_a_suspect_part_gets_one_engine_at_all_gateways(self):
+        # Guards against several engines that one part ends at once.
+        found = {self.place_suspect("model/bad") for _ in range(20)}
+        self.cell_membership.update(GATEWAYS[1:9])
+        found |= {self.place_suspect("model/bad") for _ in range(20)}
+        self.assertEqual(len(found), 1)
+        [first] = found
+        self.assertNotEqual(self.place_suspect("model/bad", [first]), first)
+        other = {self.place_suspect(f"model/{n}") for n in range(20)}
+        self.assertGreater(len(other), 3)
+
+    def test_a_suspect_part_spares_the_last_decode_engine(self):
+        # Guards against a part that leaves nobody to serve the others.
+        decode = [
+            endpoint
+            for endpoint in self.fleet_view.endpoint_by_id.values()
+            if endpoint.stage == domain.DECODE
+        ]
+        for endpoint in decode[1:]:
+            del self.fleet_view.endpoint_by_id[endpoint.id]
+        with self.assertRaises(errors.Overloaded):
+            self.place_suspect("model/bad")
+
     def test_a_version_without_an_engine_is_refused(self):
         with self.assertRaises(errors.NoEngineOfVersion):
             self.place_at("v3")
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -49,7 +49,7 @@
     def fail_request(self, ran_ms=None):
         """Record that a request broke off after its run of ``ran_ms``."""
         call = types.SimpleNamespace(
-            host="h", target=b"/chat/x", body=b"b", attempt="a1"
+            host="h", target=b"/chat/x", body=b"b", attempt="a1", prompt=None
         )
         exchange = types.SimpleNamespace(
             call=call,
