Give up answers that never come

What callers saw in our own tests: an endpoint that sends interim answers without end held a call to its limit (504) and a stream to its refusal, late answers to other requests without end ended in 503, and streams of comments or of events without a number were passed on until the caller's time was over.

Cause: each of these counted as a sign of life, and nothing counted them. Heads, sizes of chunks, events and bodies had bounds already.

Change: eight interim answers, three late answers and 64 KB without a numbered event are the most that is read. What has no number is forwarded with the next event that has one, or at the end, so that nothing has been passed on when another engine has to answer.

Why it works: every loop that reads has a bound that does not depend on the sender.

--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -12,6 +12,8 @@
 _log = logs.PartLog("send")
 
 MAX_ANSWER_BYTES = 8_000_000
+# Late answers to earlier requests of a connection that are dropped.
+MAX_LATE_ANSWERS = 3
 
 
 class SentRequest:
@@ -158,7 +160,13 @@
     Forwarding it would give one caller the answer of another.
     """
     head = await _wait(watch, link.read_head)
+    dropped = 0
     while not calls.is_answer_to(head, call):
+        dropped += 1
+        if dropped > MAX_LATE_ANSWERS:
+            raise client.LinkBroken(
+                link.progress, "answers to other requests only"
+            )
         _log.warning(
             "dropped an answer to another request on this connection",
             request=call.attempt,
--- a/clementinewall/gateway/sse.py
+++ b/clementinewall/gateway/sse.py
@@ -7,6 +7,8 @@
 
 _END = b"\n\n"
 MAX_EVENT_BYTES = 1_000_000
+# Comments and events without a position between two that have one.
+MAX_UNNUMBERED_BYTES = 65_536
 
 
 class BadEvent(Exception):
@@ -20,6 +22,9 @@
         """Expect the event after ``last``; ``None`` accepts any first one."""
         self.last_position = last
         self._buffer = b""
+        # What is forwarded with the next event that has a position, so that
+        # a stream without any is not taken for an answer.
+        self._unnumbered = b""
 
     @property
     def is_complete(self):
@@ -27,25 +32,41 @@
         return not self._buffer.strip()
 
     def reset(self):
-        """Drop a partial event before the bytes of another engine."""
+        """Drop what is incomplete before the bytes of another engine."""
         self._buffer = b""
+        self._unnumbered = b""
 
     def feed(self, data):
         """Return the bytes of the complete new events in ``data``.
 
-        :raises BadEvent: an event is missing or too long.
+        :raises BadEvent: an event is missing or too long, or too much comes
+            without one.
         """
         parts = (self._buffer + data).split(_END)
         self._buffer = parts.pop()
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise BadEvent(f"event exceeds {MAX_EVENT_BYTES} bytes")
-        new_events = [part + _END for part in parts if self._is_new(part)]
-        return b"".join(new_events)
+        return b"".join([self._take(part) for part in parts])
 
-    def _is_new(self, event):
-        position = _position(event)
+    def take_rest(self):
+        """Return what followed the last event of a whole answer."""
+        rest, self._unnumbered = self._unnumbered, b""
+        return rest
+
+    def _take(self, part):
+        """Return what is to be forwarded once ``part`` has come."""
+        position = _position(part)
         if position is None:
-            return True
+            self._unnumbered += part + _END
+            if len(self._unnumbered) > MAX_UNNUMBERED_BYTES:
+                raise BadEvent(
+                    f"{MAX_UNNUMBERED_BYTES} bytes without a numbered event"
+                )
+            return b""
+        before = self.take_rest()
+        return before + part + _END if self._is_new(position) else b""
+
+    def _is_new(self, position):
         if self.last_position is not None:
             if position <= self.last_position:
                 return False
--- a/clementinewall/gateway/stream_answer.py
+++ b/clementinewall/gateway/stream_answer.py
@@ -49,7 +49,7 @@
             raise sent.failure(
                 "stream ended in the middle of an event", broken=True
             )
-        await self._forward_events(head, b"")
+        await self._forward_events(head, self.events.take_rest())
         await self._exchange.connection.finish()
 
     async def _forward_events(self, head, data):
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -18,6 +18,8 @@
 from clementinewall import verdicts
 
 MAX_HEAD_BYTES = 65_536
+# Each interim answer (1xx) resets the time limit of the next read.
+MAX_INTERIM_ANSWERS = 8
 # A connection ends when sent data stays unacknowledged for this time.  A peer
 # that lost power sends no reset, and the operating system's default is about
 # 15 minutes.
@@ -102,7 +104,7 @@
         :raises LinkBroken: the connection ended without one.
         :raises TimeoutError: nothing was received for ``limit_ms``.
         """
-        while True:
+        for _ in range(1 + MAX_INTERIM_ANSWERS):
             event = await self._next_event(limit_ms)
             if isinstance(event, h11.Response):
                 head = messages.Head(
@@ -114,6 +116,7 @@
                 return head
             if not isinstance(event, h11.InformationalResponse):
                 raise self._broken("connection closed without an answer")
+        raise self._broken("interim answers and no final one")
 
     async def read_part(self, limit_ms=None):
         """Return the next part of the body, or ``None`` once it is complete.
--- a/tests/gateway/test_sse.py
+++ b/tests/gateway/test_sse.py
@@ -38,6 +38,26 @@
         fresh = events.feed(b"".join(event(n) for n in (2, 3, 4, 5)))
         self.assertEqual(fresh, event(4) + event(5))
 
+    def test_what_has_no_number_comes_with_the_next_event(self):
+        # Guards against a stream of comments that is taken for an answer.
+        events = sse.Events(None)
+        self.assertEqual(events.feed(b": ping\n\n"), b"")
+        first = events.feed(event(1) + b"data: end\n\n")
+        self.assertEqual(first, b": ping\n\n" + event(1))
+        self.assertEqual(events.take_rest(), b"data: end\n\n")
+        self.assertEqual(events.take_rest(), b"")
+
+    def test_what_has_no_number_is_dropped_with_its_engine(self):
+        events = sse.Events(None)
+        events.feed(b": ping\n\n")
+        events.reset()
+        self.assertEqual(events.feed(event(1)), event(1))
+
+    def test_too_much_without_a_numbered_event_is_an_error(self):
+        events = sse.Events(None)
+        with self.assertRaises(sse.BadEvent):
+            events.feed(b": ping\n\n" * sse.MAX_UNNUMBERED_BYTES)
+
     def test_missing_event_is_an_error(self):
         events = sse.Events(1)
         with self.assertRaises(sse.BadEvent):
