Spare the last decode engine that is alive from suspect parts

Cause: an engine that had just crashed still counted as able to decode: one failure pauses nobody, and gateways that had sent it nothing knew of no failure.

Change: an engine that refuses connections after it broke off counts as absent at once, and engines that crash records name don't count when it is decided whether another one remains.

--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -150,6 +150,11 @@
         """Return a key that is unique to this incarnation."""
         return self.id, self.incarnation, self.address
 
+    @property
+    def incarnation_name(self):
+        """Return the name of this incarnation in crash records."""
+        return f"{self.id}/{self.incarnation}"
+
 
 class PromptPart(typing.NamedTuple):
     """A part of a prompt that other requests may share."""
--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -43,7 +43,8 @@
         """Refuse a request that crashes endpoints, and note a suspect one.
 
         ``exchange.suspect_part`` becomes the part of its prompt that may
-        crash an engine, ``None`` if there is none.
+        crash an engine, ``None`` if there is none, and
+        ``exchange.crashed_endpoints`` those that are known to have crashed.
 
         :raises HarmfulRequest: it crashed two endpoints, or a part of its
             prompt crashes engines.
@@ -64,6 +65,8 @@
         if len(crashed) >= crashes.MAX_CRASHES:
             raise _refusal("this request crashed two endpoints")
         exchange.suspect_part = self._parts.find_suspect(parts)
+        if exchange.suspect_part is not None:
+            exchange.crashed_endpoints = self._parts.crashed_endpoints()
 
     def record_answer(self, exchange):
         """Clear the crash records of a request that was answered."""
@@ -89,7 +92,7 @@
             return
         if failure.verdict is not verdicts.Verdict.MAY_HAVE_RUN:
             return
-        incarnation = f"{state.endpoint.id}/{state.endpoint.incarnation}"
+        incarnation = state.endpoint.incarnation_name
         digest = exchange.digest
         strong = ran_ms is None or ran_ms < BRIEF_RUN_MS
         if self._table.add(digest, incarnation, strong=strong):
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -93,6 +93,7 @@
         self.version = None
         # A part of the prompt that may crash the engine that runs it.
         self.suspect_part = None
+        self.crashed_endpoints = frozenset()
         self.tried_ids = set()
         self._unreached = 0
 
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -177,9 +177,7 @@
             if state.endpoint.id not in excluded_ids
         }
         if exchange.suspect_part is not None:
-            states = _isolated(
-                states, engines, exchange.suspect_part, excluded_ids
-            )
+            states = _isolated(states, engines, exchange)
         elif may_repeat and exchange.version is not None:
             if not any(_decodes(state) for state in states.values()):
                 states |= {
@@ -353,7 +351,7 @@
     return state.endpoint.version == version
 
 
-def _isolated(state_by_id, engines, part, excluded_ids):
+def _isolated(state_by_id, engines, exchange):
     """Leave one decode engine, the same at all gateways, for a suspect part.
 
     If the part crashes engines, requests with it that come together cost one.
@@ -365,11 +363,12 @@
         if _decodes(state)
         and state.is_usable()
         and not state.path.is_unreached
+        and state.endpoint.incarnation_name not in exchange.crashed_endpoints
     ]
-    able.sort(key=lambda state: _isolation_rank(state, part))
+    able.sort(key=lambda s: _isolation_rank(s, exchange.suspect_part))
     found = {k: s for k, s in state_by_id.items() if not _decodes(s)}
     if len(able) > 1:
-        left = [s for s in able if s.endpoint.id not in excluded_ids]
+        left = [s for s in able if s.endpoint.id not in exchange.tried_ids]
         found |= {state.endpoint.id: state for state in left[:1]}
     return found
 
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -167,9 +167,10 @@
     async def _record_failure(self, exchange, state, exc):
         exchange.record_failure(exc)
         if exc.answer is None:
-            if await state.has_crashed(exc):
+            is_down = await state.has_crashed(exc)
+            if is_down:
                 self._crash_guard.record_failure(exchange, state, exc)
-            state.record_failure(exc.absent)
+            state.record_failure(exc.absent or is_down)
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -369,9 +369,10 @@
         if exc.answer is None:
             ran_ms = self._ran_ms(exchange)
             state = plan.engine(exc.endpoint_id)
-            if await state.has_crashed(exc):
+            is_down = await state.has_crashed(exc)
+            if is_down:
                 self._crash_guard.record_failure(exchange, state, exc, ran_ms)
-            state.record_failure(exc.absent)
+            state.record_failure(exc.absent or is_down)
         _log.info(
             "attempt failed",
             request=exchange.call.attempt,
--- a/clementinewall/membership/crashing_parts.py
+++ b/clementinewall/membership/crashing_parts.py
@@ -197,6 +197,10 @@
         found = [part for part in parts if self.crashes(part)]
         return found[-1] if found else None
 
+    def crashed_endpoints(self):
+        """Return the endpoints, by incarnation, that have crashed."""
+        return frozenset(self._parts_by_endpoint)
+
     def explained(self, parts):
         """Return the crashes that harmful parts other than these explain."""
         return {
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -31,7 +31,9 @@
     """Return the state of an endpoint that crashed, and the failure."""
     state = types.SimpleNamespace(
         endpoint=types.SimpleNamespace(
-            id=endpoint_id, incarnation=1, draining=draining
+            id=endpoint_id,
+            incarnation_name=f"{endpoint_id}/1",
+            draining=draining,
         ),
         is_leaving=False,
     )
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -141,6 +141,18 @@
         other = {self.place_suspect(f"model/{n}") for n in range(20)}
         self.assertGreater(len(other), 3)
 
+    def test_an_engine_that_others_saw_crash_does_not_count(self):
+        # Guards against a part that ends the last engine that decodes.
+        exchange = self.exchange()
+        exchange.suspect_part = "model/bad"
+        exchange.crashed_endpoints = {
+            endpoint.incarnation_name
+            for endpoint in self.fleet_view.endpoint_by_id.values()
+            if endpoint.stage == domain.DECODE and endpoint.id != "i-0001"
+        }
+        with self.assertRaises(errors.Overloaded):
+            self.placer.place(exchange, None)
+
     def test_a_suspect_part_spares_the_last_decode_engine(self):
         # Guards against a part that leaves nobody to serve the others.
         decode = [
