Let the soak serve several software versions, and parts that crash engines

Beside other faults come series of requests with a part that crashes engines; judged are what reaches engines after the fifth crash, and the sound streams.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -2,12 +2,15 @@
 
 Usage:
   soak [--seed=N] [--minutes=M] [--gateways=G] [--only=KIND]... [--planned]
+       [--versions]
 
 Options:
   --seed=N      Seed of the faults [default: 1].
   --minutes=M   How long to run [default: 1].
   --gateways=G  How many gateways [default: 3].
   --only=KIND   Only faults of this kind.
+  --versions    Engines of several software versions, whose streams callers
+                take up again.
   --planned     Only planned work: stops, SIGHUP, new configurations and
                 endpoints that drain, and sound endpoints that ask for rest,
                 announce that they leave or fall silent for a second.
@@ -33,6 +36,7 @@
         int(options["--gateways"]),
         tuple(options["--only"]),
         options["--planned"],
+        options["--versions"],
     )
     monitor = lateness.LatenessMonitor()
     monitor.start()
--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -16,6 +16,8 @@
 SLOW_CALL_SECONDS = 2.6
 SLOW_PATHS = ("/slow/", "/wait/")
 EVENT_INTERVAL_SECONDS = 0.02
+# How long an engine writes on a harmful part until it crashes.
+HARMFUL_SECONDS = 0.08
 TOKENS_PER_EVENT = 4
 SWITCH_SECONDS = 1.0
 
@@ -37,8 +39,23 @@
 class Backend:
     """One incarnation of an endpoint of ``app`` or ``model``."""
 
-    def __init__(self, name, service, history, put, stage=None):
-        """Listen; ``put`` writes the endpoint's record into the store."""
+    def __init__(
+        self,
+        name,
+        service,
+        history,
+        put,
+        stage=None,
+        version="v1",
+        on_harmful=None,
+    ):
+        """Listen; ``put`` writes the endpoint's record into the store.
+
+        ``on_harmful(name)`` crashes the engine of this name.
+        """
+        self.version = version
+        self._on_harmful = on_harmful
+        self._started = time.monotonic()
         self.name = name
         self.service = service
         self.stage = stage
@@ -74,6 +91,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "a",
+            "version": self.version,
             "slot_count": 16,
             "state": self._state,
             "sequence": self._sequence,
@@ -107,17 +125,28 @@
     def drain(self):
         """Announce that this endpoint drains; it continues to serve."""
         self._state = "draining"
+        self._end_span()
         self._write_record()
         self._history.drained_at_by_endpoint[self.name] = time.monotonic()
 
     def end(self, crash=False):
         """Close; after a crash the record stays until it expires."""
         self.crashed = crash
+        self._end_span()
         self._stop.set()
         self.endpoint.close()
         if not crash:
             self._put(self.name, None)
 
+    def _end_span(self):
+        """Record that it serves no more, unless it has been."""
+        if self.service == "model" and self._started is not None:
+            row = history_module.EngineSpan(
+                self.name, self.version, self._started, time.monotonic()
+            )
+            self._history.add(self._history.engine_spans, row)
+            self._started = None
+
     def _script(self, _endpoint, request):
         with contextlib.closing(self._respond(request)) as steps:
             for step in steps:
@@ -199,6 +228,18 @@
             headers.get("stage") == "prefill",
         )
         self._history.add(self._history.arrivals, arrival)
+        harmful = self._harmful_series(request)
+        if harmful is not None:
+            row = arrival.attempt, arrival.at
+            self._history.add(harmful.arrivals, row)
+
+    def _harmful_series(self, request):
+        """Return the series whose harmful part a prompt has, if any."""
+        prefix = request.header_by_name.get("prompt-prefix", "")
+        for series in self._history.part_series:
+            if f",{series.part}:" in prefix:
+                return series
+        return None
 
     def _on_order(self, request):
         body = json.loads(request.body)
@@ -266,12 +307,19 @@
         last = int(headers.get("last-event-id", 0))
         self._record_leave_notice(request)
         yield scripted.stream_head(request, **self._own_headers(request))
+        harmful = self._harmful_series(request)
+        if harmful is not None:
+            yield HARMFUL_SECONDS
+            if not self.crashed:
+                self._history.add(harmful.crashes, time.monotonic())
+                self._on_harmful(self.name)
+            yield scripted.RESET
         # An engine may repeat an event that the caller already has.
         first = max(1, last + self._rng.randint(0, 1))
         for number in range(first, _last_event(headers["token-usage"]) + 1):
             if self.crashed:
                 yield scripted.chunk(scripted.event(number)[:5])
                 yield scripted.RESET
-            yield scripted.chunk(scripted.event(number))
+            yield scripted.chunk(scripted.event(number, self.version))
             yield EVENT_INTERVAL_SECONDS
         yield scripted.chunk(b"")
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -47,3 +47,14 @@
 MIN_CUT_SHARE = 2 / 3
 CUT_FAILURES = 10
 CUT_FAILURE_RATIO = 1 / 50
+# Streams that may hold events of two software versions, and how often those
+# that are taken up go on, against new ones.
+MAX_MIXED_STREAMS = 2
+MIN_JUDGED_RETURNS = 12
+MIN_RETURN_SHARE = 0.5
+# Requests with a part that crashes engines may reach them so often later than
+# the stable time after so many crashes; sound ones begin half as often.
+PART_CRASHES = 5
+MAX_LATE_PART_ARRIVALS = 3
+MIN_JUDGED_STREAMS = 20
+MIN_SOUND_SHARE = 0.5
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -19,6 +19,7 @@
 SHORT_EVENTS = 12
 LONG_SECONDS = (0.3, 2.5)
 ABANDON_AFTER_SECONDS = (0.05, 0.4)
+MAX_RETURNS = 2
 
 KINDS = (
     "safe",
@@ -57,6 +58,8 @@
     limit: float
     # After how many seconds the caller closes the connection.
     abandon_after: float | None
+    # The attempt that began the stream, and the last event received.
+    resumes: tuple[str, int] | None = None
 
 
 class _Outcome(typing.NamedTuple):
@@ -69,12 +72,13 @@
 class Caller(threading.Thread):
     """One caller; it keeps a connection to each target that it used."""
 
-    def __init__(self, seed, history, routing, stop):
+    def __init__(self, seed, history, routing, stop, takes_up=False):
         """Call until ``stop`` is set.
 
         ``routing(rng)`` returns an object that picks the target of each
-        request.
+        request.  With ``takes_up`` streams that break off are taken up.
         """
+        self._takes_up = takes_up
         super().__init__(daemon=True)
         self._rng = random.Random(seed)
         self._history = history
@@ -147,6 +151,37 @@
         if request.kind == "probe":
             rows = self._history.probes
         self._history.add(rows, sent)
+        if request.events and self._takes_up:
+            self._follow(request, outcome)
+
+    def _follow(self, request, outcome):
+        """Take a stream up until it is whole, or some tries have failed."""
+        rows = _event_rows(outcome.body)
+        for _ in range(MAX_RETURNS):
+            if not rows or len(rows) >= request.events:
+                break
+            target = self._targets.pick(self._connection_by_target)
+            if target is None:
+                break
+            attempt = secrets.token_hex(8)
+            self._history.record_attempt(attempt)
+            again = request._replace(
+                attempt=attempt,
+                kind="return",
+                abandon_after=None,
+                resumes=(request.attempt, rows[-1][0]),
+            )
+            at = time.monotonic()
+            found = _event_rows(self._send(target, again).body)
+            row = history_module.Return(
+                request.attempt, target.gateway, rows[-1][1], at, bool(found)
+            )
+            self._history.add(self._history.returns, row)
+            rows += found
+        if rows:
+            versions = frozenset(version for _, version in rows)
+            row = history_module.Stream(request.attempt, versions)
+            self._history.add(self._history.streams, row)
 
     def _send(self, target, request):
         """Return the outcome of a request."""
@@ -193,6 +228,9 @@
         headers["Model"] = "m"
         headers["Token-Usage"] = backends.token_usage(request.events)
         headers["Prompt-Prefix"] = "aa:40,bb:40,cc:20"
+    if request.resumes is not None:
+        headers["Resumes"] = request.resumes[0]
+        headers["Last-Event-Id"] = str(request.resumes[1])
     return headers
 
 
@@ -231,5 +269,13 @@
 
 def _event_numbers(body):
     """Return the numbers of the complete events in a body."""
-    events = body.split(b"\n\n")[:-1]
-    return tuple(int(event.split(b"\n")[0][4:]) for event in events)
+    return tuple(number for number, _ in _event_rows(body))
+
+
+def _event_rows(body):
+    """Return number and software version of the complete events in a body."""
+    rows = []
+    for event in body.split(b"\n\n")[:-1]:
+        head, data = event.decode().split("\n")
+        rows.append((int(head[4:]), data.split()[1]))
+    return rows
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -4,11 +4,13 @@
 
 from bench.soak import bounds
 from bench.soak import endpoint_wishes
+from bench.soak import harmful_parts
 from bench.soak import limits
 from bench.soak import losses
 from bench.soak import recovery
 from bench.soak import request_limits
 from bench.soak import retries
+from bench.soak import versions
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -32,6 +34,8 @@
         *endpoint_wishes.find_violations(history),
         *request_limits.find_violations(history),
         *recovery.find_violations(history),
+        *versions.find_violations(history),
+        *harmful_parts.find_violations(history),
     ]
 
 
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -1,5 +1,6 @@
 """The store, gateways and endpoints of a run, and actions on them."""
 
+import itertools
 import random
 import threading
 import time
@@ -19,6 +20,8 @@
 ENGINES = 4
 SERVICES = 3
 READINESS_SECONDS = 0.25
+# An engine that a part of a prompt crashed is back after this time.
+RESTART_SECONDS = 2.0
 
 
 class _Case(gateway_base.GatewayCase):
@@ -29,11 +32,14 @@
 class Deployment:
     """All parts of one run, on which the kinds of fault act."""
 
-    def __init__(self, seed, gateways, has_egress=False):
+    def __init__(self, seed, gateways, has_egress=False, versions=("v1",)):
         """Prepare ``gateways`` gateways; :meth:`bring_up` starts them.
 
-        With ``has_egress`` they can be cut off from endpoints.
+        With ``has_egress`` they can be cut off from endpoints.  Engines have
+        the software ``versions`` in turn.
         """
+        self._versions = itertools.cycle(versions)
+        self._takes_up = len(versions) > 1
         self.rng = random.Random(seed)
         self.gateways = [f"gateway-{n + 1}" for n in range(gateways)]
         self.case = _Case()
@@ -89,7 +95,11 @@
         """Start callers and readiness checks; return their threads."""
         threads = [
             callers.Caller(
-                seed, self.history, self._routing(seed), self.stopping
+                seed,
+                self.history,
+                self._routing(seed),
+                self.stopping,
+                self._takes_up,
             )
             for seed in range(NAMED_CALLERS + DIRECTORY_CALLERS)
         ]
@@ -129,8 +139,15 @@
 
     def add_endpoint(self, name, service, stage=None):
         """Start an endpoint and register it."""
+        version = next(self._versions) if service == "model" else "v1"
         backend = backends.Backend(
-            name, service, self.history, self.put, stage
+            name,
+            service,
+            self.history,
+            self.put,
+            stage,
+            version,
+            self.crash_by_part,
         )
         address = self._proxy(f"proxy-{name}", backend.endpoint.address, name)
         backend.register(address)
@@ -143,6 +160,22 @@
         self.backend_by_name.pop(name, None)
         self.release(name)
 
+    def crash_by_part(self, name):
+        """Crash an engine that wrote on a harmful part, and replace it."""
+        if not self.reserve(name):
+            return
+        old = self.backend_by_name[name]
+        self.record_fault(f"{name} crashes by a part of a prompt")
+        self.history.record_disturbance("crash", name, float("inf"))
+        old.end(crash=True)
+
+        def replace():
+            if not self.stopping.wait(RESTART_SECONDS):
+                self.put(old.name, None)
+                self.replace_endpoint(name, old)
+
+        self.run_in_thread(replace)
+
     def put(self, name, row):
         """Write or delete the record of an endpoint."""
         try:
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -6,6 +6,7 @@
 from bench.soak import checks
 from bench.soak import deployment
 from bench.soak import endpoint_faults
+from bench.soak import harmful_parts
 from bench.soak import partitions
 from bench.soak import planned_work
 from bench.soak import unplanned_faults
@@ -57,25 +58,43 @@
     "cut-some": partitions.cut_some,
 }
 PARTITION_GAP_SECONDS = (2.0, 6.0)
-SIDE_KINDS = {**ENDPOINT_KINDS, **PARTITION_KINDS}
+# Requests that crash engines; drawn by a generator of its own, too.
+PART_KINDS = {"harmful-part": harmful_parts.send_series}
+PART_GAP_SECONDS = (4.0, 10.0)
+SIDE_KINDS = {**ENDPOINT_KINDS, **PARTITION_KINDS, **PART_KINDS}
+VERSIONS = ("v1", "v2")
 
 
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed, seconds, gateways=3, only=(), planned=False):
+    def __init__(
+        self,
+        seed,
+        seconds,
+        gateways=3,
+        only=(),
+        planned=False,
+        has_versions=False,
+    ):
         """Prepare the run; :meth:`run` executes it.
 
-        ``planned`` leaves out all faults but planned work.
+        ``planned`` leaves out all faults but planned work; with
+        ``has_versions`` engines have several software versions, and callers
+        take streams up that break off.
         """
         self._seconds = seconds
         self._only = only
         self._endpoint_rng = random.Random(f"endpoints {seed}")
         self._partition_rng = random.Random(f"partitions {seed}")
+        self._part_rng = random.Random(f"parts {seed}")
         self._function_by_kind = PLANNED_KINDS if planned else KINDS
         self._planned = planned
         self._deployment = deployment.Deployment(
-            seed, gateways, bool(self._partition_kinds())
+            seed,
+            gateways,
+            bool(self._partition_kinds()),
+            VERSIONS if has_versions else VERSIONS[:1],
         )
         self.history = self._deployment.history
 
@@ -89,6 +108,7 @@
                 for inject in (
                     self._inject_endpoint_faults,
                     self._inject_partitions,
+                    self._inject_parts,
                 )
             ]
             self._inject()
@@ -158,6 +178,17 @@
             rng, self._partition_kinds(), inject, PARTITION_GAP_SECONDS
         )
 
+    def _inject_parts(self):
+        rng = self._part_rng
+
+        def inject(kind):
+            return PART_KINDS[kind](self._deployment, rng)
+
+        kinds = [] if self._planned else sorted(PART_KINDS)
+        if self._only:
+            kinds = [kind for kind in self._only if kind in PART_KINDS]
+        self._inject_series(rng, kinds, inject, PART_GAP_SECONDS)
+
     def _inject_series(self, rng, kinds, inject, gap_seconds=GAP_SECONDS):
         end = time.monotonic() + self._seconds
         threads = []
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -157,6 +157,45 @@
     end: float
 
 
+class Stream(typing.NamedTuple):
+    """The software versions of the events of a stream, over all its tries."""
+
+    attempt: str
+    versions: frozenset
+
+
+class Return(typing.NamedTuple):
+    """A stream of a version that its caller took up again at a gateway."""
+
+    attempt: str
+    gateway: str
+    version: str
+    at: float
+    went_on: bool
+
+
+class EngineSpan(typing.NamedTuple):
+    """The time in which an engine of a version served."""
+
+    endpoint: str
+    version: str
+    start: float
+    end: float
+
+
+class PartSeries(typing.NamedTuple):
+    """Requests with a part that crashes engines, and what came of them.
+
+    ``arrivals`` are pairs of attempt and time; ``crashes`` are times, and
+    ``ended`` is when the last request was sent.
+    """
+
+    part: str
+    arrivals: list
+    crashes: list
+    ended: list
+
+
 class History:
     """All observations of a run; many threads write to it."""
 
@@ -182,6 +221,11 @@
         self.probes = []
         self.faults = []
         self.attempts = set()
+        self.streams = []
+        self.returns = []
+        self.engine_spans = []
+        self.part_series = []
+        self.gateway_by_harmful_attempt = {}
 
     def add(self, rows, row):
         """Add a row to one of the lists."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,9 +14,22 @@
 
     maxDiff = None
 
-    def check(self, seed, *kinds, planned=False, seconds=SECONDS):
+    def check(
+        self,
+        seed,
+        *kinds,
+        planned=False,
+        seconds=SECONDS,
+        has_versions=False,
+    ):
         """Run a seed and check that every guarantee was kept."""
-        soak = faults.Soak(seed, seconds, only=kinds, planned=planned)
+        soak = faults.Soak(
+            seed,
+            seconds,
+            only=kinds,
+            planned=planned,
+            has_versions=has_versions,
+        )
         self.assertEqual(soak.run(), [])
         self.assertGreater(len(soak.history.sent), 50)
         return soak.history
@@ -70,3 +83,15 @@
         )
         self.assertTrue(history.rest_requests)
         self.assertTrue(history.leave_notices)
+
+    def test_engines_of_several_versions(self):
+        # Guards against streams that hold events of two versions.
+        history = self.check(
+            470, "crash", "kill", "leave", has_versions=True, seconds=16
+        )
+        self.assertGreater(len(history.returns), 12)
+
+    def test_parts_of_prompts_that_crash_engines(self):
+        # Guards against a part that ends engine after engine.
+        history = self.check(471, *faults.PART_KINDS, "hup", seconds=20)
+        self.assertTrue(history.part_series[0].crashes)
