Try parts that crashed engines again, and bound the work that they cost

Read as somebody else's: a part with two crash records was refused for ten minutes, and one with a single record never got the last decode engine, so that a deployment with one engine could refuse a sound part, whose answers alone would have cleared it, for as long. Whether a part is harmful was worked out anew for each request, by the square of the parts of a crash.

Change: a part of one crash is suspect for ten seconds, and so long the last engine is spared; a harmful one is refused for a minute and twice as long after each further crash, then tried at one engine. What follows from the records is kept until one of them changes. A sound part is told of only if a peer takes it for suspect.

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -42,9 +42,8 @@
     def check(self, exchange):
         """Refuse a request that crashes endpoints, and note a suspect one.
 
-        ``exchange.suspect_part`` becomes the part of its prompt that may
-        crash an engine, ``None`` if there is none, and
-        ``exchange.crashed_endpoints`` those that are known to have crashed.
+        ``exchange.suspect`` becomes the part of its prompt that may crash an
+        engine, ``None`` if there is none.
 
         :raises HarmfulRequest: it crashed two endpoints, or a part of its
             prompt crashes engines.
@@ -64,9 +63,7 @@
             crashed -= self._parts.explained(parts)
         if len(crashed) >= crashes.MAX_CRASHES:
             raise _refusal("this request crashed two endpoints")
-        exchange.suspect_part = self._parts.find_suspect(parts)
-        if exchange.suspect_part is not None:
-            exchange.crashed_endpoints = self._parts.crashed_endpoints()
+        exchange.suspect = self._parts.find_suspect(parts)
 
     def record_answer(self, exchange):
         """Clear the crash records of a request that was answered."""
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -91,9 +91,8 @@
         # The software version of the engine that made the first event that
         # the caller has of the stream, once it has one.
         self.version = None
-        # A part of the prompt that may crash the engine that runs it.
-        self.suspect_part = None
-        self.crashed_endpoints = frozenset()
+        # The part of the prompt that may crash the engine that runs it.
+        self.suspect = None
         self.tried_ids = set()
         self._unreached = 0
 
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -176,7 +176,7 @@
             for state in candidates
             if state.endpoint.id not in excluded_ids
         }
-        if exchange.suspect_part is not None:
+        if exchange.suspect is not None:
             states = _isolated(states, engines, exchange)
         elif may_repeat and exchange.version is not None:
             if not any(_decodes(state) for state in states.values()):
@@ -357,17 +357,18 @@
     If the part crashes engines, requests with it that come together cost one.
     The last decode engine, without which nothing is served, is spared.
     """
+    suspect = exchange.suspect
     able = [
         state
         for state in engines
         if _decodes(state)
         and state.is_usable()
         and not state.path.is_unreached
-        and state.endpoint.incarnation_name not in exchange.crashed_endpoints
+        and state.endpoint.incarnation_name not in suspect.endpoints
     ]
-    able.sort(key=lambda s: _isolation_rank(s, exchange.suspect_part))
+    able.sort(key=lambda state: _isolation_rank(state, suspect.part))
     found = {k: s for k, s in state_by_id.items() if not _decodes(s)}
-    if len(able) > 1:
+    if len(able) > 1 or not suspect.spares_last:
         left = [s for s in able if s.endpoint.id not in exchange.tried_ids]
         found |= {state.endpoint.id: state for state in left[:1]}
     return found
--- a/clementinewall/membership/crashing_parts.py
+++ b/clementinewall/membership/crashing_parts.py
@@ -18,13 +18,19 @@
 
 from clementinewall import clock
 
-# A part counts as harmful from so many crashes on if no other part was there
-# each time, and in any case from the second number on.
+# A part is the cause from so many crashes on if no other part was there each
+# time, and in any case from the second number on.
 MIN_CRASHES = 2
 DECIDING_CRASHES = 3
+# Requests with such a part are refused for this time after the last crash, and
+# for twice as long with each further one.  Then it is tried again.
+HARMFUL_MS = 60_000
+RECORD_LIFETIME_MS = 600_000
+# A part of a single crash is suspect for this time, and so long is the last
+# engine that decodes kept from suspect parts.
+SUSPECT_MS = 10_000
 # A part is taken for sound for this time after an answer on it.
 SOUND_MS = 30_000
-RECORD_LIFETIME_MS = 600_000
 # A new record, or that a part is sound, is passed on for this time.
 SPREAD_MS = 2_000
 MAX_PARTS = 1_000
@@ -46,6 +52,18 @@
     depth: int
 
 
+class Suspect(typing.NamedTuple):
+    """A part of a prompt that may crash the engine that writes on it.
+
+    ``endpoints`` are the incarnations that are known to have crashed; with
+    ``spares_last`` the part must not get the last engine that decodes.
+    """
+
+    part: str
+    endpoints: frozenset
+    spares_last: bool
+
+
 class _Record:
     """What is known of one part at one crash."""
 
@@ -71,6 +89,9 @@
         # Parts that others took for suspect and are sound, to pass on.
         self._told_sound_at_by_part = {}
         self._expire_at = 0
+        # What follows from the records, until one of them changes.
+        self._crashes_by_part = {}
+        self._is_cause_by_part = {}
 
     def add(self, crash):
         """Add a record; return whether it is new and tells anything."""
@@ -80,11 +101,11 @@
         if crash.age_ms >= RECORD_LIFETIME_MS:
             return False
         if self._is_sound(crash.part, crashed_at):
-            self._told_sound_at_by_part[crash.part] = now
             return False
         records = self._records_by_part.get(crash.part, {})
         if crash.endpoint in records:
             return False
+        self._forget_conclusions()
         records[crash.endpoint] = _Record(crashed_at, now, crash.depth)
         self._records_by_part[crash.part] = records
         self._parts_by_endpoint.setdefault(crash.endpoint, set()).add(
@@ -94,6 +115,10 @@
             self._drop_least_suspect()
         return True
 
+    def _forget_conclusions(self):
+        self._crashes_by_part.clear()
+        self._is_cause_by_part.clear()
+
     def _is_sound(self, part, crashed_at):
         sound_at = self._sound_at_by_part.get(part)
         if sound_at is None:
@@ -118,6 +143,7 @@
             self._remove_record(part, endpoint)
 
     def _remove_record(self, part, endpoint):
+        self._forget_conclusions()
         records = self._records_by_part[part]
         del records[endpoint]
         if not records:
@@ -141,36 +167,60 @@
 
     def merge(self, crashes, sound_parts):
         """Merge what a peer knows; return the crash records that are new."""
+        now = self._now()
         for part in sound_parts:
             self.record_answer(part)
-        return [crash for crash in crashes if self.add(crash)]
+        found = []
+        for crash in crashes:
+            if self.add(crash):
+                found.append(crash)
+            elif self._is_sound(crash.part, now - crash.age_ms):
+                self._told_sound_at_by_part[crash.part] = now
+        return found
 
     def crashes(self, part):
         """Return the crashes that no other part explains better."""
         self._expire()
-        own = self._records_by_part.get(part, {})
-        return {
-            endpoint
-            for endpoint in own
-            if not any(
-                self._count(other) > len(own)
-                for other in self._parts_by_endpoint[endpoint]
-                if self._count(other) >= MIN_CRASHES
+        own = self._records_by_part.get(part)
+        if own is None:
+            return frozenset()
+        found = self._crashes_by_part.get(part)
+        if found is None:
+            found = frozenset(
+                endpoint
+                for endpoint in own
+                if not self._is_explained(endpoint, len(own))
             )
-        }
+            self._crashes_by_part[part] = found
+        return found
+
+    def _is_explained(self, endpoint, count):
+        """Tell whether a part of more crashes was there."""
+        least = max(count + 1, MIN_CRASHES)
+        return any(
+            len(self._records_by_part[other]) >= least
+            for other in self._parts_by_endpoint[endpoint]
+        )
 
-    def _count(self, part):
-        return len(self._records_by_part[part])
+    def _is_cause(self, part):
+        """Tell whether a part is what its crashes have in common."""
+        self._expire()
+        found = self._is_cause_by_part.get(part)
+        if found is None:
+            found = self._is_best_explanation(part)
+            self._is_cause_by_part[part] = found
+        return found
 
-    def is_harmful(self, part):
-        """Tell whether requests with a part must get no engine."""
+    def _is_best_explanation(self, part):
         found = self.crashes(part)
         if len(found) < MIN_CRASHES:
             return False
         rivals = [
             other
             for other in self._parts_by_endpoint[next(iter(found))]
-            if other != part and self.crashes(other) >= found
+            if other != part
+            and found <= self._records_by_part[other].keys()
+            and found <= self.crashes(other)
         ]
         if not rivals:
             return True
@@ -184,31 +234,44 @@
         records = self._records_by_part[part].values()
         return max(record.depth for record in records), part
 
+    def is_harmful(self, part):
+        """Tell whether requests with a part must get no engine now."""
+        if part not in self._records_by_part or not self._is_cause(part):
+            return False
+        more = len(self.crashes(part)) - MIN_CRASHES
+        return self._age_ms(part) < HARMFUL_MS * 2**more
+
+    def _age_ms(self, part):
+        """Return the time since the last crash that counts."""
+        records = self._records_by_part[part]
+        return self._now() - max(
+            records[endpoint].crashed_at for endpoint in self.crashes(part)
+        )
+
     def find_harmful(self, parts):
         """Return a harmful one of a prompt's parts, or ``None``."""
-        if not self._records_by_part:
-            return None
         return next((part for part in parts if self.is_harmful(part)), None)
 
     def find_suspect(self, parts):
-        """Return the last suspect one of a prompt's parts, or ``None``."""
-        if not self._records_by_part:
-            return None
-        found = [part for part in parts if self.crashes(part)]
-        return found[-1] if found else None
-
-    def crashed_endpoints(self):
-        """Return the endpoints, by incarnation, that have crashed."""
-        return frozenset(self._parts_by_endpoint)
+        """Return the last suspect part of a prompt, or ``None``."""
+        for part in reversed(parts):
+            count = len(self.crashes(part))
+            if not count:
+                continue
+            is_fresh = self._age_ms(part) < SUSPECT_MS
+            if is_fresh or count >= MIN_CRASHES:
+                endpoints = frozenset(self._parts_by_endpoint)
+                return Suspect(part, endpoints, is_fresh)
+        return None
 
     def explained(self, parts):
-        """Return the crashes that harmful parts other than these explain."""
+        """Return the crashes whose cause is a part other than these."""
         return {
             endpoint
             for part, records in self._records_by_part.items()
             if len(records) >= MIN_CRASHES
             and part not in parts
-            and self.is_harmful(part)
+            and self._is_cause(part)
             for endpoint in records
         }
 
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -160,7 +160,7 @@
             except errors.HarmfulRequest:
                 refused.add(ip)
             else:
-                if found.suspect_part is not None:
+                if found.suspect is not None:
                     suspected.add(ip)
         return refused, suspected
 
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -14,6 +14,7 @@
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import placing
 from clementinewall.http1 import server
+from clementinewall.membership import crashing_parts
 from clementinewall.policy import placement
 from clementinewall.policy import silence
 
@@ -126,7 +127,7 @@
     def place_suspect(self, part, tried_ids=()):
         """Return the id of the decode engine for a suspect part."""
         exchange = self.exchange()
-        exchange.suspect_part = part
+        exchange.suspect = crashing_parts.Suspect(part, frozenset(), True)
         exchange.tried_ids.update(tried_ids)
         return self.placer.place(exchange, None).decode_engine.endpoint.id
 
@@ -144,14 +145,17 @@
     def test_an_engine_that_others_saw_crash_does_not_count(self):
         # Guards against a part that ends the last engine that decodes.
         exchange = self.exchange()
-        exchange.suspect_part = "model/bad"
-        exchange.crashed_endpoints = {
+        crashed = frozenset(
             endpoint.incarnation_name
             for endpoint in self.fleet_view.endpoint_by_id.values()
             if endpoint.stage == domain.DECODE and endpoint.id != "i-0001"
-        }
+        )
+        exchange.suspect = crashing_parts.Suspect("model/bad", crashed, True)
         with self.assertRaises(errors.Overloaded):
             self.placer.place(exchange, None)
+        exchange.suspect = exchange.suspect._replace(spares_last=False)
+        plan = self.placer.place(exchange, None)
+        self.assertEqual(plan.decode_engine.endpoint.id, "i-0001")
 
     def test_a_suspect_part_spares_the_last_decode_engine(self):
         # Guards against a part that leaves nobody to serve the others.
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """Which parts of prompts count as crashing engines."""
 
+import time
 import unittest
 
 import hypothesis
@@ -35,10 +36,15 @@
         """Return which parts are harmful."""
         return {part for part in parts if self.table.is_harmful(part)}
 
+    def suspect(self, *parts):
+        """Return the suspect part of a prompt, or ``None``."""
+        found = self.table.find_suspect(parts)
+        return found and found.part
+
     def test_two_crashes_make_a_part_harmful(self):
         self.crash("e1", "bad")
         self.assertEqual(self.harmful("bad"), set())
-        self.assertEqual(self.table.find_suspect(["bad"]), "bad")
+        self.assertEqual(self.suspect("bad"), "bad")
         self.crash("e2", "bad")
         self.assertEqual(self.table.find_harmful(["x", "bad"]), "bad")
 
@@ -54,7 +60,7 @@
         self.crash("e2", "first")
         self.clock.advance(crashing_parts.SOUND_MS - 1)
         self.crash("e3", "first")
-        self.assertIsNone(self.table.find_suspect(["first"]))
+        self.assertIsNone(self.suspect("first"))
 
     def test_an_answer_long_ago_clears_only_earlier_crashes(self):
         # Guards against a part that new software can't bear any more.
@@ -77,7 +83,7 @@
         self.assertEqual(self.harmful("bad", "rare"), set())
         self.crash("e3", "other", "bad")
         self.assertEqual(self.harmful("bad", "rare"), {"bad"})
-        self.assertIsNone(self.table.find_suspect(["rare"]))
+        self.assertIsNone(self.suspect("rare"))
 
     def test_of_parts_that_always_come_together_the_last_is_harmful(self):
         # Guards against refusing a first part that most prompts share.
@@ -92,7 +98,7 @@
 
     def test_the_last_suspect_part_of_a_prompt_is_isolated(self):
         self.crash("e1", "first", "rare")
-        self.assertEqual(self.table.find_suspect(["first", "rare"]), "rare")
+        self.assertEqual(self.suspect("first", "rare"), "rare")
 
     def test_records_and_answers_reach_a_peer(self):
         peer = crashing_parts.PartTable(self.clock.now)
@@ -103,13 +109,14 @@
         self.assertTrue(peer.is_harmful("bad"))
         peer.record_answer("first")
         self.table.merge(peer.message(), peer.sound_parts())
-        self.assertIsNone(self.table.find_suspect(["first"]))
+        self.assertIsNone(self.suspect("first"))
 
     def test_a_peer_that_suspects_a_sound_part_is_told(self):
         # Guards against a gateway that has just started and suspects all.
         self.table.record_answer("first")
         self.clock.advance(10_000)
-        self.crash("e1", "first")
+        crash = crashing_parts.PartCrash("first", "e1", 0, 0)
+        self.assertEqual(self.table.merge([crash], []), [])
         self.assertEqual(self.table.sound_parts(), ["first"])
         self.clock.advance(crashing_parts.SPREAD_MS + 1)
         self.assertEqual(self.table.sound_parts(), [])
@@ -134,6 +141,39 @@
             len(self.table._records_by_part), crashing_parts.MAX_PARTS
         )
 
+    def test_a_part_of_one_crash_is_suspect_for_a_while(self):
+        # Guards against refusing a part for long where one engine decodes.
+        self.crash("e1", "rare")
+        self.assertTrue(self.table.find_suspect(["rare"]).spares_last)
+        self.clock.advance(crashing_parts.SUSPECT_MS)
+        self.assertIsNone(self.suspect("rare"))
+
+    def test_a_harmful_part_is_tried_again_after_longer_and_longer(self):
+        # Guards against refusing a part for good that only was unlucky.
+        self.crash("e1", "bad")
+        self.crash("e2", "bad")
+        for number in range(3):
+            span_ms = crashing_parts.HARMFUL_MS * 2**number
+            self.clock.advance(span_ms - 1)
+            self.assertEqual(self.harmful("bad"), {"bad"})
+            self.clock.advance(1)
+            self.assertEqual(self.harmful("bad"), set())
+            found = self.table.find_suspect(["bad"])
+            self.assertEqual((found.part, found.spares_last), ("bad", False))
+            self.crash(f"f{number}", "bad")
+
+    def test_many_parts_of_the_same_crashes_take_little_time(self):
+        # Guards against work that grows with the square of the parts.
+        parts = [f"p{number}" for number in range(crashing_parts.MAX_PARTS)]
+        for endpoint in ("e1", "e2"):
+            for part in parts:
+                self.table.add(crashing_parts.PartCrash(part, endpoint, 0, 0))
+        began = time.process_time()
+        for part in parts[:100]:
+            self.assertFalse(self.table.is_harmful(part))
+            self.assertEqual(self.suspect(part), part)
+        self.assertLess(time.process_time() - began, 1.0)
+
     def test_records_expire(self):
         self.crash("e1", "bad")
         self.crash("e2", "bad")
