Let a stream that is taken up return to its service only if the route leads there

By reading: a route whose split had moved off the service that began a stream would have led back there, and a service that had left the configuration ended in an internal error. Tests of each.

--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -94,6 +94,12 @@
         """Tell whether a request of this route may run more than once."""
         return self.kind == SAFE or (self.kind == STREAM and self.resumable)
 
+    def leads_to(self, service):
+        """Tell whether requests of this route may go to a service."""
+        if len(self.shares) == 1:
+            return self.shares[0].service == service
+        return any(s.service == service and s.weight > 0 for s in self.shares)
+
 
 class EngineLimits(typing.NamedTuple):
     """The limits that all engines of one model service share."""
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -64,8 +64,8 @@
         return state.has_failed and not self._fleet_view.is_current
 
     def service(self, name):
-        """Return the service of this name, as operators configured it."""
-        return self._fleet_view.configuration.service_by_name[name]
+        """Return the configured service of this name, or ``None``."""
+        return self._fleet_view.configuration.service_by_name.get(name)
 
     def of_service(self, service):
         """Return the states of the endpoints that don't leave."""
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -118,8 +118,9 @@
             raise errors.UnknownOrigin(
                 "it isn't known which software version began this stream"
             )
-        if origin.service in {s.service for s in exchange.route.shares}:
-            exchange.service = self._endpoints.service(origin.service)
+        service = self._endpoints.service(origin.service)
+        if service is not None and exchange.route.leads_to(origin.service):
+            exchange.service = service
             exchange.version = origin.version
 
     def _record_version(self, exchange, engine):
--- a/tests/gateway/test_stream_relay.py
+++ b/tests/gateway/test_stream_relay.py
@@ -6,15 +6,18 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall.gateway import crash_guard
 from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import placing
 from clementinewall.gateway import stream_answer
+from clementinewall.gateway import stream_origins
 from clementinewall.gateway import stream_relay
 from clementinewall.http1 import messages
 from clementinewall import verdicts
 from tests.gateway import test_endpoints
+from tests.gateway import test_placing
 
 LEAVING = messages.Head(200, b"", ((b"Server-Leaving", b"1"),))
 
@@ -144,3 +147,54 @@
         with self.assertRaises(exchanges.AttemptFailed) as caught:
             await stream.forward(_Sent(b"id: 1\nda"))
         self.assertTrue(caught.exception.broken)
+
+
+class Returns(unittest.TestCase):
+    """A caller that takes up a stream, on a route of two services."""
+
+    def find_version(self, *shares, service="a"):
+        """Return service and version for a stream that began at a of v1."""
+        services = {name: domain.Service(name, None) for name in "ab"}
+        endpoints = types.SimpleNamespace(service=services.get)
+
+        async def find(_attempt, _service):
+            return stream_origins.Origin(service, "v1", 0)
+
+        relay = stream_relay.StreamRelay(
+            endpoints,
+            None,
+            None,
+            None,
+            None,
+            types.SimpleNamespace(find=find),
+            None,
+            None,
+            None,
+        )
+        exchange = types.SimpleNamespace(
+            call=types.SimpleNamespace(takes_up=True, resumes="a1"),
+            route=test_placing.ROUTE._replace(shares=shares),
+            service=services["b"],
+            version=None,
+        )
+        anyio.run(relay._find_version, exchange)
+        return exchange.service.name, exchange.version
+
+    def test_a_split_route_leads_back_to_the_service(self):
+        # Guards against a stream that goes on at the other share.
+        found = self.find_version(
+            domain.Share("a", 0.1), domain.Share("b", 0.9)
+        )
+        self.assertEqual(found, ("a", "v1"))
+
+    def test_a_service_that_the_route_left_gets_nothing(self):
+        # Guards against a run that only an older configuration allows.
+        found = self.find_version(domain.Share("a", 0), domain.Share("b", 1))
+        self.assertEqual(found, ("b", None))
+        found = self.find_version(domain.Share("b", 1))
+        self.assertEqual(found, ("b", None))
+
+    def test_a_service_that_is_not_configured_gets_nothing(self):
+        shares = domain.Share("c", 1), domain.Share("b", 1)
+        found = self.find_version(*shares, service="c")
+        self.assertEqual(found, ("b", None))
