Bound what callers' ids and parts make gateways tell each other

By reading: an attempt's id may be as long as a header, and was told to owners and asked of them as it was; names of parts likewise. Rows without content are left out of messages.

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -7,6 +7,7 @@
 between gateways.
 """
 
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall.membership import crashes
@@ -153,10 +154,11 @@
 
     def parts_message(self):
         """Return what peers may lack of parts of prompts, as plain data."""
-        return {
+        found = {
             "crashed": [list(crash) for crash in self._parts.message()],
             "sound": self._parts.sound_parts(),
         }
+        return {name: rows for name, rows in found.items() if rows}
 
     def merge_parts(self, data):
         """Merge what a peer knows of parts of prompts.
@@ -221,4 +223,8 @@
     if prompt is None:
         return []
     shared = prompt.parts[:-1][:MAX_PARTS_PER_PROMPT]
-    return [f"{exchange.service.name}/{part.id}" for part in shared]
+    return [
+        f"{exchange.service.name}/{part.id}"
+        for part in shared
+        if len(part.id) <= domain.MAX_TEXT
+    ]
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -77,6 +77,8 @@
         Told again when a stream is taken up, since its owners may have
         changed.
         """
+        if len(attempt) > domain.MAX_TEXT:
+            return
         lifetime_ms = min(MAX_LIFETIME_MS, max(MIN_LIFETIME_MS, lifetime_ms))
         origin = Origin(service, version, self._now() + lifetime_ms)
         self._put(attempt, origin)
@@ -99,8 +101,6 @@
                 del untold[attempt]
 
     def _put(self, attempt, origin):
-        if len(attempt) > domain.MAX_TEXT:
-            return
         self._origin_by_attempt[attempt] = origin
         self._origin_by_attempt.move_to_end(attempt)
         while len(self._origin_by_attempt) > MAX_ORIGINS:
@@ -141,6 +141,8 @@
         that one; else ``None``.  ``attempt`` is ``None`` if the caller didn't
         name it.
         """
+        if attempt is not None and len(attempt) > domain.MAX_TEXT:
+            attempt = None
         origin = None if attempt is None else self._known(attempt)
         how = "own"
         answers = 0
@@ -222,7 +224,7 @@
     def _take_origin(self, attempt, service, version, left_ms):
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
         origin = Origin(str(service), str(version), self._now() + left_ms)
-        self._put(str(attempt), origin)
+        self._put(str(attempt)[: domain.MAX_TEXT], origin)
 
     def _answer(self, attempt, service):
         """Return what is known of a stream, as plain data."""
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -217,6 +217,12 @@
         self.guards[ip].record_stream(self.prompt("sound", "other", "own"))
         self.guards[ip].check(self.prompt("beside", "other", "own"))
 
+    def test_a_part_with_a_long_name_is_never_suspect(self):
+        # Guards against datagrams whose size a caller decides.
+        self.crash(self.ips[0], "e1", "x" * 1_000, "own")
+        message = self.guards[self.ips[0]].parts_message()
+        self.assertEqual(message, {})
+
     def test_malformed_records_of_parts_raise_what_is_caught(self):
         guard = self.guards[self.ips[0]]
         for data in (
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -155,6 +155,14 @@
         self.assertIsNone(network.find(ip, "a0"))
         self.assertEqual(network.find(ip, "a1"), "v0")
 
+    def test_an_attempt_of_any_length_makes_no_long_message(self):
+        # Guards against datagrams whose size a caller decides.
+        network = Network(7, ("v0", "v1"))
+        attempt = "a" * 60_000
+        network.begin(network.ips[0], attempt, "v0")
+        self.assertIsNone(network.find(network.ips[0], attempt))
+        self.assertEqual(network.sent, [])
+
     def test_malformed_messages_raise_what_their_receiver_catches(self):
         network = Network(2, ("v0", "v1"))
         origins = network.origins_by_ip[network.ips[0]]
