--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -160,7 +160,7 @@
             to another process than that of the record.
         """
         link = await self._connect(self._pool.acquire)
-        if link.is_new and self.is_doubtful():
+        if self.is_doubtful() and link.is_new:
             link = await self._verified(link)
         return link
 
