Blame no part of prompts for a cut from all endpoints

Change: a crash tells of parts only if the gateway connects to another endpoint; and it is dropped when the engine's record is there six seconds later, read without a gap. Harmful parts are tried again after half a minute.

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -26,6 +26,8 @@
 BRIEF_RUN_MS = 500
 # The same for a part of its prompt: sound ones are known by other answers.
 BRIEF_PART_RUN_MS = 1_500
+# The record of an endpoint that ended is gone after this time.
+MAX_RECORD_AGE_MS = 6_000
 MAX_PARTS_PER_PROMPT = 32
 MAX_DEPTH = 1_000
 
@@ -81,10 +83,32 @@
                     request=exchange.call.attempt,
                 )
 
-    def record_failure(self, exchange, state, failure, ran_ms=None):
+    def sweep(self, fleet_view):
+        """Drop the crashes of engines whose records are still there.
+
+        All gateways may have been cut off from all endpoints by refusals.
+        """
+        alive = {
+            endpoint.incarnation_name
+            for endpoint in fleet_view.endpoint_by_id.values()
+        }
+        found = self._parts.refute(
+            lambda endpoint, age_ms: (
+                endpoint in alive
+                and min(age_ms, fleet_view.current_ms) >= MAX_RECORD_AGE_MS
+            )
+        )
+        for endpoint in found:
+            _log.info("endpoint has not crashed", endpoint=endpoint)
+
+    def record_failure(
+        self, exchange, state, failure, ran_ms=None, reaches_others=True
+    ):
         """Record a crash if the request may have run when it broke off.
 
         ``ran_ms`` is for how long it had run, ``None`` if it had not begun.
+        If this gateway reaches no other endpoint either, it is probably cut
+        off, and no part of the prompt is to blame.
         """
         if failure.answer is not None or not failure.broken:
             return
@@ -103,7 +127,8 @@
             )
             self._note_new_record(digest, "own")
         is_brief = ran_ms is None or ran_ms < BRIEF_PART_RUN_MS
-        if is_brief and not (state.endpoint.draining or state.is_leaving):
+        is_leaving = state.endpoint.draining or state.is_leaving
+        if is_brief and reaches_others and not is_leaving:
             self._record_parts(exchange, incarnation)
 
     def _record_parts(self, exchange, incarnation):
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -1,8 +1,11 @@
 """The endpoints that this gateway knows, and what it tells peers of them."""
 
+import random
+
 from clementinewall import domain
 from clementinewall.gateway import cache_holders
 from clementinewall.gateway import cache_view
+from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import request_limits
 from clementinewall import logs
@@ -14,6 +17,8 @@
 # The record of a running endpoint may expire and come back.  What the endpoint
 # said of itself holds for as long as the process that said it.
 KEEP_MISSING_MS = 30_000
+# Endpoints that are checked to tell a crash from a cut.
+MAX_CHECKED = 2
 
 
 class Endpoints:
@@ -63,6 +68,26 @@
             return True
         return state.has_failed and not self._fleet_view.is_current
 
+    async def reaches_another(self, state):
+        """Tell whether a new connection to another endpoint is accepted.
+
+        If there is no other, nothing tells against it.
+        """
+        others = [
+            self.state(endpoint)
+            for endpoint in self._fleet_view.endpoint_by_id.values()
+            if endpoint.id != state.endpoint.id
+        ]
+        if not others:
+            return True
+        now = self._now()
+        present = [s for s in others if not s.health.is_absent(now)]
+        for other in random.sample(present, min(MAX_CHECKED, len(present))):
+            condition = await other.path.check()
+            if condition is endpoint_path.Condition.ACCEPTING:
+                return True
+        return False
+
     def service(self, name):
         """Return the configured service of this name, or ``None``."""
         return self._fleet_view.configuration.service_by_name.get(name)
--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -42,6 +42,7 @@
         self.versions = software_versions.SoftwareVersions(now)
         self.is_fleet_known = False
         self._fleet_read_at = None
+        self._current_since = None
         self._configuration_offset = -1
         self._offset_by_id = {}
         self._lapse_end_by_id = {}
@@ -57,8 +58,15 @@
 
     def record_fleet_read(self):
         """Record that the endpoints are those of the store now."""
+        if not self.is_current:
+            self._current_since = self._now()
         self._fleet_read_at = self._now()
 
+    @property
+    def current_ms(self):
+        """Return for how long the endpoints have been read without a gap."""
+        return self._now() - self._current_since if self.is_current else 0
+
     @property
     def is_current(self):
         """Return whether the endpoints were read of the store lately."""
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -269,6 +269,7 @@
             self._endpoints.sweep()
             self._relays.sweep()
             self._origins.sweep()
+            self._crash_guard.sweep(self._fleet_view)
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -372,7 +372,13 @@
             state = plan.engine(exc.endpoint_id)
             is_down = await state.has_crashed(exc)
             if is_down:
-                self._crash_guard.record_failure(exchange, state, exc, ran_ms)
+                self._crash_guard.record_failure(
+                    exchange,
+                    state,
+                    exc,
+                    ran_ms,
+                    await self._endpoints.reaches_another(state),
+                )
             state.record_failure(exc.absent or is_down)
         _log.info(
             "attempt failed",
--- a/clementinewall/membership/crashing_parts.py
+++ b/clementinewall/membership/crashing_parts.py
@@ -24,7 +24,7 @@
 DECIDING_CRASHES = 3
 # Requests with such a part are refused for this time after the last crash, and
 # for twice as long with each further one.  Then it is tried again.
-HARMFUL_MS = 60_000
+HARMFUL_MS = 30_000
 RECORD_LIFETIME_MS = 600_000
 # A part of a single crash is suspect for this time, and so long is the last
 # engine that decodes kept from suspect parts.
@@ -89,6 +89,8 @@
         # Parts that others took for suspect and are sound, to pass on.
         self._told_sound_at_by_part = {}
         self._expire_at = 0
+        # Endpoints that were taken for crashed and are alive, and since when.
+        self._alive_at_by_endpoint = {}
         # What follows from the records, until one of them changes.
         self._crashes_by_part = {}
         self._is_cause_by_part = {}
@@ -100,6 +102,8 @@
         crashed_at = now - crash.age_ms
         if crash.age_ms >= RECORD_LIFETIME_MS:
             return False
+        if crash.endpoint in self._alive_at_by_endpoint:
+            return False
         if self._is_sound(crash.part, crashed_at):
             return False
         records = self._records_by_part.get(crash.part, {})
@@ -264,6 +268,27 @@
                 return Suspect(part, endpoints, is_fresh)
         return None
 
+    def refute(self, is_alive):
+        """Drop the crashes of endpoints that are alive; return these.
+
+        ``is_alive(endpoint, age_ms)`` tells whether an incarnation still is,
+        so long after it was taken for crashed.
+        """
+        now = self._now()
+        found = []
+        for endpoint, parts in list(self._parts_by_endpoint.items()):
+            crashed_at = max(
+                self._records_by_part[part][endpoint].crashed_at
+                for part in parts
+            )
+            if not is_alive(endpoint, now - crashed_at):
+                continue
+            found.append(endpoint)
+            self._alive_at_by_endpoint[endpoint] = now
+            for part in list(parts):
+                self._remove_record(part, endpoint)
+        return found
+
     def explained(self, parts):
         """Return the crashes whose cause is a part other than these."""
         return {
@@ -321,3 +346,6 @@
         ]
         for part, endpoint in expired:
             self._remove_record(part, endpoint)
+        alive = self._alive_at_by_endpoint
+        for endpoint in [e for e, at in alive.items() if at <= oldest]:
+            del alive[endpoint]
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -191,6 +191,34 @@
         self.network.play(1_000)
         self.assertEqual(self.check("first", "own"), (set(), set()))
 
+    def test_a_gateway_that_reaches_nobody_blames_no_part(self):
+        # Guards against a cut that makes a part harmful.
+        state, failure = crash_of("e1")
+        found = self.prompt("a", *self.PARTS)
+        self.guards[self.ips[0]].record_failure(
+            found, state, failure, reaches_others=False
+        )
+        self.assertEqual(self.check(*self.PARTS), (set(), set()))
+
+    def test_an_engine_whose_record_stays_has_not_crashed(self):
+        # Guards against a cut that makes a part harmful.
+        guard = self.guards[self.ips[0]]
+        for endpoint_id in ("e1", "e2"):
+            self.crash(self.ips[0], endpoint_id, *self.PARTS)
+        engine = types.SimpleNamespace(incarnation_name="e1/1")
+        view = types.SimpleNamespace(
+            endpoint_by_id={"e1": engine}, current_ms=60_000
+        )
+        self.crash(self.ips[0], "e3", "bad", "own")
+        guard.sweep(view)
+        self.assertIn(self.ips[0], self.check(*self.PARTS)[0])
+        self.network.play(crash_guard.MAX_RECORD_AGE_MS)
+        view.endpoint_by_id["e2"] = types.SimpleNamespace(
+            incarnation_name="e2/1"
+        )
+        guard.sweep(view)
+        self.assertNotIn(self.ips[0], self.check(*self.PARTS)[0])
+
     def test_the_last_part_is_never_suspect(self):
         # Guards against refusing what only one request or session has.
         self.crash(self.ips[0], "e1", "first", "bad")
--- a/tests/integration/test_gateway_partition.py
+++ b/tests/integration/test_gateway_partition.py
@@ -40,6 +40,7 @@
         self.outcomes = []
         # Whether services close each connection after one answer.
         self.is_closing = False
+        self.event_seconds = CALL_SECONDS
         self.runs = []
         self.publish(
             route("look", "app", "safe"),
@@ -70,7 +71,7 @@
         yield scripted.stream_head(request)
         for number in range(last + 1, 6):
             yield scripted.chunk(scripted.event(number))
-            yield CALL_SECONDS
+            yield self.event_seconds
         yield scripted.chunk(b"")
 
     def _send_requests(self, number, caller, path):
@@ -163,3 +164,28 @@
         # Guards against bookings that two gateways pass on.
         self.check_callers("/book/x", "reset")
         self.assertEqual(len(self.runs), len(set(self.runs)))
+
+    def test_a_cut_of_all_gateways_makes_no_part_of_prompts_harmful(self):
+        # Guards against refusing all prompts that share a part after a cut.
+        self.event_seconds = 0.3
+        callers = base.Background(
+            self._send_requests,
+            [
+                (number, caller, "/chat/x")
+                for number in range(GATEWAYS)
+                for caller in range(CALLERS_PER_GATEWAY)
+            ],
+        )
+        names = [f"gateway-{number + 1}" for number in range(GATEWAYS)]
+        time.sleep(0.7)
+        for mode in ("reset", "ok"):
+            for name in names:
+                self.cut(name, mode)
+            time.sleep(1.5)
+        self.event_seconds = CALL_SECONDS
+        began = time.monotonic()
+        time.sleep(JUDGED_SECONDS)
+        self._stop.set()
+        callers.join()
+        judged = [served for _, at, served in self.outcomes if at >= began]
+        self.assertGreater(sum(judged), 0.9 * len(judged))
--- a/tests/membership/test_crashing_parts.py
+++ b/tests/membership/test_crashing_parts.py
@@ -174,6 +174,18 @@
             self.assertEqual(self.suspect(part), part)
         self.assertLess(time.process_time() - began, 1.0)
 
+    def test_a_crash_of_an_engine_that_is_alive_is_dropped(self):
+        # Guards against parts that a cut from all engines makes harmful.
+        self.crash("e1", "first")
+        self.crash("e2", "first")
+        self.assertEqual(self.harmful("first"), {"first"})
+        told = self.table.message()
+        found = self.table.refute(lambda name, _age_ms: name == "e1")
+        self.assertEqual(found, ["e1"])
+        self.assertEqual(self.table.merge(told, []), [])
+        self.assertEqual(self.harmful("first"), set())
+        self.assertEqual(self.table.refute(lambda *_: False), [])
+
     def test_records_expire(self):
         self.crash("e1", "bad")
         self.crash("e2", "bad")
