--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -88,6 +88,8 @@
 
         All gateways may have been cut off from all endpoints by refusals.
         """
+        if not self._parts.has_records:
+            return
         alive = {
             endpoint.incarnation_name
             for endpoint in fleet_view.endpoint_by_id.values()
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -17,7 +17,8 @@
 # The record of a running endpoint may expire and come back.  What the endpoint
 # said of itself holds for as long as the process that said it.
 KEEP_MISSING_MS = 30_000
-# Endpoints that are checked to tell a crash from a cut.
+# Endpoints that are drawn, and of them checked, to tell a crash from a cut.
+MAX_DRAWN = 8
 MAX_CHECKED = 2
 
 
@@ -74,15 +75,17 @@
         If there is no other, nothing tells against it.
         """
         others = [
-            self.state(endpoint)
+            endpoint
             for endpoint in self._fleet_view.endpoint_by_id.values()
             if endpoint.id != state.endpoint.id
         ]
         if not others:
             return True
         now = self._now()
-        present = [s for s in others if not s.health.is_absent(now)]
-        for other in random.sample(present, min(MAX_CHECKED, len(present))):
+        drawn = random.sample(others, min(MAX_DRAWN, len(others)))
+        states = [self.state(endpoint) for endpoint in drawn]
+        present = [s for s in states if not s.health.is_absent(now)]
+        for other in present[:MAX_CHECKED]:
             condition = await other.path.check()
             if condition is endpoint_path.Condition.ACCEPTING:
                 return True
--- a/clementinewall/membership/crashing_parts.py
+++ b/clementinewall/membership/crashing_parts.py
@@ -123,6 +123,11 @@
         self._crashes_by_part.clear()
         self._is_cause_by_part.clear()
 
+    @property
+    def has_records(self):
+        """Return whether any part was there when an engine crashed."""
+        return bool(self._records_by_part)
+
     def _is_sound(self, part, crashed_at):
         sound_at = self._sound_at_by_part.get(part)
         if sound_at is None:
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -3,9 +3,11 @@
 import json
 import unittest
 
+import anyio
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import fleet_view
 from clementinewall.gateway import peer_messages
@@ -139,3 +141,37 @@
                 self.assertRaises((TypeError, ValueError)),
             ):
                 peer_messages.decode_state(data, 0)
+
+
+class ReachesAnother(unittest.TestCase):
+    """Whether another endpoint than one that broke off is reached."""
+
+    def reaches(self, *conditions):
+        """Tell so, where new connections to the others show these."""
+        found = gateway_view()
+        by_id = {ENGINE.id: ENGINE}
+        for number, condition in enumerate(conditions):
+            other = ENGINE._replace(id=f"other-{number}")
+            by_id[other.id] = other
+
+            async def check(result=condition):
+                return result
+
+            found.state(other).path.check = check
+        found._fleet_view.endpoint_by_id = by_id
+        return anyio.run(found.reaches_another, found.state(ENGINE))
+
+    def test_one_that_accepts_connections_is_enough(self):
+        conditions = (
+            endpoint_path.Condition.REFUSING,
+            endpoint_path.Condition.ACCEPTING,
+        )
+        self.assertTrue(self.reaches(*conditions))
+
+    def test_a_gateway_that_is_refused_everywhere_reaches_none(self):
+        # Guards against a cut that looks like a crash.
+        self.assertFalse(self.reaches(endpoint_path.Condition.REFUSING))
+        self.assertFalse(self.reaches(endpoint_path.Condition.UNKNOWN))
+
+    def test_nothing_tells_against_the_only_endpoint(self):
+        self.assertTrue(self.reaches())
