--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -219,6 +219,17 @@
         guard.sweep(view)
         self.assertNotIn(self.ips[0], self.check(*self.PARTS)[0])
 
+    def test_a_part_that_most_prompts_share_is_not_refused(self):
+        # Guards against refusing nearly all before any of them was answered.
+        ip = self.ips[0]
+        for number in range(50):
+            prompt = self.prompt(f"a{number}", "first", f"s{number}", "own")
+            self.guards[ip].check(prompt)
+        self.crash(ip, "e1", "first", "s1", "own")
+        self.crash(ip, "e2", *self.PARTS)
+        self.crash(ip, "e3", *self.PARTS)
+        self.assertNotIn(ip, self.check("first", "other", "own")[0])
+
     def test_the_last_part_is_never_suspect(self):
         # Guards against refusing what only one request or session has.
         self.crash(self.ips[0], "e1", "first", "bad")
