Test that service returns after a restart of all beside a late store

Real gateways, killed and started together; the stand-in of the store answers each call after 0.9 or 3 s, or works off 8 calls a second.

--- a/standins/store.py
+++ b/standins/store.py
@@ -2,12 +2,16 @@
 
 ``POST /standin/put?topic=T&key=K`` writes a value for the operator or an
 endpoint, an empty body removes the key; ``POST /standin/mode`` sets ``ok``,
-``busy`` (every call gets 503) or ``silent`` (calls get no answer);
+``busy`` (every call gets 503) or ``silent`` (calls get no answer), and the
+pace of the store: ``delay_ms`` of each call, ``queued_per_second`` calls that
+are worked off one after the other, whether or not anybody still waits, and
+``limit_per_second``, beyond which calls get 429; 0 or nothing ends each.
 ``POST /standin/forget?topic=T`` drops the history but not the newest
 records.
 """
 
 import base64
+import collections
 import struct
 
 import anyio
@@ -44,6 +48,37 @@
         self.changed = anyio.Event()
 
 
+class Pace:
+    """How fast calls are answered."""
+
+    def __init__(self, delay_ms=0, queued_per_second=0, limit_per_second=0):
+        """Delay and limit nothing by default."""
+        self._delay_seconds = delay_ms / 1_000
+        self._queued_per_second = queued_per_second
+        self._limit_per_second = limit_per_second
+        self._free_at = 0.0
+        self._taken_at = collections.deque()
+
+    def is_exceeded(self):
+        """Count a call; return whether it is beyond the limit."""
+        now = anyio.current_time()
+        taken = self._taken_at
+        while taken and taken[0] <= now - 1:
+            taken.popleft()
+        if self._limit_per_second and len(taken) >= self._limit_per_second:
+            return True
+        taken.append(now)
+        return False
+
+    async def wait(self):
+        """Wait until a call is answered."""
+        end = anyio.current_time() + self._delay_seconds
+        if self._queued_per_second:
+            end = max(end, self._free_at) + 1 / self._queued_per_second
+            self._free_at = end
+        await anyio.sleep_until(end)
+
+
 class Store:
     """All topics, and what goes wrong."""
 
@@ -51,6 +86,8 @@
         """Begin empty and well."""
         self.topic_by_name = {}
         self.mode = "ok"
+        self.pace = Pace()
+        self.calls = 0
 
     def topic(self, request):
         """Return the topic that a call names, made on first use."""
@@ -61,10 +98,14 @@
         """Apply the mode before ``handle``."""
 
         async def guard(request: requests.Request):
+            self.calls += 1
             if self.mode == "busy":
                 return responses.Response(status_code=503)
+            if self.pace.is_exceeded():
+                return responses.Response(status_code=429)
             if self.mode == "silent":
                 await anyio.sleep_forever()
+            await self.pace.wait()
             return await handle(request)
 
         return guard
@@ -128,9 +169,11 @@
         return base.reply({})
 
     async def on_mode(self, request):
-        """Set what goes wrong."""
-        self.mode = (await base.body_of(request))["mode"]
-        return base.reply({})
+        """Set what goes wrong; return how many calls came so far."""
+        body = await base.body_of(request)
+        self.mode = body.pop("mode")
+        self.pace = Pace(**body)
+        return base.reply({"calls": self.calls})
 
     async def on_forget(self, request):
         """Drop the history of a topic."""
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -81,11 +81,13 @@
             content=raw,
         ).raise_for_status()
 
-    def set_store_mode(self, mode):
-        """Set the failure mode of the store."""
-        self.http.post(
-            f"http://{self.store}/standin/mode", json={"mode": mode}
-        ).raise_for_status()
+    def set_store_mode(self, mode, **pace):
+        """Set failure mode and pace of the store; return its calls so far."""
+        answer = self.http.post(
+            f"http://{self.store}/standin/mode", json={"mode": mode, **pace}
+        )
+        answer.raise_for_status()
+        return answer.json()["calls"]
 
     def publish(self, *routes, version=None, **limits):
         """Publish routes to the services ``app`` and ``model``."""
