Let late answers of the store count, and repeat calls instead of giving them up

Cause: each call of the store had a limit of 700 ms. A later answer was thrown away and the call made anew, by all gateways at once, so that a store that is slow because all start stayed slow. A gateway that starts serves nobody before its first reads. The class of fault: a fixed limit on a wait that cannot tell late from gone, with a retry that begins anew.

Change: a call that is overdue is repeated on another connection and stays open; the first answer counts. What is overdue follows from how long answers have taken, so a slow store gets no repeats once that is known. Claims of the lease, which may not be sent twice, wait for as long. Retries of a start grow and differ between gateways. An address that the store has is not written again, and other gateways are known before the own one is written.

Why it works: a first call of each kind is answered in the end however slow the store is, up to 10 s; the number of calls no longer grows with its lateness.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -200,14 +200,17 @@
         In this order, at least one of two gateways that start at the same
         time finds the other, which learns of it by the first datagram.
         """
-        registered = await registration.register(self._settings, self._now)
-        self._peers.is_first_process = registered.is_first_process
+        registrar = registration.Registrar(self._settings, self._now)
+        found = await registrar.read()
+        self._peers.is_first_process = found.is_first_process
         follower = topic_followers.peers_follower(
             self._settings, self._now, self._peers.take
         )
         follower.share_updates(self._peers.updates)
         follower.on_read = self._record_peers_read
-        follower.start_from(registered.known)
+        # A store that is late with the registration delays no other gateway.
+        follower.start_from(found.known)
+        await registrar.register(found)
         await follower.run()
 
     def _record_peers_read(self):
--- a/clementinewall/gateway/registration.py
+++ b/clementinewall/gateway/registration.py
@@ -9,11 +9,10 @@
 from clementinewall import logs
 from clementinewall.platform import records
 from clementinewall.platform import store
+from clementinewall.policy import store_polling
 
 _log = logs.PartLog("peers")
 
-RETRY_MS = 1_000
-
 
 class Registration(typing.NamedTuple):
     """The newest records from before, to be followed by those after them.
@@ -26,27 +25,46 @@
     is_first_process: bool
 
 
-async def register(settings, now):
-    """Put this gateway's address into the store; return the registration."""
-    client = store.Store(settings.store, now)
-    known = None
-    while True:
-        try:
-            # Only the first answer counts: later ones may hold an append of
-            # this process whose answer was lost.
-            if known is None:
-                known = await client.newest(records.GATEWAYS_TOPIC)
-            await client.append(records.GATEWAYS_TOPIC, settings.ip, b"1")
-            break
-        except errors.LogUnavailable as exc:
-            _log.warning("registration failed; retrying", why=exc.message)
-            await anyio.sleep(clock.seconds(RETRY_MS))
-    client.close()
-    names = {record.key for record in known.records}
-    found = Registration(known, settings.ip not in names)
-    _log.info(
-        "registered",
-        ip=settings.ip,
-        is_first_process=found.is_first_process,
-    )
-    return found
+class Registrar:
+    """Puts this gateway's address into the store, unless it is there."""
+
+    def __init__(self, settings, now):
+        """Use the store of the settings; ``now`` returns ms."""
+        self._ip = settings.ip
+        self._store = store.Store(settings.store, now)
+
+    async def read(self):
+        """Return what was registered before this process."""
+        known = await self._retry(
+            lambda: self._store.newest(records.GATEWAYS_TOPIC)
+        )
+        names = {record.key for record in known.records}
+        found = Registration(known, self._ip not in names)
+        _log.info(
+            "registered gateways read",
+            gateways=len(names),
+            is_first_process=found.is_first_process,
+        )
+        return found
+
+    async def register(self, found):
+        """Write the address, unless ``found`` has it already."""
+        if found.is_first_process:
+            await self._retry(
+                lambda: self._store.append(
+                    records.GATEWAYS_TOPIC, self._ip, b"1"
+                )
+            )
+        self._store.close()
+        _log.info("registered", ip=self._ip)
+
+    async def _retry(self, call):
+        failures = 0
+        while True:
+            try:
+                return await call()
+            except errors.LogUnavailable as exc:
+                failures += 1
+                _log.warning("registration failed; retrying", why=exc.message)
+                delay_ms = store_polling.first_read_retry_ms(failures)
+                await anyio.sleep(clock.seconds(delay_ms))
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -61,7 +61,7 @@
         receive it.  With ``newest_first`` it gets the records of each read in
         that order, for topics where the newest record replaces all others.
         """
-        self._store = store.Store(settings.store, now)
+        self._store = store.Store(settings.store, now, self._record_failure)
         self._now = now
         self._topic = topic
         self._apply_snapshot = apply_snapshot
@@ -71,6 +71,7 @@
         self._synced_at = None
         self._due_at = math.inf
         self._failing_since = None
+        self._failures = 0
         self._recent_reads = topic_updates.RecentReads(topic)
         self._update_received = anyio.Event()
         self._is_reader = True
@@ -108,6 +109,7 @@
                 )
                 self._next = None
             except errors.LogUnavailable as exc:
+                self._failures += 1
                 self._record_failure(exc)
                 await anyio.sleep(clock.seconds(self._retry_ms()))
             await self._wait_until_due()
@@ -132,7 +134,7 @@
     def _retry_ms(self):
         if self._next is None:
             # Updates from peers build on a snapshot, which is missing here.
-            return store_polling.RETRY_MS
+            return store_polling.first_read_retry_ms(self._failures)
         return store_polling.retry_ms(self._cycle, self._group_rank())
 
     async def _step(self):
@@ -221,6 +223,7 @@
     def _record_success(self):
         """Record an answer; return the ms for which the store was away."""
         away_ms = 0
+        self._failures = 0
         now = self._now()
         if self._failing_since is not None:
             # Updates that peers sent meanwhile were not missed.
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -1,8 +1,12 @@
 """The client of the platform's store, which keeps a log for each topic.
 
 A call may be refused or lost, or take effect seconds after it timed out.
-Each task uses a :class:`Store` of its own, with its own connection, so that
+Each task uses a :class:`Store` of its own, with its own connections, so that
 a waiting read delays no other task.
+
+A gateway that starts serves nobody before it has read the store, and the store
+is slow just when all start at once.  So calls that may be repeated are, and
+answers that come late count.
 """
 
 import base64
@@ -17,12 +21,10 @@
 from clementinewall import errors
 from clementinewall.http1 import client
 from clementinewall.http1 import messages
+from clementinewall.http1 import repeated_call
 
-# Leaves a slow store time to answer.  It is not much longer, since a gateway
-# that starts while the store recovers serves nobody until its first read
-# succeeds, and waits this long for each lost call.
-CALL_TIMEOUT_MS = 700
-CONNECT_TIMEOUT_MS = 500
+# Repeats of a call connect anew, so that a connection may take its time.
+CONNECT_TIMEOUT_MS = repeated_call.LIMIT_MS
 MAX_ANSWER_BYTES = 8_000_000
 _LENGTH_FORMAT = struct.Struct(">I")
 _OFFSETS_FORMAT = struct.Struct(">QQ")
@@ -48,13 +50,18 @@
 
 
 class Store:
-    """Calls to the store over one persistent connection."""
+    """Calls to the store over persistent connections."""
 
-    def __init__(self, address, now):
+    def __init__(self, address, now, on_overdue=None):
         """Use the store at ``address`` (``host:port``).
 
-        ``now`` returns the time in milliseconds.
+        ``now`` returns the time in milliseconds.  ``on_overdue(exc)`` is
+        called with a :class:`errors.LogUnavailable` when the answer to a read
+        is overdue, which may still come.
         """
+        self._now = now
+        self._on_overdue = on_overdue
+        self._times = repeated_call.AnswerTimes()
         self._pool = client.Pool(
             client.DirectPath(address, CONNECT_TIMEOUT_MS), now
         )
@@ -99,8 +106,6 @@
         :raises LogUnavailable: the store did not answer as expected.
         """
         query = {"topic": topic, "part": 0, "from": start}
-        if wait_ms:
-            query["wait_ms"] = wait_ms
         raw = await self._get("/log-read", query, wait_ms)
         return _decode_batch(raw, start)
 
@@ -120,7 +125,11 @@
         if at is not None:
             query["at"] = at
         target = f"/log-append?{urllib.parse.urlencode(query)}"
-        status, raw = await self._call(b"POST", target, body, 0, (200, 412))
+        if at is None:
+            # The same value twice is no change.
+            status, raw = await self._repeat(b"POST", target, body)
+        else:
+            status, raw = await self._call_once(b"POST", target, body)
         if status == 412:
             return None
         try:
@@ -132,35 +141,72 @@
 
     async def _get(self, path, query, wait_ms=0):
         target = f"{path}?{urllib.parse.urlencode(query)}"
-        _, answer = await self._call(b"GET", target, b"", wait_ms, (200,))
+        _, answer = await self._repeat(b"GET", target, b"", wait_ms)
         return answer
 
-    async def _call(self, method, target, body, wait_ms, expected):
-        request = messages.Request(
-            method, target.encode(), ((b"Host", self._host),), body
+    async def _repeat(self, method, target, body, wait_ms=0):
+        """Return status and body of the first answer to a repeated call."""
+
+        async def send(wait_ms):
+            waiting = f"{target}&wait_ms={wait_ms}" if wait_ms else target
+            return await self._call(method, waiting, body)
+
+        call = repeated_call.RepeatedCall(
+            send,
+            (errors.LogUnavailable, HistoryExpired),
+            self._times,
+            self._now,
+            wait_ms,
         )
-        timeout_s = clock.seconds(CALL_TIMEOUT_MS + wait_ms)
         try:
-            with anyio.fail_after(timeout_s):
-                head, answer = await self._pool.send_request(
-                    request, MAX_ANSWER_BYTES
-                )
+            return await call.run(lambda: self._report_overdue(target))
+        except repeated_call.Unanswered as exc:
+            raise errors.LogUnavailable(
+                f"{target}: the store did not answer in time"
+            ) from exc
+
+    def _report_overdue(self, target):
+        if self._on_overdue is not None:
+            error = errors.LogUnavailable(f"{target}: the answer is overdue")
+            self._on_overdue(error)
+
+    async def _call_once(self, method, target, body):
+        """Return status and body of the answer to a call sent once."""
+        started = self._now()
+        limit_ms = self._times.overdue_ms()
+        try:
+            with anyio.fail_after(clock.seconds(limit_ms)):
+                answer = await self._call(method, target, body)
         except TimeoutError as exc:
+            self._times.record(limit_ms)
             raise errors.LogUnavailable(
                 f"{target}: the store did not answer in time"
             ) from exc
+        self._times.record(self._now() - started)
+        return answer
+
+    async def _call(self, method, target, body):
+        request = messages.Request(
+            method, target.encode(), ((b"Host", self._host),), body
+        )
+        try:
+            head, answer = await self._pool.send_request(
+                request, MAX_ANSWER_BYTES
+            )
         except client.LinkBroken as exc:
             raise errors.LogUnavailable(f"{target}: {exc.why}") from exc
         if head.status == 410:
             raise HistoryExpired(target)
-        if head.status not in expected:
+        if head.status == 412 and method == b"POST":
+            return head.status, answer
+        if head.status != 200:
             raise errors.LogUnavailable(
                 f"{target}: the store answered status {head.status}"
             )
         return head.status, answer
 
     def close(self):
-        """Close the connection."""
+        """Close the connections."""
         self._pool.close()
 
 
