--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -1,6 +1,7 @@
 """The gateway process: its tasks, its listeners and its shutdown."""
 
 import gc
+import time
 
 import anyio
 
@@ -53,6 +54,8 @@
         ticker = clock.Clock()
         now = ticker.now
         self._settings = settings
+        self._created_at = now()
+        self._is_ready_logged = False
         self._stopping = life.draining
         self._now = now
         self._now_with_suspend = ticker.now_with_suspend
@@ -162,6 +165,7 @@
             topic_followers.fleet_follower(*self._follower_arguments()),
         ):
             follower.share_updates(self._peers.updates)
+            follower.on_read = self._log_ready
             start(follower.run)
         start(self._join_peers)
         start(self._peers.run)
@@ -186,6 +190,8 @@
             callers=settings.callers,
             data_centre=settings.data_centre,
             store=settings.store,
+            after_ms=self._now() - self._created_at,
+            cpu_ms=round(1_000 * time.process_time()),
         )
         self._life.handle_event(lifecycle.Event.STARTED)
         await self._stopping.wait()
@@ -194,6 +200,15 @@
             return lifecycle.Event.OUT_OF_TIME
         return lifecycle.Event.DRAINED
 
+    def _log_ready(self):
+        """Log, once, that this gateway can serve callers."""
+        if self._is_ready_logged or not self._fleet_view.is_ready:
+            return
+        self._is_ready_logged = True
+        _log.info(
+            "ready to serve callers", after_ms=self._now() - self._created_at
+        )
+
     async def _join_peers(self):
         """Register, then follow the registrations of other gateways.
 
--- a/clementinewall/gateway/registration.py
+++ b/clementinewall/gateway/registration.py
@@ -31,6 +31,8 @@
     def __init__(self, settings, now):
         """Use the store of the settings; ``now`` returns ms."""
         self._ip = settings.ip
+        self._now = now
+        self._begun_at = now()
         self._store = store.Store(settings.store, now)
 
     async def read(self):
@@ -44,6 +46,7 @@
             "registered gateways read",
             gateways=len(names),
             is_first_process=found.is_first_process,
+            after_ms=self._now() - self._begun_at,
         )
         return found
 
@@ -56,7 +59,11 @@
                 )
             )
         self._store.close()
-        _log.info("registered", ip=self._ip)
+        _log.info(
+            "registered",
+            ip=self._ip,
+            after_ms=self._now() - self._begun_at,
+        )
 
     async def _retry(self, call):
         failures = 0
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -68,6 +68,8 @@
         self._apply_record = apply_record
         self._cycle = cycle
         self._next = None
+        # When the newest records began to be asked for.
+        self._begun_at = now()
         self._synced_at = None
         self._due_at = math.inf
         self._failing_since = None
@@ -98,6 +100,7 @@
 
     async def run(self):
         """Follow the topic until cancelled."""
+        self._begun_at = self._now()
         while True:
             try:
                 await self._step()
@@ -108,6 +111,7 @@
                     at=self._next,
                 )
                 self._next = None
+                self._begun_at = self._now()
             except errors.LogUnavailable as exc:
                 self._failures += 1
                 self._record_failure(exc)
@@ -145,6 +149,13 @@
             self._recent_reads.forget()
             self._apply_snapshot(batch)
             self._next = batch.end
+            _log.info(
+                "newest records read",
+                topic=self._topic,
+                records=len(batch.records),
+                end=batch.end,
+                after_ms=self._now() - self._begun_at,
+            )
             self._notify_read()
             return
         # A gateway that takes over reads without waiting for a change: the
