Wait for addresses that are not available yet at a start

What callers saw: nothing yet; found by looking at each wait of a start. A gateway ended with exit code 2 when an address could not be listened on at once: the network of a machine that boots comes up later, or the process before has not ended. Supervisors give up a process that ends a few times in a row.

--- a/clementinewall/gateway/datagrams.py
+++ b/clementinewall/gateway/datagrams.py
@@ -60,5 +60,7 @@
             family=socket.AF_INET,
         )
     except OSError as exc:
-        raise errors.SettingsError(f"cannot listen on {ip}:{port}: {exc}")
+        raise errors.SettingsError(
+            f"cannot listen on {ip}:{port}: {exc}"
+        ) from exc
     return datagrams
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -11,6 +11,7 @@
 from clementinewall import clock
 from clementinewall.gateway import datagrams
 from clementinewall.gateway import heartbeat_rounds
+from clementinewall.gateway import listening
 from clementinewall.gateway import peer_messages
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import update_exchange
@@ -136,8 +137,11 @@
 
     async def run(self):
         """Send and receive until cancelled."""
-        self._datagrams = await datagrams.open_socket(
-            self._settings.ip, self._settings.peer_port, self._receive
+        self._datagrams = await listening.open_when_available(
+            lambda: datagrams.open_socket(
+                self._settings.ip, self._settings.peer_port, self._receive
+            ),
+            self._now,
         )
         try:
             while True:
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -15,6 +15,7 @@
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import fleet_view
 from clementinewall.gateway import info_server
+from clementinewall.gateway import listening
 from clementinewall.gateway import peers
 from clementinewall.gateway import placing
 from clementinewall.gateway import plain_relay
@@ -172,17 +173,17 @@
         start(self._stage_manager.run)
         start(self._cache_sync.run)
         start(self._sweep)
-        caller_listener = await tcp.listen(
-            settings.callers, self._callers.serve, self._group
+        caller_listener = await self._open(
+            tcp.listen, settings.callers, self._callers.serve
         )
         # Tunnels are opened until the end, and refused while it drains.
-        await tcp.listen(
+        await self._open(
+            tcp.listen,
             f"{settings.ip}:{settings.peer_port}",
             self._relay_server.serve,
-            self._group,
         )
         info_listeners = [
-            await info_server.serve(address, handle, self._group)
+            await self._open(info_server.serve, address, handle)
             for address, handle in self._info_handlers.handlers()
         ]
         _log.info(
@@ -200,6 +201,11 @@
             return lifecycle.Event.OUT_OF_TIME
         return lifecycle.Event.DRAINED
 
+    async def _open(self, listen, address, serve):
+        return await listening.open_when_available(
+            lambda: listen(address, serve, self._group), self._now
+        )
+
     def _log_ready(self):
         """Log, once, that this gateway can serve callers."""
         if self._is_ready_logged or not self._fleet_view.is_ready:
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -283,4 +283,6 @@
             backlog=MAX_PENDING_CONNECTIONS,
         )
     except OSError as exc:
-        raise errors.SettingsError(f"cannot listen on {address}: {exc}")
+        raise errors.SettingsError(
+            f"cannot listen on {address}: {exc}"
+        ) from exc
