Let the soak lose all gateways beside a store in trouble

All gateways are killed, once or twice, and start again while the store answers late, works calls off in turn, refuses most of them, all, or answers none; in some runs the engines are lost too. Judged as RECOVER: a quarter of the requests sent later than 12 s after the return are served, if a quarter was before.

--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -47,6 +47,13 @@
 MIN_CUT_SHARE = 2 / 3
 CUT_FAILURES = 10
 CUT_FAILURE_RATIO = 1 / 50
+# After the loss of all gateways requests are judged from this time on: this
+# part of them must be served, if it was before.
+RESTART_SECONDS = 12.0
+MIN_RESTART_SHARE = 1 / 4
+JUDGED_RESTART_SECONDS = 4.0
+MIN_JUDGED_REQUESTS = 8
+RESTART_KINDS = ("safe", "unsafe", "stream", "long")
 # Streams that may hold events of two software versions, and how often those
 # that are taken up go on, against new ones.
 MAX_MIXED_STREAMS = 2
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -9,6 +9,7 @@
 from bench.soak import losses
 from bench.soak import recovery
 from bench.soak import request_limits
+from bench.soak import restarts
 from bench.soak import retries
 from bench.soak import versions
 
@@ -34,6 +35,7 @@
         *endpoint_wishes.find_violations(history),
         *request_limits.find_violations(history),
         *recovery.find_violations(history),
+        *restarts.find_violations(history),
         *versions.find_violations(history),
         *harmful_parts.find_violations(history),
     ]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,12 +3,14 @@
 import random
 import time
 
+from bench.soak import bounds
 from bench.soak import checks
 from bench.soak import deployment
 from bench.soak import endpoint_faults
 from bench.soak import harmful_parts
 from bench.soak import partitions
 from bench.soak import planned_work
+from bench.soak import restarts
 from bench.soak import unplanned_faults
 
 GAP_SECONDS = (0.3, 2.0)
@@ -61,7 +63,16 @@
 # Requests that crash engines; drawn by a generator of its own, too.
 PART_KINDS = {"harmful-part": harmful_parts.send_series}
 PART_GAP_SECONDS = (4.0, 10.0)
-SIDE_KINDS = {**ENDPOINT_KINDS, **PARTITION_KINDS, **PART_KINDS}
+# The loss of all gateways leaves little undisturbed, so it is drawn only when
+# it is asked for; by a generator of its own, too.
+RESTART_KINDS = {"lose-all": restarts.lose_all}
+RESTART_GAP_SECONDS = (18.0, 22.0)
+SIDE_KINDS = {
+    **ENDPOINT_KINDS,
+    **PARTITION_KINDS,
+    **PART_KINDS,
+    **RESTART_KINDS,
+}
 VERSIONS = ("v1", "v2")
 
 
@@ -88,6 +99,7 @@
         self._endpoint_rng = random.Random(f"endpoints {seed}")
         self._partition_rng = random.Random(f"partitions {seed}")
         self._part_rng = random.Random(f"parts {seed}")
+        self._restart_rng = random.Random(f"restarts {seed}")
         self._function_by_kind = PLANNED_KINDS if planned else KINDS
         self._planned = planned
         self._deployment = deployment.Deployment(
@@ -109,6 +121,7 @@
                     self._inject_endpoint_faults,
                     self._inject_partitions,
                     self._inject_parts,
+                    self._inject_restarts,
                 )
             ]
             self._inject()
@@ -189,6 +202,17 @@
             kinds = [kind for kind in self._only if kind in PART_KINDS]
         self._inject_series(rng, kinds, inject, PART_GAP_SECONDS)
 
+    def _inject_restarts(self):
+        rng = self._restart_rng
+
+        def inject(kind):
+            # Callers need some time to be served before.
+            time.sleep(bounds.JUDGED_RESTART_SECONDS)
+            return RESTART_KINDS[kind](self._deployment, rng)
+
+        kinds = [kind for kind in self._only if kind in RESTART_KINDS]
+        self._inject_series(rng, kinds, inject, RESTART_GAP_SECONDS)
+
     def _inject_series(self, rng, kinds, inject, gap_seconds=GAP_SECONDS):
         end = time.monotonic() + self._seconds
         threads = []
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -157,6 +157,14 @@
     end: float
 
 
+class Restart(typing.NamedTuple):
+    """The loss of all gateways, their return, and the end of its check."""
+
+    lost_at: float
+    back_at: float
+    end: float
+
+
 class Stream(typing.NamedTuple):
     """The software versions of the events of a stream, over all its tries."""
 
@@ -214,6 +222,7 @@
         self.gateway_by_holder = {}
         self.disturbances = []
         self.cuts = []
+        self.restarts = []
         self.stops = []
         self.readiness = []
         self.drained_at_by_endpoint = {}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -91,6 +91,11 @@
         )
         self.assertGreater(len(history.returns), 12)
 
+    def test_the_loss_of_all_gateways_beside_a_late_store(self):
+        # Guards against starts that give late answers of the store up.
+        history = self.check(501, "lose-all", seconds=2)
+        self.assertTrue(history.restarts)
+
     def test_parts_of_prompts_that_crash_engines(self):
         # Guards against a part that ends engine after engine.
         history = self.check(471, *faults.PART_KINDS, "hup", seconds=20)
