Isolate parts that most prompts share instead of refusing them

What callers saw: 502 for nearly all requests, for half a minute or more, if engines crash before an answer on a part that most prompts share has ended, as after a start of all gateways.

Cause: a part that is in each prompt is at each crash, whatever crashed the engine, and was blamed for it; once it was, no answer could clear it. The class of fault: what is carried over keeps service away after the machines returned.

Change: gateways count in which share of prompts a part is. One that half of them or more have is never harmful and explains no crash; it stays suspect, so one engine gets it until an answer on it has ended. A rarer part beside it is found as before (a new test).

--- a/clementinewall/gateway/crash_guard.py
+++ b/clementinewall/gateway/crash_guard.py
@@ -52,6 +52,8 @@
             prompt crashes engines.
         """
         parts = _part_names(exchange)
+        if exchange.call.prompt is not None:
+            self._parts.count_prompt(exchange.service.name, parts)
         harmful = self._parts.find_harmful(parts)
         if harmful is not None:
             metrics.count("refused_parts")
--- a/clementinewall/membership/crashing_parts.py
+++ b/clementinewall/membership/crashing_parts.py
@@ -5,7 +5,8 @@
 alike.  When an engine goes down, each part of the prompts that it had just
 begun to answer, or not yet, is suspect.  A part on which an answer was written
 to its end is sound.  What remains, and was there at more crashes than any
-other part, is what crashes engines.
+other part, is what crashes engines, unless most prompts have it: such a part
+stays suspect.
 
 Records spread between gateways like those of requests
 (:mod:`clementinewall.membership.crashes`): at once, and in messages that
@@ -17,6 +18,7 @@
 import typing
 
 from clementinewall import clock
+from clementinewall.membership import part_shares
 
 # A part is the cause from so many crashes on if no other part was there each
 # time, and in any case from the second number on.
@@ -82,6 +84,7 @@
     def __init__(self, now):
         """Start empty; ``now`` gives milliseconds."""
         self._now = now
+        self._shares = part_shares.PartShares(now)
         self._records_by_part = {}
         self._parts_by_endpoint = {}
         # When the last answer on a part ended, the latest at the end.
@@ -119,6 +122,11 @@
             self._drop_least_suspect()
         return True
 
+    def count_prompt(self, service, parts):
+        """Count a prompt, for which parts most prompts share."""
+        if self._shares.count(service, parts):
+            self._forget_conclusions()
+
     def _forget_conclusions(self):
         self._crashes_by_part.clear()
         self._is_cause_by_part.clear()
@@ -209,6 +217,7 @@
         return any(
             len(self._records_by_part[other]) >= least
             for other in self._parts_by_endpoint[endpoint]
+            - self._shares.common
         )
 
     def _is_cause(self, part):
@@ -221,6 +230,9 @@
         return found
 
     def _is_best_explanation(self, part):
+        # It would be at each crash whatever the cause.
+        if part in self._shares.common:
+            return False
         found = self.crashes(part)
         if len(found) < MIN_CRASHES:
             return False
@@ -228,6 +240,7 @@
             other
             for other in self._parts_by_endpoint[next(iter(found))]
             if other != part
+            and other not in self._shares.common
             and found <= self._records_by_part[other].keys()
             and found <= self.crashes(other)
         ]
--- a/tests/gateway/test_crash_guard.py
+++ b/tests/gateway/test_crash_guard.py
@@ -230,6 +230,29 @@
         self.crash(ip, "e3", *self.PARTS)
         self.assertNotIn(ip, self.check("first", "other", "own")[0])
 
+    def test_a_part_that_most_prompts_share_gets_one_engine(self):
+        # Guards against engines that such a part ends all at once.
+        everybody = set(self.ips)
+        for number in range(9):
+            self.check("first", f"s{number}", "own")
+        for number in range(8):
+            self.crash(self.ips[0], f"e{number}", "first", f"t{number}", "own")
+        self.network.play(KNOWN_MS)
+        self.assertEqual(
+            self.check("first", "other", "own"), (set(), everybody)
+        )
+
+    def test_a_part_beside_one_that_most_share_is_found(self):
+        # Guards against blaming what all prompts have for what one part does.
+        everybody = set(self.ips)
+        for number in range(9):
+            self.check("first", f"s{number}", "own")
+        self.crash(self.ips[0], "e1", "first", "s1", "own")
+        self.crash(self.ips[0], "e2", *self.PARTS)
+        self.crash(self.ips[0], "e3", *self.PARTS)
+        self.network.play(KNOWN_MS)
+        self.assertEqual(self.check(*self.PARTS)[0], everybody)
+
     def test_the_last_part_is_never_suspect(self):
         # Guards against refusing what only one request or session has.
         self.crash(self.ips[0], "e1", "first", "bad")
