Take what a late answer of the store says for as old as its call

Failed before: test_what_a_late_answer_says_is_as_old_as_its_call. Change: the age of an answer is the time that it took beyond the wait that was asked for; the next read is due that much sooner, and endpoints that were read too long ago count as out of date.

--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -56,11 +56,12 @@
         """Return whether enough is known to serve requests."""
         return self.configuration is not None and self.is_fleet_known
 
-    def record_fleet_read(self):
-        """Record that the endpoints are those of the store now."""
+    def record_fleet_read(self, age_ms=0):
+        """Record that the endpoints are those of the store ``age_ms`` ago."""
+        read_at = self._now() - age_ms
         if not self.is_current:
-            self._current_since = self._now()
-        self._fleet_read_at = self._now()
+            self._current_since = read_at
+        self._fleet_read_at = read_at
 
     @property
     def current_ms(self):
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -83,7 +83,8 @@
         self.on_store_recovered = None
         # Called after each read of the store.
         self.on_read = None
-        # Called when all that the store had is known, also by an update.
+        # Called when all that the store had is known, also by an update, with
+        # its age in ms.
         self.on_synced = None
 
     def start_from(self, batch):
@@ -190,7 +191,7 @@
 
     def _notify_synced(self):
         if self.on_synced is not None:
-            self.on_synced()
+            self.on_synced(self._now() - self._synced_at)
 
     def apply_update(self, update):
         """Apply what another gateway read of this topic."""
@@ -249,7 +250,8 @@
         if not self._is_reader:
             _log.info("this gateway reads the topic again", topic=self._topic)
         self._is_reader = True
-        self._synced_at = now
+        # What a late answer says was so when it was asked for.
+        self._synced_at = now - self._store.late_ms
         self._due_at = math.inf
         return away_ms
 
--- a/clementinewall/http1/repeated_call.py
+++ b/clementinewall/http1/repeated_call.py
@@ -80,6 +80,8 @@
         self._ended = anyio.Event()
         self._answer = None
         self._failure = None
+        # How long the answer took, besides the time that was asked for.
+        self.late_ms = 0
 
     async def run(self, on_overdue):
         """Return the first answer.
@@ -126,9 +128,11 @@
                 self._end_failed(call, exc)
                 return
             took_ms = self._now() - call.started_at
-            self._times.record(max(0, took_ms - call.wait_ms))
+            late_ms = max(0, took_ms - call.wait_ms)
+            self._times.record(late_ms)
             if not self._ended.is_set():
                 self._answer = answer
+                self.late_ms = late_ms
                 self._ended.set()
 
     def _end_failed(self, call, failure):
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -62,6 +62,8 @@
         self._now = now
         self._on_overdue = on_overdue
         self._times = repeated_call.AnswerTimes()
+        # How old the last answer to a read may have been when it came.
+        self.late_ms = 0
         self._pool = client.Pool(
             client.DirectPath(address, CONNECT_TIMEOUT_MS), now
         )
@@ -159,11 +161,13 @@
             wait_ms,
         )
         try:
-            return await call.run(lambda: self._report_overdue(target))
+            found = await call.run(lambda: self._report_overdue(target))
         except repeated_call.Unanswered as exc:
             raise errors.LogUnavailable(
                 f"{target}: the store did not answer in time"
             ) from exc
+        self.late_ms = call.late_ms
+        return found
 
     def _report_overdue(self, target):
         if self._on_overdue is not None:
--- a/tests/gateway/test_topic_followers.py
+++ b/tests/gateway/test_topic_followers.py
@@ -36,6 +36,8 @@
 class _Topic:
     """A topic that all gateways read."""
 
+    late_ms = 0
+
     def __init__(self):
         self.records = []
         self.pages_after_end = 0
@@ -367,6 +369,17 @@
         self.assertEqual(known.configuration.version, 24)
         self.assertEqual(decode.call_count, 2)
 
+    def test_what_a_late_answer_says_is_as_old_as_its_call(self):
+        # Guards against taking a late answer for what is in the store now.
+        gateway = _Gateway(self.log, self.clock.now)
+        self.clock.advance(10_000)
+        self.log.late_ms = fleet_view.CURRENT_MS + 1
+        gateway.step()
+        self.assertFalse(gateway.fleet_view.is_current)
+        self.log.late_ms = 5
+        gateway.step()
+        self.assertTrue(gateway.fleet_view.is_current)
+
     def test_what_lapsed_in_an_outage_stays_for_the_listener_too(self):
         # A listener drops each engine whose record expired in an outage and
         # refuses all work until they are back, if the reader, which alone
