Compare gateways that are cut off by service

The soak's check of RECOVER compared all requests of a second, calls and streams together. The share is that of the same path in the same second now; two new tests. The check is as strict for each service, and a service that is served far less is found also if others make up for it.

--- a/bench/soak/recovery.py
+++ b/bench/soak/recovery.py
@@ -25,11 +25,12 @@
 def _judged(history, cut):
     """Return whether requests at cut gateways were served, and the measure.
 
-    That is how many would have been by the others' share.  Only seconds count
-    in which the others had requests: endpoints may refuse everybody at times.
+    That is how many would have been by the others' share of the same path in
+    the same second, for those that others had, too: the endpoints of a service
+    may refuse everybody at times.
     """
-    own_by_second = collections.defaultdict(list)
-    others_by_second = collections.defaultdict(list)
+    own_by_case = collections.defaultdict(list)
+    others_by_case = collections.defaultdict(list)
     start = cut.start + bounds.STABLE_SECONDS
     for sent in history.sent:
         if sent.kind in UNJUDGED_KINDS or not start <= sent.at <= cut.end:
@@ -37,15 +38,15 @@
         if not _is_in_touch(history, sent):
             continue
         is_served = sent.status == 200 and sent.is_correct
-        second = int(sent.at - start)
+        case = sent.path, int(sent.at - start)
         if sent.gateway in cut.gateways:
-            own_by_second[second].append(is_served)
+            own_by_case[case].append(is_served)
         elif not _is_cut(history, sent):
-            others_by_second[second].append(is_served)
+            others_by_case[case].append(is_served)
     own = []
     expected = 0.0
-    for second, others in others_by_second.items():
-        here = own_by_second[second]
+    for case, others in others_by_case.items():
+        here = own_by_case[case]
         own += here
         expected += len(here) * sum(others) / len(others)
     return own, expected
--- a/tests/soak/test_recovery.py
+++ b/tests/soak/test_recovery.py
@@ -55,6 +55,21 @@
         self.record_requests(OTHER, 30, 0)
         self.assertEqual(self.violations(), 0)
 
+    def test_services_are_compared_with_themselves(self):
+        # Guards against blaming a cut for which service callers asked for.
+        self.record_requests(base.GATEWAY, 0, 20)
+        self.record_requests(base.GATEWAY, 6, 4, path="/chat/x")
+        self.record_requests(OTHER, 0, 5)
+        self.record_requests(OTHER, 30, 20, path="/chat/x")
+        self.assertEqual(self.violations(), 0)
+
+    def test_one_service_that_is_served_far_less_is_found(self):
+        self.record_requests(base.GATEWAY, 10, 0)
+        self.record_requests(base.GATEWAY, 4, 26, path="/chat/x")
+        self.record_requests(OTHER, 10, 0)
+        self.record_requests(OTHER, 30, 0, path="/chat/x")
+        self.assertEqual(self.violations(), 1)
+
     def test_the_first_seconds_do_not_count(self):
         self.record_requests(base.GATEWAY, 0, 30, at=AT + 2)
         self.record_requests(OTHER, 30, 0)
