Let no error of a call that is given up end the process or hide an answer

Found by reading the repeated calls as somebody else's: a call that was given up for a later one and failed at that moment was taken out of the list twice, which ended the process; a failure after the answer replaced it; and a history that has expired, which is an answer, waited for the first call. The new test failed before (ValueError). A failure counts now only while nothing else is open or has ended, and an expired history counts as an answer.

--- a/clementinewall/http1/repeated_call.py
+++ b/clementinewall/http1/repeated_call.py
@@ -67,7 +67,7 @@
     def __init__(self, send, failures, times, now, wait_ms=0):
         """Repeat ``send(wait_ms)``, which returns the answer.
 
-        It raises one of the types ``failures`` if it was refused or broke
+        It raises an error of the type ``failures`` if it was refused or broke
         off.  ``times`` are those of earlier answers.  The first call lets the
         peer hold its answer back for ``wait_ms``; repeats don't.
         """
@@ -101,8 +101,9 @@
             while not self._ended.is_set() and self._now() < end:
                 self._begin(group, 0)
                 await self._is_ended_after(max(REPEAT_INTERVAL_MS, overdue_ms))
+            has_ended = self._ended.is_set()
             group.cancel_scope.cancel()
-        if not self._ended.is_set():
+        if not has_ended:
             raise Unanswered
         if self._failure is not None:
             raise self._failure
@@ -136,9 +137,10 @@
                 self._ended.set()
 
     def _end_failed(self, call, failure):
-        self._open.remove(call)
-        if self._open:
-            # An earlier call may still be answered.
+        if call in self._open:
+            self._open.remove(call)
+        if self._open or self._ended.is_set():
+            # An earlier call may still be answered, or has been.
             _log.debug("a repeated call failed", why=str(failure))
             return
         self._failure = failure
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -26,6 +26,10 @@
 # Repeats of a call connect anew, so that a connection may take its time.
 CONNECT_TIMEOUT_MS = repeated_call.LIMIT_MS
 MAX_ANSWER_BYTES = 8_000_000
+EXPIRED_STATUS = 410
+# An append was to follow an offset at which the topic doesn't end.
+CONFLICT_STATUS = 412
+ANSWER_STATUSES = (200, EXPIRED_STATUS, CONFLICT_STATUS)
 _LENGTH_FORMAT = struct.Struct(">I")
 _OFFSETS_FORMAT = struct.Struct(">QQ")
 
@@ -132,7 +136,7 @@
             status, raw = await self._repeat(b"POST", target, body)
         else:
             status, raw = await self._call_once(b"POST", target, body)
-        if status == 412:
+        if status == CONFLICT_STATUS:
             return None
         try:
             return int(_decode_object(raw)["offset"])
@@ -155,7 +159,7 @@
 
         call = repeated_call.RepeatedCall(
             send,
-            (errors.LogUnavailable, HistoryExpired),
+            errors.LogUnavailable,
             self._times,
             self._now,
             wait_ms,
@@ -167,6 +171,8 @@
                 f"{target}: the store did not answer in time"
             ) from exc
         self.late_ms = call.late_ms
+        if found[0] == EXPIRED_STATUS:
+            raise HistoryExpired(target)
         return found
 
     def _report_overdue(self, target):
@@ -199,11 +205,7 @@
             )
         except client.LinkBroken as exc:
             raise errors.LogUnavailable(f"{target}: {exc.why}") from exc
-        if head.status == 410:
-            raise HistoryExpired(target)
-        if head.status == 412 and method == b"POST":
-            return head.status, answer
-        if head.status != 200:
+        if head.status not in ANSWER_STATUSES:
             raise errors.LogUnavailable(
                 f"{target}: the store answered status {head.status}"
             )
--- a/tests/http1/test_repeated_call.py
+++ b/tests/http1/test_repeated_call.py
@@ -53,7 +53,7 @@
     def call(self, peer, wait_ms=0):
         """Return the answer to a call."""
         call = repeated_call.RepeatedCall(
-            peer.send, (Refused,), self.times, clock.Clock().now, wait_ms
+            peer.send, Refused, self.times, clock.Clock().now, wait_ms
         )
         return anyio.run(call.run, self._on_overdue)
 
@@ -106,6 +106,22 @@
         # Guards against losing the turn at a peer that refuses new calls.
         self.assertEqual(self.call(Peer(250, None)), 1)
 
+    def test_a_call_that_fails_while_it_is_cancelled(self):
+        # Guards against an error that ends the process.
+        peer = Peer(float("inf"))
+
+        async def send(wait_ms):
+            try:
+                return await peer.send(wait_ms)
+            except anyio.get_cancelled_exc_class() as exc:
+                raise Refused from exc
+
+        call = repeated_call.RepeatedCall(
+            send, Refused, self.times, clock.Clock().now
+        )
+        with self.assertRaises(repeated_call.Unanswered):
+            anyio.run(call.run, self._on_overdue)
+
     def test_a_peer_holds_back_the_answer_to_the_first_call_only(self):
         # Guards against waiting for a change when nothing is known of late.
         peer = Peer(float("inf"), 10)
