--- a/bench/soak/restarts.py
+++ b/bench/soak/restarts.py
@@ -1,6 +1,7 @@
 """The loss of all gateways at once beside a store in trouble; the check."""
 
 import time
+import typing
 
 from bench.soak import bounds
 from bench.soak import history as history_module
@@ -15,6 +16,21 @@
 STORE_IMPAIRMENTS = ("ok", "late", "queue", "refuse", "busy", "silent")
 
 
+class _Loss(typing.NamedTuple):
+    """What happens in one loss of all; times are seconds.
+
+    All gateways are killed ``len(down)`` times, ``gap`` after their start,
+    and are down for each of ``down``.
+    """
+
+    down: tuple[float, ...]
+    gap: float
+    loses_engines: bool
+    mode: str
+    pace: dict
+    impaired: float
+
+
 def lose_all(deployment, rng):
     """Kill all gateways, once or twice, and start them again."""
     taken = [*deployment.gateways, "store"]
@@ -23,50 +39,58 @@
         for name in reserved:
             deployment.release(name)
         return None
-    mode, pace = _draw_impairment(rng, len(deployment.gateways))
-    seconds = rng.uniform(*IMPAIRED_SECONDS)
-    if mode == "ok":
-        # Service has to return beside a store that answers late.
-        seconds += bounds.RESTART_SECONDS + bounds.JUDGED_RESTART_SECONDS
-    down = [rng.uniform(*DOWN_SECONDS)]
-    if rng.random() < SECOND_LOSS_SHARE:
-        down.append(rng.uniform(*DOWN_SECONDS))
-    gap = rng.uniform(*SECOND_LOSS_SECONDS)
-    loses_engines = rng.random() < ENGINE_LOSS_SHARE
-    deployment.record_fault(
-        f"all gateways are lost {len(down)} times, engines: {loses_engines};"
-        f" the store is {mode} {pace} for {seconds:.1f} s"
-    )
-    excused = sum(down) + gap + seconds + bounds.RESTART_SECONDS
+    loss = _draw(rng, len(deployment.gateways))
+    deployment.record_fault(f"all gateways are lost: {loss}")
+    excused = sum(loss.down) + loss.gap + loss.impaired
     for name in (None, *deployment.gateways):
-        deployment.history.record_disturbance("loss of all", name, excused)
+        deployment.history.record_disturbance(
+            "loss of all", name, excused + bounds.RESTART_SECONDS
+        )
 
     def run():
-        deployment.case.set_store_mode(mode, **pace)
-        _kill_all(deployment)
-        lost_at = time.monotonic()
-        if loses_engines:
-            _replace_engines(deployment)
-        for number, length in enumerate(down):
-            if number:
-                time.sleep(gap)
-                _kill_all(deployment)
-            time.sleep(length)
-            for name in deployment.gateways:
-                deployment.case.dep.start(name)
-        back_at = time.monotonic()
-        time.sleep(max(0, lost_at + seconds - back_at))
-        deployment.case.set_store_mode("ok")
-        end = back_at + bounds.RESTART_SECONDS + bounds.JUDGED_RESTART_SECONDS
-        time.sleep(max(0, end - time.monotonic()))
-        row = history_module.Restart(lost_at, back_at, time.monotonic())
-        deployment.history.add(deployment.history.restarts, row)
+        _play(deployment, loss)
         for name in taken:
             deployment.release(name)
 
     return deployment.run_in_thread(run)
 
 
+def _draw(rng, gateways):
+    mode, pace = _draw_impairment(rng, gateways)
+    impaired = rng.uniform(*IMPAIRED_SECONDS)
+    if mode == "ok":
+        # Service has to return beside a store that answers late.
+        impaired += bounds.RESTART_SECONDS + bounds.JUDGED_RESTART_SECONDS
+    down = [rng.uniform(*DOWN_SECONDS)]
+    if rng.random() < SECOND_LOSS_SHARE:
+        down.append(rng.uniform(*DOWN_SECONDS))
+    gap = rng.uniform(*SECOND_LOSS_SECONDS)
+    loses_engines = rng.random() < ENGINE_LOSS_SHARE
+    return _Loss(tuple(down), gap, loses_engines, mode, pace, impaired)
+
+
+def _play(deployment, loss):
+    deployment.case.set_store_mode(loss.mode, **loss.pace)
+    _kill_all(deployment)
+    lost_at = time.monotonic()
+    if loss.loses_engines:
+        _replace_engines(deployment)
+    for number, seconds in enumerate(loss.down):
+        if number:
+            time.sleep(loss.gap)
+            _kill_all(deployment)
+        time.sleep(seconds)
+        for name in deployment.gateways:
+            deployment.case.dep.start(name)
+    back_at = time.monotonic()
+    time.sleep(max(0, lost_at + loss.impaired - back_at))
+    deployment.case.set_store_mode("ok")
+    end = back_at + bounds.RESTART_SECONDS + bounds.JUDGED_RESTART_SECONDS
+    time.sleep(max(0, end - time.monotonic()))
+    row = history_module.Restart(lost_at, back_at, time.monotonic())
+    deployment.history.add(deployment.history.restarts, row)
+
+
 def _draw_impairment(rng, gateways):
     """Return mode and pace of the store."""
     kind = rng.choice(STORE_IMPAIRMENTS)
