Retry the first calls of a start as often as ready gateways do

Cause: retries of a start grew to a second, those of gateways that are ready stay at 0.2 s and take what the store allows.

--- a/clementinewall/gateway/registration.py
+++ b/clementinewall/gateway/registration.py
@@ -66,12 +66,10 @@
         )
 
     async def _retry(self, call):
-        failures = 0
         while True:
             try:
                 return await call()
             except errors.LogUnavailable as exc:
-                failures += 1
                 _log.warning("registration failed; retrying", why=exc.message)
-                delay_ms = store_polling.first_read_retry_ms(failures)
+                delay_ms = store_polling.first_read_retry_ms()
                 await anyio.sleep(clock.seconds(delay_ms))
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -73,7 +73,6 @@
         self._synced_at = None
         self._due_at = math.inf
         self._failing_since = None
-        self._failures = 0
         self._recent_reads = topic_updates.RecentReads(topic)
         self._update_received = anyio.Event()
         self._is_reader = True
@@ -114,7 +113,6 @@
                 self._next = None
                 self._begun_at = self._now()
             except errors.LogUnavailable as exc:
-                self._failures += 1
                 self._record_failure(exc)
                 await anyio.sleep(clock.seconds(self._retry_ms()))
             await self._wait_until_due()
@@ -139,7 +137,7 @@
     def _retry_ms(self):
         if self._next is None:
             # Updates from peers build on a snapshot, which is missing here.
-            return store_polling.first_read_retry_ms(self._failures)
+            return store_polling.first_read_retry_ms()
         return store_polling.retry_ms(self._cycle, self._group_rank())
 
     async def _step(self):
@@ -235,7 +233,6 @@
     def _record_success(self):
         """Record an answer; return the ms for which the store was away."""
         away_ms = 0
-        self._failures = 0
         now = self._now()
         if self._failing_since is not None:
             # Updates that peers sent meanwhile were not missed.
--- a/clementinewall/policy/store_polling.py
+++ b/clementinewall/policy/store_polling.py
@@ -26,10 +26,9 @@
 # announces when the store is back.  Others retry less often, since each call
 # is billed.
 RETRY_MS = 200
-# A gateway that starts retries its first calls after delays that grow up to
-# this one and differ from those of others: all may have started at once.
-MAX_FIRST_RETRY_MS = 1_000
-FIRST_RETRY_GROWTH = 1.5
+# A gateway that starts retries its first calls after half of this time to all
+# of it: others may have started at once.
+MAX_FIRST_RETRY_MS = 300
 
 
 class PollCycle(typing.NamedTuple):
@@ -84,7 +83,6 @@
     return min(max(RETRY_MS, cycle.cycle_ms), RETRY_MS * (1 + rank_in_group))
 
 
-def first_read_retry_ms(failures, rng=random):
-    """Return the delay in ms after ``failures`` of a start's first call."""
-    longest_ms = RETRY_MS * FIRST_RETRY_GROWTH ** min(failures, MAX_STEPS)
-    return rng.uniform(0.5, 1.0) * min(longest_ms, MAX_FIRST_RETRY_MS)
+def first_read_retry_ms():
+    """Return the delay in ms before a first call that failed is repeated."""
+    return random.uniform(0.5, 1.0) * MAX_FIRST_RETRY_MS
