Take a status for an answer only to the call that it answers

Found by reading the change: since calls are repeated, 410 and 412 were answers to any call, and the body of a 412 to a read was decoded as records.

--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -29,7 +29,10 @@
 EXPIRED_STATUS = 410
 # An append was to follow an offset at which the topic doesn't end.
 CONFLICT_STATUS = 412
-ANSWER_STATUSES = (200, EXPIRED_STATUS, CONFLICT_STATUS)
+ANSWER_STATUSES_BY_METHOD = {
+    b"GET": (200, EXPIRED_STATUS),
+    b"POST": (200, CONFLICT_STATUS),
+}
 _LENGTH_FORMAT = struct.Struct(">I")
 _OFFSETS_FORMAT = struct.Struct(">QQ")
 
@@ -205,7 +208,7 @@
             )
         except client.LinkBroken as exc:
             raise errors.LogUnavailable(f"{target}: {exc.why}") from exc
-        if head.status not in ANSWER_STATUSES:
+        if head.status not in ANSWER_STATUSES_BY_METHOD[method]:
             raise errors.LogUnavailable(
                 f"{target}: the store answered status {head.status}"
             )
