--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -100,7 +100,6 @@
 
     async def run(self):
         """Follow the topic until cancelled."""
-        self._begun_at = self._now()
         while True:
             try:
                 await self._step()
