Decode customers, scale ranges, duties and the pace of endpoints

Deployments are coming whose callers carry keys, whose usage is reported and whose engines the system orders. Keys reached endpoints, since no reserved header covered them, and a load header with a fourth figure was dropped whole.

The configuration now holds customers by key and is refused as a whole if a customer has no key, two share one, or a range is empty. A request of a customer goes on under the customer's name, never with the key; without a known key it gets 401 where the configuration names customers. Settings name the duty service and the bounds of revocation and usage.

--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -40,6 +40,25 @@
     draining_ms: clock.Millis = 2_000
     # Orders of two lease holders to one engine must be this far apart.
     order_interval_ms: clock.Millis = 3_000
+    # A removed key must not be served later than this after its removal, also
+    # where the store can't be reached; ``None`` if the deployment allows it.
+    revocation_ms: clock.Millis | None = None
+    # Usage is reported by windows of this length, this long after their end
+    # at the latest.
+    usage_window_ms: clock.Millis = 5_000
+    usage_due_ms: clock.Millis = 10_000
+
+
+class DutyService(typing.NamedTuple):
+    """The platform's service that one gateway at a time calls for all.
+
+    ``max_calls_per_second`` holds for all gateways together.
+    """
+
+    address: str
+    reports_usage: bool = False
+    orders_engines: bool = False
+    max_calls_per_second: float = 50.0
 
 
 class Settings(typing.NamedTuple):
@@ -61,6 +80,10 @@
     metrics_port: int | None = None
     # Bandwidth of the instance's own link; 0 if it isn't known.
     link_mbps: float = 0.0
+    # ``None`` if the deployment has no duties.
+    duty_service: DutyService | None = None
+    # Memory limit of the process; 0 if it isn't known.
+    memory_mb: float = 0.0
 
 
 class Share(typing.NamedTuple):
@@ -88,6 +111,8 @@
     priority: int
     max_attempts: int
     resumable: bool
+    # Whether callers need no key, where the deployment has customers.
+    is_public: bool = False
 
     @property
     def idempotent(self):
@@ -111,11 +136,41 @@
     switch_ms: clock.Millis
 
 
+class ScaleRange(typing.NamedTuple):
+    """How many engines of a service may be ordered, and what they cost.
+
+    ``min`` and ``max`` hold for each data centre, for engines of both kinds
+    together.  ``boot_ms`` passes from an order until a new engine serves.
+    Prices are relative; ``spot_price`` is the factor for engines that may be
+    taken back at any time, ``None`` if there are none.
+    """
+
+    min: int
+    max: int
+    boot_ms: clock.Millis
+    price_by_data_centre: dict[str, float]
+    spot_price: float | None = None
+
+
 class Service(typing.NamedTuple):
-    """A service; ``engine`` is set if its endpoints are model engines."""
+    """A service; ``engine`` is set if its endpoints are model engines.
+
+    ``scale`` is set if the system orders the number of its endpoints.
+    """
 
     name: str
     engine: EngineLimits | None
+    scale: ScaleRange | None = None
+
+
+class Customer(typing.NamedTuple):
+    """Whose requests carry one of the customer's keys.
+
+    ``priority``, 0 the highest, goes before that of a route unless ``None``.
+    """
+
+    name: str
+    priority: int | None = None
 
 
 class Configuration(typing.NamedTuple):
@@ -125,6 +180,8 @@
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_name: dict[str, Service]
     limits: server.Limits
+    # ``None`` if the deployment has no customers; no request needs a key then.
+    customer_by_key: dict[str, Customer] | None = None
 
     def route_for(self, host, path):
         """Return the route with the longest matching prefix, or ``None``."""
@@ -150,6 +207,8 @@
     stage: str | None
     incarnation: int
     version: str = ""
+    # Whether the platform may take the engine back at any time.
+    is_spot: bool = False
 
     @property
     def incarnation_key(self):
@@ -198,7 +257,8 @@
     ``headers`` are those to be forwarded.  ``attempt`` is the caller's id
     for this attempt, which the endpoint repeats in its answer.  ``resumes``
     is that of the attempt that brought the first event of a stream which
-    this call takes up after the event ``resume_after``.
+    this call takes up after the event ``resume_after``.  ``key`` is the
+    caller's credential, ``customer`` whose it is, once that is known.
     """
 
     attempt: str
@@ -212,6 +272,8 @@
     resume_after: int | None
     prompt: Prompt | None
     resumes: str | None = None
+    key: str | None = None
+    customer: Customer | None = None
 
     @property
     def takes_up(self):
@@ -240,8 +302,13 @@
 
 
 class EndpointLoad(typing.NamedTuple):
-    """The load that an endpoint reports with its answers."""
+    """The load that an endpoint reports with its answers.
+
+    ``pace`` is how long work takes there now, against the usual time; ``None``
+    if the endpoint doesn't tell.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -76,6 +76,26 @@
     status = 404
 
 
+class UnknownKey(NotRunError):
+    """The request has no key of a customer; send one that is in force.
+
+    Keys are added and removed by versions of the configuration.
+    """
+
+    code = "unknown_key"
+    status = 401
+
+
+class StaleKeys(NotRunError):
+    """This instance can't tell whether the key was removed; use another.
+
+    It has not reached the store for longer than removed keys may be served.
+    """
+
+    code = "stale_keys"
+    status = 503
+
+
 class UnknownClass(NotRunError):
     """The class header names no published class; the message lists them."""
 
--- a/clementinewall/gateway/cache_sync.py
+++ b/clementinewall/gateway/cache_sync.py
@@ -20,7 +20,7 @@
 from clementinewall import logs
 from clementinewall.membership import members
 from clementinewall import metrics
-from clementinewall.platform import calls
+from clementinewall.platform import cache_calls
 
 _log = logs.PartLog("cache")
 
@@ -154,8 +154,8 @@
             cursor.is_asking = False
 
     async def _apply_full_list(self, state, cursor):
-        kept = calls.decode_cached_parts(
-            await self._body(state, calls.cached_parts_request())
+        kept = cache_calls.decode_cached_parts(
+            await self._body(state, cache_calls.cached_parts_request())
         )
         dropped = 0
         if cursor.epoch is None:
@@ -174,9 +174,10 @@
 
     async def _apply_changes(self, state, cursor):
         body = await self._body(
-            state, calls.cache_changes_request(cursor.next, CHANGE_WAIT_MS)
+            state,
+            cache_calls.cache_changes_request(cursor.next, CHANGE_WAIT_MS),
         )
-        changes = calls.decode_cache_changes(body)
+        changes = cache_calls.decode_cache_changes(body)
         if changes.epoch != cursor.epoch or changes.is_gap:
             cursor.next = None
             cursor.next_request_at = self._now()
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -9,6 +9,7 @@
 import anyio
 import h11
 
+from clementinewall.access import authorization
 from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
@@ -170,6 +171,7 @@
         route = configuration.route_for(call.host, call.path)
         if route is None:
             raise errors.NoRoute("no route leads there")
+        call = authorization.authorize(configuration, route, call)
         service = configuration.service_by_name.get(
             _choose_service(route.shares)
         )
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -25,6 +25,7 @@
 DIGEST_BYTES = 8
 _REASONS = {
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -7,6 +7,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.http1 import messages
+from clementinewall.platform import records
 
 ATTEMPT_HEADER = b"attempt-id"
 _DEADLINE_HEADER = b"deadline-ms"
@@ -19,21 +20,15 @@
 _REST_HEADER = b"retry-after"
 _LEAVING_HEADER = b"server-leaving"
 _LIMIT_HEADER = b"server-limit"
+_KEY_HEADER = b"credential"
+_CUSTOMER_HEADER = b"tenant"
 _UNAVAILABLE_STATUS = 503
 # Endpoints ask for seconds.  A mistaken value must not exclude one for days.
 MAX_REST_MS = 600_000
+# Endpoints tell their pace in percent of the usual time.
+PACE_UNIT = 100
 _MISDIRECTED_STATUS = 421
-# Raised when a malformed body is decoded.  Converting an infinite number to
-# an integer raises OverflowError.
-_DECODE_ERRORS = (
-    AttributeError,
-    IndexError,
-    KeyError,
-    TypeError,
-    ValueError,
-    OverflowError,
-    RecursionError,
-)
+_DECODE_ERRORS = records.DECODE_ERRORS
 
 # Only the gateway may set these headers; those of callers are dropped.  A
 # caller that could set them would choose its engine, jump queues or continue
@@ -84,7 +79,28 @@
         resume_after=messages.parse_integer(request.header(_RESUME_HEADER)),
         prompt=_decode_prompt(request),
         resumes=_decode_resumes(request),
+        key=_decode_key(request),
+    )
+
+
+def _decode_key(request):
+    value = request.header(_KEY_HEADER)
+    return value.decode("latin-1").strip() or None if value else None
+
+
+def of_customer(call, customer):
+    """Return the call as one of a customer, ``None`` for that of nobody.
+
+    Endpoints get the customer's name and never the key.
+    """
+    headers = tuple(
+        row
+        for row in call.headers
+        if row[0].lower() not in (_KEY_HEADER, _CUSTOMER_HEADER)
     )
+    if customer is not None:
+        headers += ((_CUSTOMER_HEADER, customer.name.encode()),)
+    return call._replace(headers=headers, customer=customer)
 
 
 def _decode_resumes(request):
@@ -195,59 +211,6 @@
     return messages.Request(b"GET", b"/report", ((b"Host", b"engine"),))
 
 
-def cached_parts_request():
-    """Return the request for the prompt parts in an engine's cache."""
-    return messages.Request(b"GET", b"/kv-list", ((b"Host", b"engine"),))
-
-
-def decode_cached_parts(body):
-    """Decode all cached prompt parts into a :class:`domain.CacheChange`.
-
-    :raises BadRecord: the body is not a list of parts.
-    """
-    return _decode_cache_change(body, "held", 1)
-
-
-def cache_changes_request(since, wait_ms):
-    """Return the request for the changes to an engine's cache.
-
-    The engine answers at the first change from ``since`` on, at the latest
-    after ``wait_ms``.
-    """
-    target = f"/kv-events?since={since}".encode()
-    headers = ((b"Host", b"engine"), (b"Wait-Ms", str(wait_ms).encode()))
-    return messages.Request(b"GET", target, headers)
-
-
-def decode_cache_changes(body):
-    """Decode the changes to a cache into a :class:`domain.CacheChange`.
-
-    :raises BadRecord: the body is not a list of changes.
-    """
-    return _decode_cache_change(body, "events", 3)
-
-
-def _decode_cache_change(body, name, id_index):
-    """Decode rows of parts; the part's id is at ``id_index`` of each row."""
-    try:
-        data = json.loads(body)
-        return domain.CacheChange(
-            str(data["epoch"]),
-            int(data["next"]),
-            tuple(
-                domain.PromptPart(
-                    str(row[id_index]), max(0, int(row[id_index + 1]))
-                )
-                for row in data[name]
-            ),
-            bool(data.get("lost", False)),
-        )
-    except _DECODE_ERRORS as exc:
-        raise errors.BadRecord(
-            f"cannot decode the {name} of a cache: {exc!r}"
-        ) from exc
-
-
 def decode_engine_report(body):
     """Decode an engine's status report.
 
@@ -402,6 +365,7 @@
     if value is None:
         return None
     numbers = [messages.parse_integer(part) for part in value.split(b",")]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
-    return domain.EndpointLoad(*numbers)
+    pace = numbers[3] / PACE_UNIT if len(numbers) == 4 else None
+    return domain.EndpointLoad(*numbers[:3], pace or None)
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -7,6 +7,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.http1 import server
+from clementinewall.platform import customers
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -15,10 +16,13 @@
 # record of each key without expiry.
 GATEWAYS_TOPIC = "keyed.gateways"
 LEASES_TOPIC = "keyed.leases"
+DUTIES_TOPIC = "keyed.duties"
 _KNOWN_STATES = ("ready", "draining")
 # Larger numbers can't be combined with floating-point ones.
 MAX_INTEGER = 2**63
-_DECODE_ERRORS = (
+# Raised when malformed data is decoded.  Converting an infinite number to an
+# integer raises OverflowError.
+DECODE_ERRORS = (
     AttributeError,
     IndexError,
     KeyError,
@@ -43,8 +47,9 @@
             routes_by_host=_routes_by_host(routes),
             service_by_name={service.name: service for service in services},
             limits=_limits(data.get("limits", {})),
+            customer_by_key=customers.by_key(data.get("tenants")),
         )
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise errors.BadRecord(
             f"cannot decode the configuration: {exc!r}"
         ) from exc
@@ -70,8 +75,9 @@
             stage=data.get("stage"),
             incarnation=_integer(data.get("born", 0)),
             version=_optional_text(data.get("version")),
+            is_spot=data.get("use_spot") is True,
         )
-    except _DECODE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise errors.BadRecord(
             f"cannot decode the record of {endpoint_id}: {exc!r}"
         ) from exc
@@ -135,6 +141,7 @@
         priority=_integer(row.get("priority") or 0),
         max_attempts=max(1, _integer(row.get("max_attempts") or 1)),
         resumable=row.get("resumable") is True,
+        is_public=row.get("public") is True,
     )
 
 
@@ -154,6 +161,27 @@
     return domain.Service(
         name=_text(row["name"]),
         engine=_engine(engine) if isinstance(engine, dict) else None,
+        scale=_scale(row.get("scale")),
+    )
+
+
+def _scale(row):
+    """Return the range of a service's endpoints, ``None`` if it has none."""
+    if not isinstance(row, dict):
+        return None
+    least, most = _integer(row["min"]), _integer(row["max"])
+    if not 0 <= least <= most:
+        raise ValueError(f"the range {least} to {most} is empty")
+    spot_price = row.get("spot_price")
+    return domain.ScaleRange(
+        min=least,
+        max=most,
+        boot_ms=int(_number(row.get("boot_s") or 0) * 1_000),
+        price_by_data_centre={
+            _text(name): _number(price)
+            for name, price in (row.get("zone_prices") or {}).items()
+        },
+        spot_price=None if spot_price is None else _number(spot_price),
     )
 
 
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -30,6 +30,12 @@
     address: str
 
 
+class _Cloud(typing.NamedTuple):
+    address: str = ""
+    duties: tuple[str, ...] = ()
+    duty_per_s: _Amount = 50.0
+
+
 class _Bounds(typing.NamedTuple):
     grace_s: _Amount = 8.0
     budget_ratio: _Amount = 0.2
@@ -39,10 +45,15 @@
     lease_ms: _Amount = 3_000.0
     config_ms: _Amount = 2_000.0
     drain_ms: _Amount = 2_000.0
+    strict_revoke: bool = False
+    revoke_ms: _Amount = 5_000.0
+    report_window_s: _Amount = 5.0
+    usage_late_s: _Amount = 10.0
 
 
 class _Limits(typing.NamedTuple):
     link_mbps: _Amount = 0.0
+    memory_mb: _Amount = 0.0
 
 
 class _File(typing.NamedTuple):
@@ -54,6 +65,7 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    cloud: _Cloud = _Cloud()
 
 
 def load(path=None):
@@ -94,12 +106,15 @@
         found = str(known.port_range[0])
         yield _schema.Mistake("port_range[0]", found, f"1 to {MAX_PORT}")
     listen = known.listen
-    for key, address in (
+    addresses = [
         ("listen.front", listen.front),
         ("listen.ready_addr", listen.ready_addr),
         ("listen.directory", listen.directory),
         ("platform.address", known.platform.address),
-    ):
+    ]
+    if known.cloud.duties:
+        addresses.append(("cloud.address", known.cloud.address))
+    for key, address in addresses:
         host, _, port = address.rpartition(":")
         if not host or not _is_port(port):
             yield _schema.Mistake(key, repr(address), "host:port")
@@ -135,6 +150,8 @@
         peer_port=known.port_range[0],
         store=known.platform.address,
         link_mbps=known.limits.link_mbps,
+        memory_mb=known.limits.memory_mb,
+        duty_service=_duty_service(known.cloud),
         bounds=domain.Bounds(
             grace_ms=int(bounds.grace_s * 1_000),
             retry_ratio=bounds.budget_ratio,
@@ -144,5 +161,21 @@
             configuration_ms=int(bounds.config_ms),
             draining_ms=int(bounds.drain_ms),
             order_interval_ms=int(bounds.lease_ms),
+            revocation_ms=(
+                int(bounds.revoke_ms) if bounds.strict_revoke else None
+            ),
+            usage_window_ms=int(bounds.report_window_s * 1_000),
+            usage_due_ms=int(bounds.usage_late_s * 1_000),
         ),
     )
+
+
+def _duty_service(cloud):
+    """Return the duty service, ``None`` if there are no known duties."""
+    reports_usage = "usage_report" in cloud.duties
+    orders_engines = "autoscale" in cloud.duties
+    if not reports_usage and not orders_engines:
+        return None
+    return domain.DutyService(
+        cloud.address, reports_usage, orders_engines, cloud.duty_per_s
+    )
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -5,6 +5,7 @@
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.http1 import messages
+from clementinewall.platform import cache_calls
 from clementinewall.platform import calls
 
 HEADERS = (
@@ -192,7 +193,7 @@
 
     def test_complete_list(self):
         body = b'{"epoch":"x","next":7,"held":[["","5c1e",800,"m"]]}'
-        found = calls.decode_cached_parts(body)
+        found = cache_calls.decode_cached_parts(body)
         part = domain.PromptPart("5c1e", 800)
         self.assertEqual(found, domain.CacheChange("x", 7, (part,)))
 
@@ -201,7 +202,7 @@
             b'{"epoch":"x","next":9,"lost":true,"events":'
             b'[[7,"+","","5c1e",800,"m"],[8,"-","","5c1e",0,"m"]]}'
         )
-        found = calls.decode_cache_changes(body)
+        found = cache_calls.decode_cache_changes(body)
         self.assertEqual([part.tokens for part in found.parts], [800, 0])
         self.assertTrue(found.is_gap)
 
@@ -217,6 +218,6 @@
         for body in bodies:
             with self.subTest(body=body):
                 with self.assertRaises(errors.BadRecord):
-                    calls.decode_cached_parts(body)
+                    cache_calls.decode_cached_parts(body)
                 with self.assertRaises(errors.BadRecord):
-                    calls.decode_cache_changes(body)
+                    cache_calls.decode_cache_changes(body)
