Refuse keys that may have been removed; generalise the lease

Cause: an instance that doesn't reach the store served removed keys for as long as the outage lasted, and the lease of engine orders could not serve another subject.

Change: access/freshness.py counts, through suspension, from when the read was sent that showed the configuration in force to be the newest; past the bound of revocation requests with keys get 503 and the instance isn't ready. Updates that gateways send each other carry the sender's clock, of which the receiver knows a lower bound, so a datagram that waited in a socket confirms nothing.

--- a/clementinewall/gateway/lease.py
+++ b/clementinewall/duties/lease.py
@@ -1,11 +1,14 @@
-"""The lease that an instance holds while its gateway orders engines.
+"""The lease that an instance holds while its gateway acts for all.
+
+Engine orders and the duties towards the platform each have a lease of their
+own, in a topic of their own.
 
 A claim is a record in the platform's store, appended only if nothing was
 appended since the claimant read the topic.  Its offset is the fencing token.
-Engines may ignore fencing tokens, so time has to separate two holders as
+Who is called may ignore fencing tokens, so time has to separate two holders as
 well: a holder counts its lease from before it sent the claim, and releases it
-in the store once its last order can no longer overlap with an order of the
-next holder.  Expiry is checked on a clock that also advances during
+in the store once its last call can no longer overlap with one of the next
+holder.  Expiry is checked on a clock that also advances during
 suspension, so a holder that was suspended notices that its lease expired.
 
 An unreleased claim belongs to a process that is running or has ended.
@@ -25,7 +28,7 @@
 
 _log = logs.PartLog("lease")
 
-KEY = "stages"
+STAGES_KEY = "stages"
 # Covers the answer to the claim, a report and an order.
 LEASE_MS = 2_000
 # Added to the interval that the deployment demands between orders of two
@@ -54,26 +57,44 @@
 class Lease:
     """Claims the lease for this process when asked."""
 
-    def __init__(self, settings, ticker):
-        """Use the store of the settings and a :class:`clock.Clock`."""
+    def __init__(
+        self, settings, ticker, topic=records.LEASES_TOPIC, key=STAGES_KEY
+    ):
+        """Claim ``key`` of ``topic`` in the store of the settings.
+
+        ``ticker`` is a :class:`clock.Clock`.
+        """
         self._store = store.Store(settings.store, ticker.now)
+        self._topic = topic
+        self._key = key
         self._clock = ticker
         self._holder = settings.ip
         self._boot_id = secrets.token_hex(BOOT_ID_BYTES)
         self._order_interval_ms = settings.bounds.order_interval_ms
         self._takeover_wait_ms = LEASE_MS + self._order_interval_ms + MARGIN_MS
         self._latest_claim = None
+        self._is_read = False
         self._held = None
         self._logged_wait_for = None
         # Offset of the claim that this instance has to release.
         self._unreleased_claim = None
+        # Where the topic ends after the last record of this holder, ``None``
+        # if that isn't known.
+        self._end = None
         self._last_order_at = None
+        # The newest other values of the topic, as last read.
+        self.value_by_key = {}
 
     def is_held(self):
         """Return whether orders may be sent now."""
         held = self._held
         return held is not None and self._clock.now_with_suspend() < held.end
 
+    @property
+    def left_ms(self):
+        """Return for how long the lease that was held last is still held."""
+        return self._held.end - self._clock.now_with_suspend()
+
     @property
     def token(self):
         """Return the fencing token of the lease that is held."""
@@ -84,6 +105,18 @@
         """Return whether a claim of this instance makes others wait."""
         return self._unreleased_claim is not None
 
+    @property
+    def remaining_wait_ms(self):
+        """Return the ms after which the lease may be claimed, as last read.
+
+        It is ``None`` before the first read.
+        """
+        if not self._is_read:
+            return None
+        if self._may_claim():
+            return 0
+        return self._remaining_wait_ms()
+
     def record_order(self):
         """Record that an order is sent, or may have been sent, now."""
         self._last_order_at = self._clock.now_with_suspend()
@@ -93,34 +126,84 @@
 
         :raises LogUnavailable: the store doesn't answer.
         """
-        batch = await self._store.newest(records.LEASES_TOPIC)
-        self._record_claim(_newest_claim(batch.records))
+        await self._read()
+
+    async def _read(self):
+        """Read the newest claim and values; return where the topic ends."""
+        batch = await self._store.newest(self._topic)
+        self._is_read = True
+        found = [r for r in batch.records if r.key == self._key]
+        self._record_claim(max(found, key=lambda r: r.offset, default=None))
+        self.value_by_key = {
+            record.key: record.value
+            for record in batch.records
+            if record.key != self._key
+        }
+        if self._unreleased_claim is not None:
+            self._end = batch.end
+        return batch.end
 
     async def claim(self):
         """Try to get or renew the lease; return whether it is held.
 
         :raises LogUnavailable: the store doesn't answer.
         """
-        batch = await self._store.newest(records.LEASES_TOPIC)
-        newest = _newest_claim(batch.records)
-        self._record_claim(newest)
+        end = await self._read()
         if not self._may_claim():
             self._log_wait()
             return False
+        return await self._claim_at(end)
+
+    async def renew(self):
+        """Get the lease for longer; return whether it is held.
+
+        Where nobody else wrote since the last record of this holder, that
+        takes one call instead of two.
+
+        :raises LogUnavailable: the store doesn't answer.
+        """
+        if self._end is None or self._unreleased_claim is None:
+            return await self.claim()
+        return await self._claim_at(self._end)
+
+    async def _claim_at(self, end):
         started = self._clock.now_with_suspend()
-        offset = await self._store.append(
-            records.LEASES_TOPIC, KEY, self._encode(False), at=batch.end
-        )
+        offset = await self._append(self._key, self._encode(False), end)
         if offset is None:
-            _log.info(
-                "lease not claimed, another gateway was first", at=batch.end
-            )
+            _log.info("lease not claimed, another gateway was first", at=end)
             return False
         self._held = HeldLease(offset, started + LEASE_MS)
         self._unreleased_claim = offset
         _log.info("lease held", token=offset, for_ms=LEASE_MS)
         return self.is_held()
 
+    async def write(self, key, value):
+        """Write the newest value of a key; return whether it was written.
+
+        It is written only if no other gateway has claimed the lease since
+        the last record of this holder, however long the call takes.
+
+        :raises LogUnavailable: it isn't known whether it was written.
+        """
+        if not self.is_held() or self._end is None:
+            return False
+        offset = await self._append(key, value, self._end)
+        if offset is None:
+            self._held = None
+            _log.info("value not written, the lease was claimed", key=key)
+            return False
+        self.value_by_key[key] = value
+        return True
+
+    async def _append(self, key, value, end):
+        """Append a record where the topic has to end; return its offset."""
+        # Without an answer the record may be there or come later.
+        self._end = None
+        offset = await self._store.append(self._topic, key, value, at=end)
+        if offset is not None:
+            self._end = offset + 1
+        return offset
+
     async def release(self):
         """Release the claim, unless an order was sent too recently.
 
@@ -131,10 +214,12 @@
         # A release without an answer may still be written later, so no order
         # may be sent after it.
         self._held = None
+        if self._end is None:
+            await self._read()
         claim = self._unreleased_claim
-        offset = await self._store.append(
-            records.LEASES_TOPIC, KEY, self._encode(True), at=claim + 1
-        )
+        if claim is None:
+            return
+        offset = await self._append(self._key, self._encode(True), self._end)
         self._unreleased_claim = None
         if offset is not None:
             _log.info("lease released", token=claim)
@@ -223,8 +308,3 @@
             holder=self._latest_claim.holder,
             left_ms=self._remaining_wait_ms(),
         )
-
-
-def _newest_claim(records):
-    found = [record for record in records if record.key == KEY]
-    return max(found, key=lambda record: record.offset, default=None)
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -24,13 +24,17 @@
 class Callers:
     """Serves the callers' connections of this gateway."""
 
-    def __init__(self, fleet_view, budgets, plain, streams, drain, now):
+    def __init__(
+        self, fleet_view, freshness, budgets, plain, streams, drain, now
+    ):
         """Dispatch requests to the relays ``plain`` and ``streams``.
 
-        ``drain`` decides which requests can be finished before the process
-        stops; ``now`` returns the time in ms.
+        ``freshness`` tells whether keys are known, ``drain`` decides which
+        requests can be finished before the process stops, and ``now`` returns
+        the time in ms.
         """
         self._fleet_view = fleet_view
+        self._freshness = freshness
         self._budgets = budgets
         self._plain = plain
         self._streams = streams
@@ -172,6 +176,8 @@
         if route is None:
             raise errors.NoRoute("no route leads there")
         call = authorization.authorize(configuration, route, call)
+        if call.customer is not None:
+            self._freshness.check()
         service = configuration.service_by_name.get(
             _choose_service(route.shares)
         )
@@ -190,6 +196,7 @@
             version=configuration.version,
             goal_ms=route.goal_ms,
             left_ms=exchange.left_ms,
+            **_customer_fields(call),
             **_return_fields(call),
             **self._drain_fields(exchange),
         )
@@ -270,6 +277,11 @@
             connection.close_after_answer()
 
 
+def _customer_fields(call):
+    """Return the log fields for a request of a customer."""
+    return {} if call.customer is None else {"customer": call.customer.name}
+
+
 def _return_fields(call):
     """Return the log fields for a request that takes up a stream."""
     if not call.takes_up:
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -84,7 +84,7 @@
             self._news,
         )
         # Called as ``take(message, ip)`` with what known gateways send.
-        self.take_more = None
+        self.listeners = []
         self._cell_ips = frozenset()
         self._last_content = None
         self._last_at = -REPEAT_INTERVAL_MS
@@ -316,8 +316,9 @@
         self._endpoints.cache_holders.merge(message.get("kept", ()))
         self._endpoints.request_limits.merge(message.get("limits", ()))
         self.updates.take(message, raw, ip)
-        if self.take_more is not None and self.table.is_known(ip):
-            self.take_more(message, ip)
+        if self.table.is_known(ip):
+            for take in self.listeners:
+                take(message, ip)
         if was_silent and self.table.is_live(ip):
             # It may just have started, and know nobody.
             self._rounds.welcome(ip)
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -5,6 +5,9 @@
 
 import anyio
 
+from clementinewall.access import confirmation
+from clementinewall.access import freshness
+from clementinewall.access import peer_clocks
 from clementinewall import clock
 from clementinewall.gateway import budgets
 from clementinewall.gateway import cache_sync
@@ -58,10 +61,12 @@
         self._created_at = now()
         self._is_ready_logged = False
         self._stopping = life.draining
+        self._ticker = ticker
         self._now = now
         self._now_with_suspend = ticker.now_with_suspend
         self._group = group
         self._fleet_view = fleet_view.FleetView(now, settings.bounds)
+        self._freshness = freshness.Freshness(settings.bounds, ticker)
         self._relays = relays.Relays(settings, group, now)
         self._endpoints = endpoints.Endpoints(
             self._fleet_view, now, self._relays
@@ -88,7 +93,7 @@
             self._peers.send_to,
             now,
         )
-        self._peers.take_more = self._origins.take
+        self._peers.listeners.append(self._origins.take)
         self._endpoints.request_limits.share_with(
             settings.ip, self._limit_group
         )
@@ -136,6 +141,7 @@
         )
         self._callers = callers.Callers(
             self._fleet_view,
+            self._freshness,
             self._budgets,
             self._plain,
             self._streams,
@@ -153,16 +159,24 @@
 
     def is_ready(self):
         """Return whether callers should use this gateway."""
-        return self._fleet_view.is_ready and not self._stopping.is_set()
+        if not self._fleet_view.is_ready or self._stopping.is_set():
+            return False
+        return self._freshness.is_current or not self._has_customers
+
+    @property
+    def _has_customers(self):
+        return self._fleet_view.configuration.customer_by_key is not None
 
     async def run(self):
         """Serve until SIGTERM; return the event that ended the draining."""
         settings = self._settings
         start = self._group.start_soon
+        configuration_follower = topic_followers.configuration_follower(
+            *self._follower_arguments()
+        )
+        configuration_follower.confirmation = self._confirmation()
         for follower in (
-            topic_followers.configuration_follower(
-                *self._follower_arguments()
-            ),
+            configuration_follower,
             topic_followers.fleet_follower(*self._follower_arguments()),
         ):
             follower.share_updates(self._peers.updates)
@@ -201,6 +215,19 @@
             return lifecycle.Event.OUT_OF_TIME
         return lifecycle.Event.DRAINED
 
+    def _confirmation(self):
+        """Return what confirms the configuration, ``None`` if none needs it.
+
+        Only deployments that bound how long removed keys live need it.
+        """
+        if not self._freshness.is_bounded:
+            return None
+        clocks = peer_clocks.PeerClocks(
+            self._settings.ip, self._ticker, self._peers.send_to
+        )
+        self._peers.listeners.append(clocks.take)
+        return confirmation.Confirmation(self._freshness, clocks, self._ticker)
+
     async def _open(self, listen, address, serve):
         return await listening.open_when_available(
             lambda: listen(address, serve, self._group), self._now
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -1,7 +1,7 @@
 """Changes the stages of engines (prefill or decode), one at a time.
 
 The plan comes from :mod:`clementinewall.policy.stages`, the right to order
-from :mod:`clementinewall.gateway.lease`.  Of the gateways that reach one
+from :mod:`clementinewall.duties.lease`.  Of the gateways that reach one
 another the first by address acts; the next ones act only if a needed change
 isn't made, so that they don't contend for the lease.
 """
@@ -12,12 +12,12 @@
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.duties import lease as lease_module
 from clementinewall import errors
 from clementinewall.gateway import cooldowns
 from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
-from clementinewall.gateway import lease as lease_module
 from clementinewall.gateway import sending
 from clementinewall.http1 import client
 from clementinewall import logs
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -78,6 +78,8 @@
         self._is_reader = True
         self._updates = None
         self._newest_first = newest_first
+        # A :class:`Confirmation` where it matters when the store was asked.
+        self.confirmation = None
         # Called with the ms for which the store was away.
         self.on_store_recovered = None
         # Called after each read of the store.
@@ -121,6 +123,8 @@
         while self._next is not None:
             due_at = min(self._due_at, self._synced_at + self._max_age_ms())
             left = due_at - self._now()
+            if self.confirmation is not None:
+                left = min(left, self.confirmation.own_read_due_ms)
             if left <= 0:
                 return
             self._update_received = anyio.Event()
@@ -137,10 +141,15 @@
         if self._next is None:
             # Updates from peers build on a snapshot, which is missing here.
             return store_polling.first_read_retry_ms()
-        return store_polling.retry_ms(self._cycle, self._group_rank())
+        retry_ms = store_polling.retry_ms(self._cycle, self._group_rank())
+        if self.confirmation is None:
+            return retry_ms
+        return min(retry_ms, self.confirmation.max_retry_ms)
 
     async def _step(self):
         metrics.count("store_calls", topic=self._topic)
+        confirmation = self.confirmation
+        begun_at = confirmation.begin() if confirmation else None
         if self._next is None:
             batch = await self._store.newest(self._topic)
             self._record_success()
@@ -154,6 +163,8 @@
                 end=batch.end,
                 after_ms=self._now() - self._begun_at,
             )
+            if confirmation:
+                confirmation.record_read(begun_at)
             self._notify_read()
             return
         # A gateway that takes over reads without waiting for a change: the
@@ -170,14 +181,24 @@
             fresh.reverse()
         changed = [record for record in fresh if self._apply_record(record)]
         self._next = batch.end
+        asked_at = None
+        if confirmation:
+            confirmation.record_read(begun_at)
+            asked_at = confirmation.reading(begun_at)
         self._notify_read()
         if self._updates is not None:
             update = self._recent_reads.add(start, batch.end, changed, away_ms)
+            update = update._replace(asked_at=asked_at)
             self._updates.send_update(update)
             if changed and not update.whole:
                 self._updates.relay_update(
                     topic_updates.TopicUpdate(
-                        self._topic, start, batch.end, tuple(changed), away_ms
+                        self._topic,
+                        start,
+                        batch.end,
+                        tuple(changed),
+                        away_ms,
+                        asked_at=asked_at,
                     )
                 )
 
@@ -210,6 +231,8 @@
         self._next = update.end
         self._recent_reads.forget()
         self._synced_at = self._now()
+        if self.confirmation is not None:
+            self.confirmation.record_update(update.asked_at)
         self._notify_synced()
         self._due_at = math.inf
         self._update_received.set()
--- a/clementinewall/gateway/topic_updates.py
+++ b/clementinewall/gateway/topic_updates.py
@@ -24,7 +24,9 @@
     """The relevant records from ``start`` up to, but without, ``end``.
 
     ``away_ms`` is the length of the store outage before the read, or 0.
-    ``whole`` is false if the records were too large to send.
+    ``whole`` is false if the records were too large to send.  ``asked_at`` is
+    when the sender began its read, as rows of :class:`peer_clocks.Reading`,
+    where other gateways need that.
     """
 
     topic: str
@@ -33,6 +35,7 @@
     records: tuple[store.Record, ...]
     away_ms: int
     whole: bool = True
+    asked_at: tuple | None = None
 
 
 class _Read(typing.NamedTuple):
@@ -71,9 +74,12 @@
 
 def encode(update):
     """Return an update as plain data for a datagram."""
-    return update._replace(
+    data = update._replace(
         records=[_plain(r) for r in update.records]
     )._asdict()
+    if update.asked_at is None:
+        del data["asked_at"]
+    return data
 
 
 def decode(data):
@@ -88,9 +94,17 @@
         tuple(_record(row) for row in data["records"]),
         int(data["away_ms"]),
         data["whole"] is True,
+        _reading(data.get("asked_at")),
     )
 
 
+def _reading(row):
+    if row is None:
+        return None
+    clock_id, ip, at = row
+    return str(clock_id), str(ip), int(at)
+
+
 def _plain(record):
     value = record.value
     text = None if value is None else base64.b64encode(value).decode()
--- /dev/null
+++ b/tests/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`clementinewall.duties`."""
--- a/tests/gateway/test_lease.py
+++ b/tests/duties/test_lease.py
@@ -6,8 +6,8 @@
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.duties import lease
 from clementinewall import errors
-from clementinewall.gateway import lease
 from clementinewall import logs
 from clementinewall.platform import store
 
@@ -119,7 +119,7 @@
         self.assertTrue(self.claim(self.first))
 
     def test_unreadable_claim_is_waited_out(self):
-        self.store.records.append(store.Record(lease.KEY, b"?", 0))
+        self.store.records.append(store.Record(lease.STAGES_KEY, b"?", 0))
         self.assertFalse(self.claim(self.first))
         self.advance(
             lease.LEASE_MS + SETTINGS.bounds.order_interval_ms + 2_000
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -82,6 +82,7 @@
     """Return the component for callers after it has stopped reading."""
     found = callers.Callers(
         fleet_view=fleet_view.FleetView(lambda: 0),
+        freshness=None,
         budgets=None,
         plain=None,
         streams=None,
@@ -159,6 +160,7 @@
         self.use_route(ROUTE)
         self.callers = callers.Callers(
             self.fleet_view,
+            None,
             types.SimpleNamespace(count_request=lambda service: None),
             self.endpoint,
             None,
--- a/tests/gateway/test_lease_holders.py
+++ b/tests/gateway/test_lease_holders.py
@@ -8,8 +8,8 @@
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.duties import lease
 from clementinewall import errors
-from clementinewall.gateway import lease
 from clementinewall.platform import store
 
 SETTINGS = domain.Settings(
