--- a/clementinewall/platform/customers.py
+++ b/clementinewall/platform/customers.py
@@ -6,8 +6,10 @@
 def by_key(rows):
     """Return the customer of each key, ``None`` without customers.
 
+    A customer whose keys were all removed is listed without keys.
+
     :raises AttributeError, KeyError, TypeError, ValueError: the list is
-        malformed, a customer has no key, or two have the same key or name.
+        malformed, or two customers have the same key or name.
     """
     if rows is None:
         return None
@@ -31,7 +33,7 @@
 
 
 def _keys(values, customer):
-    if not isinstance(values, list) or not values:
+    if not isinstance(values, list):
         raise ValueError(f"customer {customer.name!r} has no list of keys")
     return [_text(value) for value in values]
 
