--- a/clementinewall/clock.py
+++ b/clementinewall/clock.py
@@ -25,6 +25,10 @@
         """
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
+    def time_of_day(self) -> Millis:
+        """Return the milliseconds since 1970, which may jump either way."""
+        return time.time_ns() // 1_000_000
+
     def time_of_day_seconds(self) -> int:
         """Return the seconds since 1970, which may jump either way.
 
@@ -40,6 +44,8 @@
         """Start at ``start`` milliseconds."""
         self._now = start
         self.suspended = 0
+        # By how much the time of day is ahead of the other clocks.
+        self.wall_offset = 0
 
     def now(self) -> Millis:
         """Return the time last set."""
@@ -49,6 +55,10 @@
         """Return the time last set plus ``suspended``."""
         return self._now + self.suspended
 
+    def time_of_day(self) -> Millis:
+        """Return the time with suspension plus ``wall_offset``."""
+        return self.now_with_suspend() + self.wall_offset
+
     def advance(self, by: Millis):
         """Advance by ``by`` milliseconds."""
         self._now += by
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -41,6 +41,8 @@
         self._now = now
         self._connections = set()
         self._drain = drain
+        # Called with each call that an endpoint begins to run.
+        self.count_begun = None
         self._is_reading_stopped = False
         self._scope_by_exchange = {}
         self.open_requests = 0
@@ -187,7 +189,7 @@
             )
         self._budgets.count_request(service)
         exchange = exchanges.Exchange(
-            connection, call, route, service, self._now
+            connection, call, route, service, self._now, self.count_begun
         )
         _log.info(
             "accepted",
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -71,13 +71,20 @@
 class Exchange:
     """A request with its route, its deadline and the sends made so far."""
 
-    def __init__(self, connection, call, route, service, now):
-        """Start the timeout now; ``now`` returns the time in ms."""
+    def __init__(
+        self, connection, call, route, service, now, count_begun=None
+    ):
+        """Start the timeout now; ``now`` returns the time in ms.
+
+        ``count_begun(call)`` is called each time that an endpoint begins to
+        run the request.
+        """
         self.connection = connection
         self.call = call
         self.route = route
         self.service = service
         self._now = now
+        self._count_begun = count_begun
         self.arrived = now()
         self._caller_end = self.arrived + _timeout_ms(call, route)
         self._end = self._caller_end
@@ -136,6 +143,12 @@
         """Return how many sends may have reached an endpoint."""
         return self.sends - self._unreached
 
+    def record_begun(self):
+        """Record that an endpoint began to run the request."""
+        self.run_began_at = self._now()
+        if self._count_begun is not None:
+            self._count_begun(self.call)
+
     def record_failure(self, failure):
         """Record a send that failed.
 
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -118,14 +118,23 @@
             left_ms=left_ms,
         )
         request = calls.run_request(exchange.call, state.endpoint, left_ms)
-        async with sending.send(
-            exchange.call,
-            state,
-            request,
-            self._now,
-            self._silence_watch(exchange, state),
-        ) as sent:
-            body = await sent.read_all()
+        has_begun = True
+        try:
+            async with sending.send(
+                exchange.call,
+                state,
+                request,
+                self._now,
+                self._silence_watch(exchange, state),
+            ) as sent:
+                body = await sent.read_all()
+        except exchanges.AttemptFailed as exc:
+            has_begun = exc.verdict is not verdicts.Verdict.NOT_RUN
+            raise
+        finally:
+            # A call whose caller left has probably begun as well.
+            if has_begun:
+                exchange.record_begun()
         return self._checked_answer(exchange, sent, body)
 
     def _silence_watch(self, exchange, state):
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -9,6 +9,7 @@
 from clementinewall.access import freshness
 from clementinewall.access import peer_clocks
 from clementinewall import clock
+from clementinewall.duties import assembly
 from clementinewall.gateway import budgets
 from clementinewall.gateway import cache_sync
 from clementinewall.gateway import callers
@@ -148,6 +149,12 @@
             drain,
             now,
         )
+        self._duties = None
+        if settings.duty_service is not None:
+            self._duties = assembly.Duties(
+                settings, self._peers, self.is_ready, ticker
+            )
+            self._callers.count_begun = self._duties.count_begun
         self._info_handlers = info_server.InfoHandlers(
             settings, self._peers, self.is_ready
         )
@@ -187,6 +194,8 @@
         start(self._stage_manager.run)
         start(self._cache_sync.run)
         start(self._sweep)
+        if self._duties is not None:
+            self._duties.start(self._group)
         caller_listener = await self._open(
             tcp.listen, settings.callers, self._callers.serve
         )
@@ -305,6 +314,8 @@
             self._now_with_suspend() + ABORT_NOTICE_MS,
             lambda: not self._callers.is_connected,
         )
+        if self._duties is not None:
+            self._duties.finish()
         _log.info("stopped", open=self._callers.open_requests)
 
     async def _wait_until(self, end, is_over=lambda: False):
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -239,7 +239,7 @@
             note(plan.decode_engine, exchange.call.prompt)
         self._record_version(exchange, plan.decode_engine)
         took = exchange.waited_ms
-        exchange.run_began_at = self._now()
+        exchange.record_begun()
         if exchange.first_event_ms is None:
             exchange.first_event_ms = took
         metrics.observe_ms("first_event", took, route=exchange.route.name)
--- a/clementinewall/platform/duty_calls.py
+++ b/clementinewall/platform/duty_calls.py
@@ -37,7 +37,7 @@
 
 def usage_report(window, count_by_customer):
     """Return the report of the requests of each customer in a window."""
-    counts = {name: count for name, count in count_by_customer if count}
+    counts = {n: count for n, count in count_by_customer.items() if count}
     return _call("/usage", {"window": window, "counts": counts})
 
 
--- /dev/null
+++ b/clementinewall/usage/reporting.py
@@ -0,0 +1,194 @@
+"""Reports the usage of each window, as the gateway that has the duties.
+
+What is reported of a window is first written under the lease, and only what
+is written is sent.  Whoever sends a report, however often, sends the same.
+"""
+
+import json
+import typing
+
+import anyio
+
+from clementinewall import clock
+from clementinewall import errors
+from clementinewall import logs
+from clementinewall import metrics
+from clementinewall.platform import duty_calls
+
+_log = logs.PartLog("usage")
+
+VALUE_KEY = "usage"
+POLL_INTERVAL_MS = 250
+# Time for the last counts of a window to arrive.
+MIN_WAIT_MS = 500
+# A gateway that is silent or late is waited for this long after the end.
+MAX_WAIT_MS = 6_000
+# Windows in the record: a new holder sends them once more.
+KEEP_DECIDED = 4
+# Later reports are of no use to anybody.
+GIVE_UP_MS = 30_000
+RETRY_MS = 300
+MAX_RETRY_MS = 2_000
+
+
+class Report(typing.NamedTuple):
+    """What is reported of a window."""
+
+    window: int
+    count_by_customer: dict[str, int]
+
+
+class UsageReporter:
+    """Decides windows and sends their reports."""
+
+    def __init__(self, holder, client, ledger, window_clock, live_ips, ticker):
+        """Report what ``ledger`` knows, by ``client``, under ``holder``.
+
+        ``live_ips()`` returns the addresses of the gateways that may have
+        counts.
+        """
+        self._holder = holder
+        self._client = client
+        self._ledger = ledger
+        self._windows = window_clock
+        self._live_ips = live_ips
+        self._clock = ticker
+        # Reports as written to the store, and which of them were accepted.
+        self._report_by_window = {}
+        self._accepted = set()
+        self._known_value = None
+        self._retry_ms = RETRY_MS
+        self._retry_at = 0
+
+    async def run(self):
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            await anyio.sleep(clock.seconds(POLL_INTERVAL_MS))
+
+    async def poll(self):
+        """Decide the windows that are due, then send what isn't accepted."""
+        if self._clock.now() < self._retry_at:
+            return
+        self._apply_record()
+        due = self._due_windows()
+        if not due and not self._unsent():
+            return
+        if not await self._holder.ensure():
+            return
+        # Claiming may have read what an earlier holder has decided.
+        self._apply_record()
+        due = self._due_windows()
+        if due and not await self._decide(due):
+            self._back_off()
+            return
+        for report in self._unsent():
+            if not await self._send(report):
+                self._back_off()
+                return
+        self._retry_ms = RETRY_MS
+
+    def _back_off(self):
+        self._retry_at = self._clock.now() + self._retry_ms
+        self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
+
+    def _apply_record(self):
+        """Take over what was decided, as the store has it."""
+        value = self._holder.value_by_key.get(VALUE_KEY)
+        if value is None or value == self._known_value:
+            return
+        self._known_value = value
+        try:
+            rows = json.loads(value)["windows"]
+            found = {
+                int(window): Report(
+                    int(window), {str(n): int(c) for n, c in counts.items()}
+                )
+                for window, counts in rows
+            }
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            _log.error("record of the reports is unreadable", why=repr(exc))
+            return
+        self._report_by_window = found
+
+    def _due_windows(self):
+        """Return the windows to decide now, oldest first."""
+        first = self._ledger.first_window
+        if first is None:
+            return []
+        last = max(self._report_by_window, default=first - 1)
+        due = []
+        for window in range(max(first, last + 1), self._windows.window()):
+            if not self._is_due(window):
+                break
+            due.append(window)
+        return due
+
+    def _is_due(self, window):
+        since_end_ms = self._windows.since_end_ms(window)
+        if since_end_ms < MIN_WAIT_MS:
+            return False
+        if since_end_ms >= MAX_WAIT_MS:
+            return True
+        return self._ledger.is_complete(window, self._live_ips())
+
+    async def _decide(self, due):
+        """Write the reports of windows; return whether they were written."""
+        found = dict(self._report_by_window)
+        for window in due:
+            found[window] = Report(window, self._ledger.totals(window))
+        kept = sorted(found)[-max(KEEP_DECIDED, len(due)) :]
+        value = json.dumps(
+            {"windows": [list(found[window]) for window in kept]},
+            separators=(",", ":"),
+        ).encode()
+        try:
+            is_written = await self._holder.write(VALUE_KEY, value)
+        except errors.LogUnavailable as exc:
+            _log.info("usage not decided yet", windows=due, why=exc.message)
+            return False
+        if not is_written:
+            return False
+        self._apply_record()
+        ips = self._live_ips()
+        for window in due:
+            report = self._report_by_window[window]
+            _log.info(
+                "usage decided",
+                window=window,
+                requests=sum(report.count_by_customer.values()),
+                customers=len(report.count_by_customer),
+                complete=self._ledger.is_complete(window, ips),
+                after_ms=self._windows.since_end_ms(window),
+            )
+        return True
+
+    def _unsent(self):
+        """Return the reports that are to be sent, oldest first."""
+        self._accepted &= self._report_by_window.keys()
+        return [
+            self._report_by_window[window]
+            for window in sorted(self._report_by_window)
+            if window not in self._accepted
+            and self._windows.since_end_ms(window) < GIVE_UP_MS
+        ]
+
+    async def _send(self, report):
+        """Send a report; return whether it needs no further try."""
+        outcome = await self._client.send(
+            duty_calls.usage_report(report.window, report.count_by_customer)
+        )
+        metrics.count("usage_reports", outcome=outcome.value)
+        _log.info(
+            "usage reported",
+            window=report.window,
+            outcome=outcome.value,
+            after_ms=self._windows.since_end_ms(report.window),
+        )
+        if outcome in (
+            duty_calls.Outcome.ACCEPTED,
+            duty_calls.Outcome.REJECTED,
+        ):
+            self._accepted.add(report.window)
+            return True
+        return False
