--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -84,6 +84,8 @@
     duty_service: DutyService | None = None
     # Memory limit of the process; 0 if it isn't known.
     memory_mb: float = 0.0
+    # The operator's own bounds of the number of engines.
+    engine_limits_by_service: dict = {}
 
 
 class Share(typing.NamedTuple):
--- a/clementinewall/duties/assembly.py
+++ b/clementinewall/duties/assembly.py
@@ -3,6 +3,8 @@
 from clementinewall.duties import client
 from clementinewall.duties import collection
 from clementinewall.duties import holder
+from clementinewall.scaling import load_samples
+from clementinewall.scaling import scaler
 from clementinewall.usage import counter
 from clementinewall.usage import ledger
 from clementinewall.usage import reporting
@@ -15,7 +17,9 @@
 class Duties:
     """What this gateway does for all, or hands over to who does."""
 
-    def __init__(self, settings, peers, is_ready, ticker):
+    def __init__(
+        self, settings, peers, fleet_view, endpoints, is_ready, ticker
+    ):
         """Use the duty service of the settings; ``peers`` carry messages."""
         self._own_ip = settings.ip
         self._table = peers.table
@@ -32,6 +36,8 @@
         self.counter = None
         if service.reports_usage:
             self._add_usage(settings, ticker)
+        if service.orders_engines:
+            self._add_scaling(settings, fleet_view, endpoints, ticker.now)
 
     def _add_usage(self, settings, ticker):
         windows = window_clock.WindowClock(
@@ -50,6 +56,26 @@
         )
         self._tasks.append(reporter.run)
 
+    def _add_scaling(self, settings, fleet_view, endpoints, now):
+        def services():
+            known = fleet_view.configuration
+            rows = known.service_by_name.values() if known else ()
+            return [row.name for row in rows if row.scale is not None]
+
+        board = load_samples.LoadBoard(now)
+        sampler = load_samples.Sampler(endpoints, services, now)
+        self._collection.add("load", sampler, board)
+        found = scaler.Scaler(
+            fleet_view,
+            self._holder,
+            self._client,
+            board,
+            self._live_ips,
+            now,
+            settings.engine_limits_by_service,
+        )
+        self._tasks.append(found.run)
+
     def _live_ips(self):
         """Return the addresses of all gateways that are heard, and the own."""
         return {self._own_ip, *(peer.ip for peer in self._table.live())}
--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -70,6 +70,8 @@
         self.open = 0
         self.streams = 0
         self.jobs = []
+        # Predicted time of all prompts that were sent to it.
+        self.prompt_ms = 0.0
         self.last_prefill_end = now()
         self.load = None
         self.load_at = None
@@ -387,6 +389,7 @@
         """Record a prompt sent now; return its job for ``end_prompt``."""
         job = prefill_queue.Job(urgency, cost_ms, self._now())
         self.jobs.append(job)
+        self.prompt_ms += cost_ms
         return job
 
     def end_prompt(self, job, was_read):
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -1,5 +1,6 @@
 """The endpoints that this gateway knows, and what it tells peers of them."""
 
+import collections
 import random
 
 from clementinewall import domain
@@ -34,6 +35,7 @@
         self._now = now
         self.request_limits = request_limits.RequestLimits(now)
         self._state_by_incarnation = {}
+        self._prompt_ms_of_removed = collections.Counter()
         self._prefills = []
         self._changes = cache_view.UnsentChanges()
         self.scales = prefill_scale.PrefillScales()
@@ -229,6 +231,22 @@
                 work[state.endpoint.id] = own
         return work
 
+    def prompt_ms(self, service):
+        """Return the predicted time of all prompts ever sent to a service."""
+        return self._prompt_ms_of_removed[service] + sum(
+            state.prompt_ms
+            for state in self._state_by_incarnation.values()
+            if state.endpoint.service == service
+        )
+
+    def streams(self, service):
+        """Return how many answers of a service are being generated."""
+        return sum(
+            state.streams
+            for state in self._state_by_incarnation.values()
+            if state.endpoint.service == service
+        )
+
     def check_paths(self):
         """Check the paths of the endpoints that this gateway works with.
 
@@ -263,6 +281,8 @@
                 state.missing_since = self._now()
             if self._is_forgotten(state):
                 del self._state_by_incarnation[incarnation]
+                service = state.endpoint.service
+                self._prompt_ms_of_removed[service] += state.prompt_ms
                 _log.info("endpoint state removed", endpoint=state.endpoint.id)
 
     def _is_forgotten(self, state):
--- a/clementinewall/gateway/main.py
+++ b/clementinewall/gateway/main.py
@@ -2,6 +2,7 @@
 
 Usage:
   clementinewall-gateway [--settings=FILE] [--metrics-port=PORT] [--check]
+                         [--engines=LIMITS]...
   clementinewall-gateway --help
 
 Options:
@@ -9,6 +10,8 @@
                    that its environment variable names.
   --metrics-port=PORT  Where /metrics is served on the instance's own IP
                    number; not served without it.
+  --engines=LIMITS  How many engines a service has over all data centres, as
+                   SERVICE=N or SERVICE=MIN-MAX, where engines are ordered.
   --check          Only check the settings.
 
 Exit codes: 0 stopped gracefully, 2 bad settings or an address that cannot be
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -152,7 +152,12 @@
         self._duties = None
         if settings.duty_service is not None:
             self._duties = assembly.Duties(
-                settings, self._peers, self.is_ready, ticker
+                settings,
+                self._peers,
+                self._fleet_view,
+                self._endpoints,
+                self.is_ready,
+                ticker,
             )
             self._callers.count_begun = self._duties.count_begun
         self._info_handlers = info_server.InfoHandlers(
--- a/clementinewall/gateway/startup.py
+++ b/clementinewall/gateway/startup.py
@@ -7,6 +7,7 @@
 from clementinewall import lifecycle
 from clementinewall import logs
 from clementinewall.platform import settings as platform_settings
+from clementinewall.scaling import limits
 
 
 def main(options, inbox):
@@ -25,6 +26,9 @@
 
 def _read_settings(options):
     settings = platform_settings.load(options["--settings"])
+    settings = settings._replace(
+        engine_limits_by_service=limits.parse(options["--engines"])
+    )
     text = options["--metrics-port"]
     if text is None:
         return settings
--- a/clementinewall/metrics.py
+++ b/clementinewall/metrics.py
@@ -16,6 +16,7 @@
 MAX_SERIES = 2_000
 
 _counter_by_series = collections.Counter()
+_gauge_by_series = {}
 _histogram_by_series = {}
 
 
@@ -26,6 +27,13 @@
         _counter_by_series[series] += by
 
 
+def gauge(name, value, **labels):
+    """Set a gauge."""
+    series = _series(name, labels)
+    if series in _gauge_by_series or len(_gauge_by_series) < MAX_SERIES:
+        _gauge_by_series[series] = value
+
+
 def observe_ms(name, value, **labels):
     """Record a duration in milliseconds in a histogram."""
     series = _series(name, labels)
@@ -45,6 +53,8 @@
         lines.append(
             f"clementinewall_{name}_total{_labels_text(labels)} {value}"
         )
+    for (name, labels), value in sorted(_gauge_by_series.items()):
+        lines.append(f"clementinewall_{name}{_labels_text(labels)} {value}")
     for (name, labels), durations in sorted(_histogram_by_series.items()):
         lines.extend(_summary(name, labels, durations))
     return "\n".join(lines) + "\n"
--- /dev/null
+++ b/clementinewall/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""How many engines are ordered, where and of which kind."""
--- a/clementinewall/usage/reporting.py
+++ b/clementinewall/usage/reporting.py
@@ -75,6 +75,7 @@
         if not due and not self._unsent():
             return
         if not await self._holder.ensure():
+            self._back_off()
             return
         # Claiming may have read what an earlier holder has decided.
         self._apply_record()
