Follow the load of some seconds, and wait for engines on their way

Cause: the first policy followed peaks of one second and ordered on-demand engines beside the preemptible ones that were starting (a trial: sizes between 4 and 21 within half a minute).

Change: a rise has to last three seconds and a fall ten; on-demand engines are added only for what is not on its way.

--- a/clementinewall/policy/fleet_size.py
+++ b/clementinewall/policy/fleet_size.py
@@ -12,10 +12,10 @@
 
 # Engines work off this fraction of their time at the load that is planned
 # for.  Queues grow fast beyond, and a burst comes before new engines do.
-PREFILL_UTILISATION = 0.45
+PREFILL_UTILISATION = 0.3
 # Fraction of the slots that streams take at the load that is planned for.
 # A full batch makes each token slower.
-SLOT_UTILISATION = 0.35
+SLOT_UTILISATION = 0.25
 # Engines of each stage, so that the loss of one leaves another.
 MIN_PER_STAGE = 2
 # At the loss of a data centre's preemptible engines the others work at most
@@ -23,8 +23,10 @@
 LOSS_FACTOR = 1.6
 # On-demand engines in different data centres.
 MIN_ON_DEMAND = 2
-RISE_LASTING_MS = 1_500
-FALL_LASTING_MS = 8_000
+RISE_LASTING_MS = 3_000
+FALL_LASTING_MS = 10_000
+# A load that rises is expected to go on rising, up to this factor.
+MAX_RISE_FACTOR = 1.25
 # Part of the engines that may be given up at a time.
 MAX_FALL_FRACTION = 0.25
 
@@ -89,24 +91,35 @@
     and as far ahead as an engine takes to start; a fall counts later.
     """
     recent = [x for x in loads if now - x.at <= RISE_LASTING_MS]
-    lasting = [x for x in loads if now - x.at <= FALL_LASTING_MS]
-    if not recent or not any(x.prompt_ms or x.streams for x in lasting):
+    if not recent or not any(x.prompt_ms or x.streams for x in loads):
         return None
-    rising = _ahead(loads, recent, range_.boot_ms, now)
-    wanted = max(_engines(rising, slots), _engines(_peak(lasting), slots))
+    wanted = max(
+        _engines(_ahead(loads, recent, range_.boot_ms, now), slots),
+        _engines(_peak(loads, now), slots),
+    )
+    return _bounded(wanted, range_)
+
+
+def _bounded(wanted, range_):
     return min(range_.total_most, max(range_.total_least, wanted))
 
 
+def may_fall(loads, now):
+    """Return whether the load has been known for long enough to shrink."""
+    first = next((x for x in loads if x.prompt_ms or x.streams), None)
+    return first is not None and now - first.at >= FALL_LASTING_MS
+
+
 def _ahead(loads, recent, boot_ms, now):
     """Return the load that is expected when an engine ordered now serves."""
     before = [
-        x for x in loads if RISE_LASTING_MS < now - x.at <= 3 * RISE_LASTING_MS
+        x for x in loads if RISE_LASTING_MS < now - x.at <= 2 * RISE_LASTING_MS
     ]
     mean = _mean(recent)
     if not before:
         return mean
     earlier = _mean(before)
-    steps = boot_ms / (2 * RISE_LASTING_MS)
+    steps = boot_ms / RISE_LASTING_MS
     return mean._replace(
         prompt_ms=_extrapolate(earlier.prompt_ms, mean.prompt_ms, steps),
         streams=_extrapolate(earlier.streams, mean.streams, steps),
@@ -114,8 +127,7 @@
 
 
 def _extrapolate(before, now, steps):
-    # A rise from nearly nothing must not be taken for one without end.
-    return min(2 * now, now + max(0.0, now - before) * steps)
+    return min(MAX_RISE_FACTOR * now, now + max(0.0, now - before) * steps)
 
 
 def _mean(loads):
@@ -126,13 +138,14 @@
     )
 
 
-def _peak(loads):
-    """Return the highest mean of two consecutive loads.
-
-    A single peak of a second is a burst.
-    """
-    pairs = list(zip(loads, loads[1:], strict=False)) or [(loads[0],)]
-    means = [_mean(pair) for pair in pairs]
+def _peak(loads, now):
+    """Return the highest load that lasted as long as a rise has to."""
+    lasting = [x for x in loads if now - x.at <= FALL_LASTING_MS]
+    means = [
+        _mean([x for x in lasting if 0 <= end.at - x.at <= RISE_LASTING_MS])
+        for end in lasting
+        if end.at - lasting[0].at >= RISE_LASTING_MS or end is lasting[-1]
+    ]
     return Load(
         loads[-1].at,
         max(x.prompt_ms for x in means),
@@ -176,13 +189,17 @@
         for c in centres
         if range_.spot_price is not None
     }
+    planned_spot = sum(found.values())
     serving_spot = sum(min(found[kind], present[kind]) for kind in found)
-    on_demand = max(base, wanted - serving_spot)
     held = sum(n for kind, n in present.items() if not kind.is_spot)
+    # Those that are there stay until the preemptible ones that are on their
+    # way serve; further ones would come no sooner than these.
+    kept = min(held, wanted - serving_spot)
+    on_demand = max(base, wanted - planned_spot, kept)
     fall = max(1, math.floor(held * MAX_FALL_FRACTION))
     on_demand = max(on_demand, held - fall)
     found |= _on_demand(on_demand, centres, found, present, range_)
-    why = "load" if serving_spot >= wanted - base else "spot not there yet"
+    why = "load" if on_demand <= max(base, held) else "too few preemptible"
     return Plan(wanted, found, why)
 
 
--- a/clementinewall/scaling/scaler.py
+++ b/clementinewall/scaling/scaler.py
@@ -48,6 +48,8 @@
         self._missing_until = {}
         self._fallen_at = {}
         self._logged_plan_by_service = {}
+        # The number of engines when this gateway began to act.
+        self._size_by_service = {}
 
     async def run(self):
         """Poll until cancelled."""
@@ -74,6 +76,7 @@
             # What another gateway orders meanwhile isn't known here.
             self._acting_since = None
             self._ordered.clear()
+            self._size_by_service.clear()
             return
         if self._acting_since is None:
             self._acting_since = now
@@ -99,13 +102,15 @@
             return
         range_ = self._range(service)
         slots = min(engine.slots for engine in engines)
-        wanted = fleet_size.needed(
-            self._board.loads(service.name), slots, range_, now
-        )
-        is_load_known = wanted is not None
-        if wanted is None:
-            # Before the first requests the fleet keeps its size.
-            wanted = len(engines)
+        loads = self._board.loads(service.name)
+        wanted = fleet_size.needed(loads, slots, range_, now)
+        is_load_known = fleet_size.may_fall(loads, now)
+        if not is_load_known:
+            # Until then the fleet keeps the size that it was found with.
+            found = self._size_by_service.setdefault(
+                service.name, len(engines)
+            )
+            wanted = max(found, wanted or 0)
         missing = {
             kind
             for (name, kind), until in self._missing_until.items()
@@ -206,7 +211,7 @@
             service=service.name,
             needed=plan.needed,
             present=len(engines),
-            why=plan.why if is_load_known else "no load yet",
+            why=plan.why if is_load_known else "load not known",
             prompt_ms=round(loads[-1].prompt_ms),
             streams=round(loads[-1].streams),
             counts={
