--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -173,6 +173,7 @@
         )
         self.gateway._now_with_suspend = self.ticker.now_with_suspend
         self.gateway._callers = self.callers
+        self.gateway._duties = None
         self.gateway._relay_server = relay_server.RelayServer(None)
 
     def use_route(self, route):
