Refuse an unknown key for good only while the newest keys are known

Cause: callers don't return after a 401, and an instance that has not reached the store for longer than a new version takes to spread can't tell an unknown key from a new one.

Change: it answers 503 with a delay then.

Measured: tests of access and callers pass.

--- a/clementinewall/access/freshness.py
+++ b/clementinewall/access/freshness.py
@@ -29,6 +29,7 @@
     def __init__(self, bounds, ticker):
         """Take the bound of revocation and a :class:`clock.Clock`."""
         self._limit_ms = bounds.revocation_ms
+        self._propagation_ms = bounds.configuration_ms
         self._clock = ticker
         self._confirmed_at = None
         self._is_stale_logged = False
@@ -83,6 +84,22 @@
         """
         if self.is_current:
             return
+        self._refuse()
+
+    def check_unknown(self):
+        """Refuse a request with an unknown key that may have been added.
+
+        Its caller may come back, whereas a 401 is final.
+
+        :raises StaleKeys: a newer configuration may be in force by now.
+        """
+        if not self.is_bounded:
+            return
+        age_ms = self.age_ms
+        if age_ms is None or age_ms > self._propagation_ms:
+            self._refuse()
+
+    def _refuse(self):
         if not self._is_stale_logged:
             self._is_stale_logged = True
             _log.warning(
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -177,9 +177,7 @@
         route = configuration.route_for(call.host, call.path)
         if route is None:
             raise errors.NoRoute("no route leads there")
-        call = authorization.authorize(configuration, route, call)
-        if call.customer is not None:
-            self._freshness.check()
+        call = self._authorize(configuration, route, call)
         service = configuration.service_by_name.get(
             _choose_service(route.shares)
         )
@@ -204,6 +202,21 @@
         )
         return exchange
 
+    def _authorize(self, configuration, route, call):
+        """Return the call as its customer's.
+
+        :raises UnknownKey, StaleKeys: it may not be served here now.
+        """
+        try:
+            call = authorization.authorize(configuration, route, call)
+        except errors.UnknownKey:
+            self._freshness.check_unknown()
+            metrics.count("keys_refused", code=errors.UnknownKey.code)
+            raise
+        if call.customer is not None:
+            self._freshness.check()
+        return call
+
     def _drain_fields(self, exchange):
         """Return the log fields for a request that came during a drain."""
         if not self._drain.is_on:
--- a/tests/access/test_freshness.py
+++ b/tests/access/test_freshness.py
@@ -61,9 +61,22 @@
         self.freshness.confirm(now - LIMIT_MS)
         self.assertTrue(self.freshness.is_current)
 
+    def test_unknown_keys_are_final_only_while_the_newest_are_known(self):
+        # A new key is refused for good by an instance that has not heard of
+        # it, since callers don't return after a 401.
+        with self.assertRaises(errors.StaleKeys):
+            self.freshness.check_unknown()
+        self.freshness.confirm(self.clock.now_with_suspend())
+        self.clock.advance(BOUNDS.configuration_ms)
+        self.freshness.check_unknown()
+        self.clock.advance(1)
+        with self.assertRaises(errors.StaleKeys):
+            self.freshness.check_unknown()
+
     def test_deployments_without_the_bound_refuse_nothing(self):
         found = freshness.Freshness(domain.Bounds(), self.clock)
         found.check()
+        found.check_unknown()
         self.assertTrue(found.is_current)
 
 
