--- a/clementinewall/access/freshness.py
+++ b/clementinewall/access/freshness.py
@@ -84,7 +84,14 @@
         """
         if self.is_current:
             return
-        self._refuse()
+        if not self._is_stale_logged:
+            self._is_stale_logged = True
+            _log.warning(
+                "requests with keys are refused until the store is reached",
+                age_ms=self.age_ms,
+                limit_ms=self._limit_ms,
+            )
+        _refuse()
 
     def check_unknown(self):
         """Refuse a request with an unknown key that may have been added.
@@ -97,18 +104,12 @@
             return
         age_ms = self.age_ms
         if age_ms is None or age_ms > self._propagation_ms:
-            self._refuse()
+            _refuse()
 
-    def _refuse(self):
-        if not self._is_stale_logged:
-            self._is_stale_logged = True
-            _log.warning(
-                "requests with keys are refused until the store is reached",
-                age_ms=self.age_ms,
-                limit_ms=self._limit_ms,
-            )
-        metrics.count("keys_refused", code=errors.StaleKeys.code)
-        raise errors.StaleKeys(
-            "this instance can't tell which keys are in force",
-            retry_after_ms=RETRY_AFTER_MS,
-        )
+
+def _refuse():
+    metrics.count("keys_refused", code=errors.StaleKeys.code)
+    raise errors.StaleKeys(
+        "this instance can't tell which keys are in force",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
