Keep preemptible engines in the plan when no more are to be had

A holder that the store refused claimed again at once, and each refused call is billed.

Change: engines that are there count; claims back off to two seconds; a quarter of all engines, not of the on-demand ones, may go at a time.

--- a/clementinewall/duties/holder.py
+++ b/clementinewall/duties/holder.py
@@ -26,6 +26,10 @@
 # A lease that ends sooner is renewed before it is used.
 MIN_LEFT_MS = 1_000
 RELEASE_RETRY_MS = 1_000
+# The store bills calls that it refuses too, so claims are tried again later
+# and later.
+CLAIM_RETRY_MS = 250
+MAX_CLAIM_RETRY_MS = 2_000
 
 
 class DutyHolder:
@@ -45,6 +49,8 @@
         self._read_interval_ms = settings.bounds.usage_window_ms
         self._next_read = 0
         self._next_release = 0
+        self._next_claim = 0
+        self._claim_retry_ms = CLAIM_RETRY_MS
         self._vacant_since = None
         self._lock = anyio.Lock()
 
@@ -113,13 +119,21 @@
         async with self._lock:
             if self.is_held() and self._lease.left_ms >= MIN_LEFT_MS:
                 return True
+            now = self._clock.now()
+            if now < self._next_claim:
+                return False
             if not self.is_acting() and not self._is_turn():
                 return False
             try:
                 held = await self._lease.renew()
             except errors.LogUnavailable as exc:
                 _log.info("duties not claimed", why=exc.message)
+                self._next_claim = self._clock.now() + self._claim_retry_ms
+                self._claim_retry_ms = min(
+                    MAX_CLAIM_RETRY_MS, 2 * self._claim_retry_ms
+                )
                 return False
+            self._claim_retry_ms = CLAIM_RETRY_MS
             return held and self.is_held()
 
     async def write(self, key, value):
--- a/clementinewall/policy/fleet_size.py
+++ b/clementinewall/policy/fleet_size.py
@@ -12,10 +12,10 @@
 
 # Engines work off this fraction of their time at the load that is planned
 # for.  Queues grow fast beyond, and a burst comes before new engines do.
-PREFILL_UTILISATION = 0.3
+PREFILL_UTILISATION = 0.4
 # Fraction of the slots that streams take at the load that is planned for.
 # A full batch makes each token slower.
-SLOT_UTILISATION = 0.25
+SLOT_UTILISATION = 0.3
 # Engines of each stage, so that the loss of one leaves another.
 MIN_PER_STAGE = 2
 # At the loss of a data centre's preemptible engines the others work at most
@@ -181,8 +181,6 @@
     if range_.spot_price is None:
         spot_centres = []
     base = min(wanted, MIN_ON_DEMAND)
-    if not spot_centres:
-        base = wanted
     per_centre = _spot_per_centre(wanted, base, len(spot_centres), range_)
     found = {
         Kind(c, True): per_centre if c in spot_centres else present[c, True]
@@ -196,7 +194,7 @@
     # way serve; further ones would come no sooner than these.
     kept = min(held, wanted - serving_spot)
     on_demand = max(base, wanted - planned_spot, kept)
-    fall = max(1, math.floor(held * MAX_FALL_FRACTION))
+    fall = max(1, math.floor(present.total() * MAX_FALL_FRACTION))
     on_demand = max(on_demand, held - fall)
     found |= _on_demand(on_demand, centres, found, present, range_)
     why = "load" if on_demand <= max(base, held) else "too few preemptible"
