Bind the age of a confirmation in reads, clocks and repeats

Cause, by reading: a read that was cut at a size confirmed that nothing newer exists; a read could wait for a change until its confirmation was too old (with config_ms 3000 and revoke_ms 2000 keys were refused while the store answered); a store that confirmed nothing was called without a pause; a clock bound that could not be renewed was used for ever; a silent store was asked again after 1.4 to 6 s where one second is the rule; a gateway without requests did not log why it is not ready; deployments without customers compared clocks and read the configuration for keys that nobody has.

--- a/clementinewall/access/confirmation.py
+++ b/clementinewall/access/confirmation.py
@@ -1,5 +1,7 @@
 """How a follower of the configuration learns and tells that it is current."""
 
+import math
+
 from clementinewall.access import freshness
 from clementinewall.access import peer_clocks
 
@@ -7,8 +9,13 @@
 class Confirmation:
     """Confirms the configuration by own reads and by those of others."""
 
-    def __init__(self, found, clocks, ticker):
-        """Confirm ``found``, a :class:`Freshness`, by ``clocks``."""
+    def __init__(self, found, clocks, ticker, has_customers):
+        """Confirm ``found``, a :class:`Freshness`, by ``clocks``.
+
+        While ``has_customers()`` is false, no key has to be known: nothing is
+        read, and gateways compare no clocks, for the sake of it.
+        """
+        self._has_customers = has_customers
         self._freshness = found
         self._clocks = clocks
         self._clock = ticker
@@ -22,12 +29,17 @@
         self._freshness.confirm(begun_at)
 
     def reading(self, begun_at):
-        """Return ``begun_at`` as other gateways can use it."""
+        """Return ``begun_at`` as other gateways can use it.
+
+        It is ``None`` while nobody needs it.
+        """
+        if not self._has_customers():
+            return None
         return self._clocks.reading(begun_at)
 
     def record_update(self, reading):
         """Record the read of another gateway that was begun at a reading."""
-        if reading is None:
+        if reading is None or not self._has_customers():
             return
         asked_at = self._clocks.earliest(peer_clocks.Reading(*reading))
         if asked_at is not None:
@@ -36,9 +48,13 @@
     @property
     def own_read_due_ms(self):
         """Return after which time this gateway reads the store itself."""
+        if not self._has_customers():
+            return math.inf
         return self._freshness.own_read_due_ms
 
     @property
     def max_retry_ms(self):
-        """Return after which time a read that failed is repeated."""
+        """Return after which time a read that fails is repeated at least."""
+        if not self._has_customers():
+            return math.inf
         return freshness.MAX_RETRY_MS
--- a/clementinewall/access/freshness.py
+++ b/clementinewall/access/freshness.py
@@ -7,7 +7,6 @@
 
 from clementinewall import errors
 from clementinewall import logs
-from clementinewall import metrics
 
 _log = logs.PartLog("keys")
 
@@ -72,9 +71,7 @@
         """
         if self._confirmed_at is None or asked_at > self._confirmed_at:
             self._confirmed_at = asked_at
-        if self._is_stale_logged and self.is_current:
-            self._is_stale_logged = False
-            _log.info("keys are known again", age_ms=self.age_ms)
+        self._log_recovery()
 
     def check(self):
         """Refuse a request with a key while removed keys aren't known.
@@ -83,15 +80,24 @@
         """
         if self.is_current:
             return
-        if not self._is_stale_logged:
-            self._is_stale_logged = True
-            _log.warning(
-                "requests with keys are refused until the store is reached",
-                age_ms=self.age_ms,
-                limit_ms=self._limit_ms,
-            )
-        metrics.count("keys_refused", code=errors.StaleKeys.code)
+        self.log_if_stale()
         raise errors.StaleKeys(
             "this instance can't tell which keys are in force",
             retry_after_ms=RETRY_AFTER_MS,
         )
+
+    def log_if_stale(self):
+        """Log, once, that requests with keys are refused from now on."""
+        if self._is_stale_logged or self.is_current:
+            return
+        self._is_stale_logged = True
+        _log.warning(
+            "requests with keys are refused until the store is reached",
+            age_ms=self.age_ms,
+            limit_ms=self._limit_ms,
+        )
+
+    def _log_recovery(self):
+        if self._is_stale_logged and self.is_current:
+            self._is_stale_logged = False
+            _log.info("keys are known again", age_ms=self.age_ms)
--- a/clementinewall/access/peer_clocks.py
+++ b/clementinewall/access/peer_clocks.py
@@ -15,6 +15,9 @@
 
 # Clocks of two machines drift apart by less than 10 ms in this time.
 RENEWAL_MS = 60_000
+# A bound that could not be renewed for this long may be wrong by more than
+# the margin that is left for clocks.
+MAX_BOUND_AGE_MS = 2 * RENEWAL_MS
 ASK_INTERVAL_MS = 500
 ASK_KEY = "clock_ask"
 REPLY_KEY = "clock"
@@ -65,7 +68,7 @@
         now = self._clock.now_with_suspend()
         if bound is None or now - bound.learned_at > RENEWAL_MS:
             self._ask(reading.ip, now)
-        if bound is None:
+        if bound is None or now - bound.learned_at > MAX_BOUND_AGE_MS:
             return None
         return min(now, reading.at + bound.ahead_ms)
 
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -173,11 +173,13 @@
         """Return whether callers should use this gateway."""
         if not self._fleet_view.is_ready or self._stopping.is_set():
             return False
-        return self._freshness.is_current or not self._has_customers
+        return self._freshness.is_current or not self._has_customers()
 
-    @property
     def _has_customers(self):
-        return self._fleet_view.configuration.customer_by_key is not None
+        configuration = self._fleet_view.configuration
+        if configuration is None:
+            return False
+        return configuration.customer_by_key is not None
 
     async def run(self):
         """Serve until SIGTERM; return the event that ended the draining."""
@@ -240,7 +242,9 @@
             self._settings.ip, self._ticker, self._peers.send_to
         )
         self._peers.listeners.append(clocks.take)
-        return confirmation.Confirmation(self._freshness, clocks, self._ticker)
+        return confirmation.Confirmation(
+            self._freshness, clocks, self._ticker, self._has_customers
+        )
 
     async def _open(self, listen, address, serve):
         return await listening.open_when_available(
@@ -332,6 +336,8 @@
         while True:
             self._log_writer.flush()
             self._fleet_view.expire()
+            if self._has_customers():
+                self._freshness.log_if_stale()
             self._cell_membership.update(self._peers.table.members())
             self._endpoints.sweep()
             self._relays.sweep()
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -39,6 +39,9 @@
 # A change that is too large for an update is relayed by other gateways, and
 # read if it doesn't arrive within this time.
 RELAY_WAIT_MS = 250
+# Own reads for the sake of a confirmation keep this distance, as a store that
+# answers without confirming anything would be called all the time.
+MIN_READ_INTERVAL_MS = 100
 
 
 class Follower:
@@ -71,6 +74,7 @@
         # When the newest records began to be asked for.
         self._begun_at = now()
         self._synced_at = None
+        self._answered_at = now()
         self._due_at = math.inf
         self._failing_since = None
         self._recent_reads = topic_updates.RecentReads(topic)
@@ -124,13 +128,30 @@
             due_at = min(self._due_at, self._synced_at + self._max_age_ms())
             left = due_at - self._now()
             if self.confirmation is not None:
-                left = min(left, self.confirmation.own_read_due_ms)
+                left = min(left, self._confirming_read_due_ms())
             if left <= 0:
                 return
             self._update_received = anyio.Event()
             with anyio.move_on_after(clock.seconds(left)):
                 await self._update_received.wait()
 
+    def _confirming_read_due_ms(self):
+        allowed_at = self._answered_at + MIN_READ_INTERVAL_MS
+        return max(self.confirmation.own_read_due_ms, allowed_at - self._now())
+
+    def _wait_ms(self):
+        """Return for how long the next read may wait for a record.
+
+        A gateway that takes over reads without waiting: the others are about
+        to read as well, unless they hear from it.  So does one whose last
+        confirmation gets old, since a read confirms as of its beginning.
+        """
+        if not self._is_reader:
+            return 0
+        if self.confirmation is None:
+            return self._cycle.wait_ms
+        return int(min(self._cycle.wait_ms, self.confirmation.own_read_due_ms))
+
     def _group_rank(self):
         return self._updates.group_rank() if self._updates else 0
 
@@ -149,7 +170,10 @@
     async def _step(self):
         metrics.count("store_calls", topic=self._topic)
         confirmation = self.confirmation
-        begun_at = confirmation.begin() if confirmation else None
+        begun_at = None
+        if confirmation:
+            begun_at = confirmation.begin()
+            self._store.max_repeat_ms = confirmation.max_retry_ms
         if self._next is None:
             batch = await self._store.newest(self._topic)
             self._record_success()
@@ -167,10 +191,9 @@
                 confirmation.record_read(begun_at)
             self._notify_read()
             return
-        # A gateway that takes over reads without waiting for a change: the
-        # others are about to read as well, unless they hear from it.
-        wait_ms = self._cycle.wait_ms if self._is_reader else 0
-        batch = await self._store.read(self._topic, self._next, wait_ms)
+        batch = await self._store.read(
+            self._topic, self._next, self._wait_ms()
+        )
         away_ms = self._record_success()
         # A peer's update may have been applied while the read waited.
         start = self._next
@@ -182,7 +205,8 @@
         changed = [record for record in fresh if self._apply_record(record)]
         self._next = batch.end
         asked_at = None
-        if confirmation:
+        # An answer that was cut at a size doesn't tell what came after it.
+        if confirmation and batch.is_complete:
             confirmation.record_read(begun_at)
             asked_at = confirmation.reading(begun_at)
         self._notify_read()
@@ -271,6 +295,7 @@
         self._is_reader = True
         # What a late answer says was so when it was asked for.
         self._synced_at = now - self._store.late_ms
+        self._answered_at = now
         self._due_at = math.inf
         return away_ms
 
--- a/clementinewall/http1/repeated_call.py
+++ b/clementinewall/http1/repeated_call.py
@@ -7,6 +7,7 @@
 lost an answer is asked again soon.
 """
 
+import math
 import typing
 
 import anyio
@@ -64,13 +65,18 @@
 class RepeatedCall:
     """One call and its repeats."""
 
-    def __init__(self, send, failures, times, now, wait_ms=0):
+    def __init__(
+        self, send, failures, times, now, wait_ms=0, max_repeat_ms=math.inf
+    ):
         """Repeat ``send(wait_ms)``, which returns the answer.
 
         It raises an error of the type ``failures`` if it was refused or broke
         off.  ``times`` are those of earlier answers.  The first call lets the
-        peer hold its answer back for ``wait_ms``; repeats don't.
+        peer hold its answer back for ``wait_ms``; repeats don't.  The call
+        is repeated after ``max_repeat_ms`` at the latest, also if answers
+        have been slow.
         """
+        self._max_repeat_ms = max_repeat_ms
         self._send = send
         self._failures = failures
         self._times = times
@@ -92,7 +98,9 @@
         :raises Exception: the failure of a call if no other one is open.
         """
         first_at = self._now()
-        overdue_ms = self._times.overdue_ms()
+        longest_ms = self._max_repeat_ms
+        overdue_ms = min(self._times.overdue_ms(), longest_ms)
+        repeat_ms = min(max(REPEAT_INTERVAL_MS, overdue_ms), longest_ms)
         async with anyio.create_task_group() as group:
             self._begin(group, self._wait_ms)
             if not await self._is_ended_after(self._wait_ms + overdue_ms):
@@ -100,7 +108,7 @@
             end = first_at + self._wait_ms + LIMIT_MS
             while not self._ended.is_set() and self._now() < end:
                 self._begin(group, 0)
-                await self._is_ended_after(max(REPEAT_INTERVAL_MS, overdue_ms))
+                await self._is_ended_after(repeat_ms)
             has_ended = self._ended.is_set()
             group.cancel_scope.cancel()
         if not has_ended:
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -11,6 +11,7 @@
 
 import base64
 import json
+import math
 import struct
 import typing
 import urllib.parse
@@ -46,10 +47,14 @@
 
 
 class Batch(typing.NamedTuple):
-    """Records in the order of their offsets, and the end offset of the log."""
+    """Records in the order of their offsets, and the offset after them.
+
+    ``is_complete`` tells whether the log had none beyond them.
+    """
 
     records: tuple[Record, ...]
     end: int
+    is_complete: bool = True
 
 
 class HistoryExpired(Exception):
@@ -71,6 +76,8 @@
         self._times = repeated_call.AnswerTimes()
         # How old the last answer to a read may have been when it came.
         self.late_ms = 0
+        # After which time a read without an answer is repeated at the latest.
+        self.max_repeat_ms = math.inf
         self._pool = client.Pool(
             client.DirectPath(address, CONNECT_TIMEOUT_MS), now
         )
@@ -166,6 +173,7 @@
             self._times,
             self._now,
             wait_ms,
+            self.max_repeat_ms,
         )
         try:
             found = await call.run(lambda: self._report_overdue(target))
@@ -256,7 +264,7 @@
         position += length
         records.append(_decode_record(content, offset))
         offset += 1
-    return Batch(tuple(records), max(offset, min(end, offset)))
+    return Batch(tuple(records), offset, offset >= end)
 
 
 def _decode_record(content, offset):
--- a/tests/access/test_freshness.py
+++ b/tests/access/test_freshness.py
@@ -1,7 +1,9 @@
 """For how long keys are served without word from the store."""
 
+import math
 import types
 import unittest
+from unittest import mock
 
 from clementinewall.access import confirmation
 from clementinewall.access import freshness
@@ -61,6 +63,21 @@
         self.freshness.confirm(now - LIMIT_MS)
         self.assertTrue(self.freshness.is_current)
 
+    def test_each_transition_is_logged_once_without_any_request(self):
+        # An instance isn't ready, gets no request, and its log doesn't say
+        # why.
+        with mock.patch.object(freshness, "_log", autospec=True) as log:
+            self.freshness.confirm(self.clock.now_with_suspend())
+            self.freshness.log_if_stale()
+            self.assertEqual([], log.mock_calls)
+            self.clock.advance(LIMIT_MS)
+            self.freshness.log_if_stale()
+            self.freshness.log_if_stale()
+            self.freshness.confirm(self.clock.now_with_suspend())
+            self.freshness.confirm(self.clock.now_with_suspend())
+        self.assertEqual(1, log.warning.call_count)
+        self.assertEqual(1, log.info.call_count)
+
     def test_deployments_without_the_bound_refuse_nothing(self):
         found = freshness.Freshness(domain.Bounds(), self.clock)
         found.check()
@@ -132,9 +149,33 @@
             self.clocks.earliest(peer_clocks.Reading("x", "10.0.0.2", 1))
         )
 
+    def test_a_bound_that_is_not_renewed_is_no_longer_used(self):
+        # Datagrams of one direction get lost, the clocks drift apart, and a
+        # reading is taken for newer than it is.
+        self.compare()
+        self.advance(peer_clocks.MAX_BOUND_AGE_MS)
+        reading = self.reader.reading(self.other.now_with_suspend())
+        self.assertIsNotNone(self.clocks.earliest(reading))
+        self.advance(1)
+        self.assertIsNone(self.clocks.earliest(reading))
+
+    def test_without_customers_gateways_compare_no_clocks(self):
+        # A deployment without customers pays for messages that it needs not.
+        found = types.SimpleNamespace(confirm=self.fail)
+        confirming = confirmation.Confirmation(
+            found, self.clocks, self.own, lambda: False
+        )
+        self.assertIsNone(confirming.reading(1))
+        confirming.record_update(self.reader.reading(900_000))
+        self.assertEqual(math.inf, confirming.own_read_due_ms)
+        self.assertEqual(math.inf, confirming.max_retry_ms)
+        self.assertEqual([], self.sent)
+
     def test_nothing_is_confirmed_by_an_unknown_clock(self):
         found = freshness.Freshness(BOUNDS, self.own)
-        confirming = confirmation.Confirmation(found, self.clocks, self.own)
+        confirming = confirmation.Confirmation(
+            found, self.clocks, self.own, lambda: True
+        )
         confirming.record_update(self.reader.reading(900_000))
         self.assertIsNone(found.age_ms)
         self.compare()
@@ -143,9 +184,9 @@
 
     def test_an_update_without_a_reading_confirms_nothing(self):
         found = types.SimpleNamespace(confirm=self.fail)
-        confirmation.Confirmation(found, self.clocks, self.own).record_update(
-            None
-        )
+        confirmation.Confirmation(
+            found, self.clocks, self.own, lambda: True
+        ).record_update(None)
 
 
 if __name__ == "__main__":
--- a/tests/http1/test_repeated_call.py
+++ b/tests/http1/test_repeated_call.py
@@ -1,5 +1,6 @@
 """Calls that are repeated while their answer is overdue."""
 
+import time
 import unittest
 
 import anyio
@@ -50,10 +51,10 @@
         self.times = repeated_call.AnswerTimes()
         self.overdue = 0
 
-    def call(self, peer, wait_ms=0):
+    def call(self, peer, wait_ms=0, **more):
         """Return the answer to a call."""
         call = repeated_call.RepeatedCall(
-            peer.send, Refused, self.times, clock.Clock().now, wait_ms
+            peer.send, Refused, self.times, clock.Clock().now, wait_ms, **more
         )
         return anyio.run(call.run, self._on_overdue)
 
@@ -76,6 +77,16 @@
         # Guards against waiting for an answer that was lost.
         self.assertEqual(self.call(Peer(float("inf"), 10)), 2)
 
+    def test_repeats_are_as_frequent_as_asked_for_after_slow_answers(self):
+        # Guards against keys that stay refused for seconds after the store is
+        # back, since it was slow before it fell silent.
+        self.times.record(3_000)
+        began = time.monotonic()
+        lost = [float("inf")] * 3
+        found = self.call(Peer(*lost, 10), max_repeat_ms=100)
+        self.assertEqual(4, found)
+        self.assertLess(time.monotonic() - began, 1)
+
     def test_a_slow_peer_gets_no_repeats_once_it_is_known(self):
         # Guards against repeats that keep a slow peer slow.
         self.call(Peer(150))
