Refuse ambiguous keys and customers that cannot be meant

Cause, by reading: of two Credential headers the first counted; blanks other than those of HTTP were stripped from keys; a list of customers that is a table or a text was read as an empty one, which refuses everybody; a name with a line end would have gone into a header; keys_refused did not count unknown keys.

Change: two headers are no key; only space and tab are stripped; such lists and names make the version invalid, and the one in force stays; refusals are counted where both kinds pass.

--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -177,9 +177,13 @@
         route = configuration.route_for(call.host, call.path)
         if route is None:
             raise errors.NoRoute("no route leads there")
-        call = authorization.authorize(configuration, route, call)
-        if call.customer is not None:
-            self._freshness.check()
+        try:
+            call = authorization.authorize(configuration, route, call)
+            if call.customer is not None:
+                self._freshness.check()
+        except (errors.UnknownKey, errors.StaleKeys) as exc:
+            metrics.count("keys_refused", code=exc.code)
+            raise
         service = configuration.service_by_name.get(
             _choose_service(route.shares)
         )
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -84,8 +84,13 @@
 
 
 def _decode_key(request):
-    value = request.header(_KEY_HEADER)
-    return value.decode("latin-1").strip() or None if value else None
+    """Return the key, ``None`` if there is none or it is ambiguous."""
+    values = [
+        value for name, value in request.headers if name.lower() == _KEY_HEADER
+    ]
+    if len(values) != 1:
+        return None
+    return values[0].decode("latin-1").strip(" \t") or None
 
 
 def of_customer(call, customer):
--- a/clementinewall/platform/customers.py
+++ b/clementinewall/platform/customers.py
@@ -13,11 +13,13 @@
     """
     if rows is None:
         return None
+    if not isinstance(rows, list):
+        raise ValueError("the customers are no list")
     customer_by_key = {}
     names = set()
     for row in rows:
         customer = domain.Customer(
-            _text(row["name"]), _priority(row.get("priority"))
+            _name(row["name"]), _priority(row.get("priority"))
         )
         if customer.name in names:
             raise ValueError(f"customer {customer.name!r} is listed twice")
@@ -38,6 +40,13 @@
     return [_text(value) for value in values]
 
 
+def _name(value):
+    """Return a name, which endpoints get in a header."""
+    if not _text(value).isprintable():
+        raise ValueError(f"the name {value!r} can't be sent in a header")
+    return value
+
+
 def _text(value):
     if not isinstance(value, str) or not value.strip():
         raise ValueError("a name or key of a customer is no text")
--- a/tests/access/test_authorization.py
+++ b/tests/access/test_authorization.py
@@ -75,6 +75,8 @@
             ((b"Credential", b"k1,k1"),),
             ((b"Credential", b"\xff\x00"),),
             ((b"Tenant", b"harbour"),),
+            ((b"Credential", b"k1"), (b"credential", b"k2")),
+            ((b"Credential", b"k1\xa0"),),
         ):
             with self.subTest(headers):
                 with self.assertRaises(errors.UnknownKey) as caught:
