--- a/standins/base.py
+++ b/standins/base.py
@@ -11,10 +11,10 @@
 from starlette import responses
 
 
-async def serve(routes, address):
+async def serve(routes, *addresses):
     """Serve until a signal asks to stop."""
     config = hypercorn.config.Config()
-    config.bind = [address]
+    config.bind = list(addresses)
     config.accesslog = None
     config.errorlog = None
     config.graceful_timeout = 0.2
--- a/standins/store.py
+++ b/standins/store.py
@@ -6,8 +6,9 @@
 pace of the store: ``delay_ms`` of each call, ``queued_per_second`` calls that
 are worked off one after the other, whether or not anybody still waits, and
 ``limit_per_second``, beyond which calls get 429; 0 or nothing ends each.
-``POST /standin/forget?topic=T`` drops the history but not the newest
-records.
+With ``callers``, a list of IP addresses, the mode is that of the callers that
+reach the store at these: it listens on the first few of the loopback network.
+``POST /standin/forget?topic=T`` drops the history but not the newest records.
 """
 
 import base64
@@ -21,6 +22,7 @@
 
 from standins import base
 
+LISTEN_IPS = tuple(f"127.0.0.{number}" for number in range(1, 4))
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -86,6 +88,7 @@
         """Begin empty and well."""
         self.topic_by_name = {}
         self.mode = "ok"
+        self.mode_by_caller = {}
         self.pace = Pace()
         self.calls = 0
 
@@ -99,17 +102,26 @@
 
         async def guard(request: requests.Request):
             self.calls += 1
-            if self.mode == "busy":
+            if self.mode_for(request) == "busy":
                 return responses.Response(status_code=503)
             if self.pace.is_exceeded():
                 return responses.Response(status_code=429)
-            if self.mode == "silent":
+            if self.mode_for(request) == "silent":
                 await anyio.sleep_forever()
             await self.pace.wait()
-            return await handle(request)
+            answer = await handle(request)
+            # A read that waits for a record must not pass a cut that was made
+            # meanwhile.
+            if _called_ip(request) in self.mode_by_caller:
+                await anyio.sleep_forever()
+            return answer
 
         return guard
 
+    def mode_for(self, request):
+        """Return the mode in which a call is answered."""
+        return self.mode_by_caller.get(_called_ip(request), self.mode)
+
     async def on_newest(self, request):
         """Return the newest record of each key, one page."""
         topic = self.topic(request)
@@ -171,8 +183,15 @@
     async def on_mode(self, request):
         """Set what goes wrong; return how many calls came so far."""
         body = await base.body_of(request)
-        self.mode = body.pop("mode")
-        self.pace = Pace(**body)
+        mode = body.pop("mode")
+        callers = body.pop("callers", None)
+        if callers is None:
+            self.mode = mode
+            self.pace = Pace(**body)
+        for caller in callers or ():
+            self.mode_by_caller.pop(caller, None)
+            if mode != "ok":
+                self.mode_by_caller[caller] = mode
         return base.reply({"calls": self.calls})
 
     async def on_forget(self, request):
@@ -182,6 +201,15 @@
         return base.reply({})
 
 
+def _called_ip(request):
+    """Return the IP address at which the caller reached the store.
+
+    The source address tells no callers apart: the system gives each
+    connection on the loopback network that of the first one.
+    """
+    return request.scope["server"][0]
+
+
 async def main(options):
     """Serve the store."""
     store = Store()
@@ -196,4 +224,6 @@
         routing.Route("/standin/mode", store.on_mode, methods=["POST"]),
         routing.Route("/standin/forget", store.on_forget, methods=["POST"]),
     ]
-    await base.serve(routes, options["ADDRESS"])
+    host, _, port = options["ADDRESS"].rpartition(":")
+    others = [f"{ip}:{port}" for ip in LISTEN_IPS if ip != host]
+    await base.serve(routes, options["ADDRESS"], *others)
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -51,9 +51,12 @@
     """Runs a stand-in of the store, gateways and scripted endpoints.
 
     With ``has_egress``, :meth:`cut` can cut off gateways from endpoints.
+    With ``calls_store_by_own_ip``, the store can tell gateways apart, and
+    :meth:`set_store_mode` takes ``callers``, a list of their addresses.
     """
 
     has_egress = False
+    calls_store_by_own_ip = False
 
     def setUp(self):
         """Start the store."""
@@ -91,8 +94,11 @@
         answer.raise_for_status()
         return answer.json()["calls"]
 
-    def publish(self, *routes, version=None, **limits):
-        """Publish routes to the services ``app`` and ``model``."""
+    def publish(self, *routes, version=None, customers=None, **limits):
+        """Publish routes to the services ``app`` and ``model``.
+
+        ``customers`` are the rows of customers, by default none.
+        """
         self.version = version or self.version + 1
         services = [
             {"name": "app", "health_path": "/health", "max_conns": 50},
@@ -103,16 +109,15 @@
                 "engine": ENGINE,
             },
         ]
-        self.put(
-            CONFIGURATION_TOPIC,
-            "config",
-            {
-                "version": self.version,
-                "routes": list(routes),
-                "services": services,
-                "limits": limits,
-            },
-        )
+        content = {
+            "version": self.version,
+            "routes": list(routes),
+            "services": services,
+            "limits": limits,
+        }
+        if customers is not None:
+            content["tenants"] = customers
+        self.put(CONFIGURATION_TOPIC, "config", content)
 
     def endpoint(self, name, script, service="app", **more):
         """Start a scripted endpoint and register it."""
@@ -164,9 +169,18 @@
         return fronts
 
     def start_without_waiting(
-        self, name="gateway-1", ip="127.0.0.1", **bounds
+        self,
+        name="gateway-1",
+        ip="127.0.0.1",
+        peer_port=None,
+        options=(),
+        **bounds,
     ):
-        """Start a gateway and return its address for callers."""
+        """Start a gateway and return its address for callers.
+
+        Gateways with another ``peer_port`` than usual and the others don't
+        hear each other.
+        """
         listen = {
             "front": f"{ip}:{bringup.free_port()}",
             "ready_addr": f"{ip}:{bringup.free_port()}",
@@ -181,10 +195,10 @@
                     "ip": ip,
                     "zone": "a",
                     "region": "r",
-                    "port_range": [self._peer_port(), 0],
+                    "port_range": [peer_port or self._peer_port(), 0],
                     "listen": listen,
                     "limits": {"memory_mb": 300, "max_fds": 1_000},
-                    "platform": {"address": self.store},
+                    "platform": {"address": self._store_for(ip)},
                     "bounds": {"grace_s": 3, **bounds},
                 }
             )
@@ -194,10 +208,18 @@
             self.dep.start(name, "standins.gateway", egress, str(path))
         else:
             self.dep.start(
-                name, "clementinewall.gateway.main", f"--settings={path}"
+                name,
+                "clementinewall.gateway.main",
+                f"--settings={path}",
+                *options,
             )
         return listen["front"]
 
+    def _store_for(self, ip):
+        if not self.calls_store_by_own_ip:
+            return self.store
+        return f"{ip}:{self.store.rpartition(':')[2]}"
+
     def cut(self, name, mode, targets=None):
         """Cut off a gateway from endpoints; the mode ``ok`` ends that.
 
