Publish customers through the project's own interface

Change: customer/NAME with keys and an optional priority. Publishing refuses a customer without a key, a key of two customers and malformed lists, by place and rule and without showing a key. A change that would give a key to two customers is void in the log as well, since two operators may each publish a right document. The entry does not enforce keys.

--- a/clementinewall/records/configuration.py
+++ b/clementinewall/records/configuration.py
@@ -2,10 +2,10 @@
 
 A configuration is a map from key to value.  Keys have a fixed first part
 that determines the type of the value: ``class/NAME``, ``endpoint/ID``,
-``policy`` and, written by the planner, ``assignment/ID``.  Changes set
-single keys, so that changes by operators to different endpoints do not
-conflict, and a change of one endpoint out of 2,100 is a record of a few
-hundred bytes.
+``customer/NAME``, ``policy`` and, written by the planner,
+``assignment/ID``.  Changes set single keys, so that changes by operators to
+different endpoints do not conflict, and a change of one endpoint out of 2,100
+is a record of a few hundred bytes.
 """
 
 import typing
@@ -54,6 +54,16 @@
     version: str = ""
 
 
+class Customer(typing.NamedTuple):
+    """A customer with the keys of its requests.
+
+    ``priority`` replaces that of a class of work, 0 first.
+    """
+
+    keys: tuple[str, ...]
+    priority: typing.Annotated[int, _schema.Range(0, 9)] | None = None
+
+
 class Policy(typing.NamedTuple):
     """How the deployment weighs goodput against role changes.
 
@@ -81,11 +91,12 @@
 _TYPE_BY_PREFIX = {
     "class": WorkClass,
     "endpoint": Endpoint,
+    "customer": Customer,
     "policy": Policy,
     "assignment": Assignment,
 }
 # Prefixes of keys that operators publish; the planner writes the others.
-PUBLISHED_PREFIXES = ("class", "endpoint", "policy")
+PUBLISHED_PREFIXES = ("class", "endpoint", "customer", "policy")
 
 
 def read_value(key, data):
@@ -93,7 +104,7 @@
     prefix, _, name = key.partition("/")
     value_type = _TYPE_BY_PREFIX.get(prefix)
     if value_type is None or bool(name) == (prefix == "policy"):
-        allowed = "class/NAME, endpoint/ID or policy"
+        allowed = "class/NAME, endpoint/ID, customer/NAME or policy"
         return None, (_schema.Mistake(key, repr(key), allowed),)
     value, mistakes = _schema.build(value_type, data, key)
     if not mistakes and value_type is Endpoint:
@@ -102,9 +113,57 @@
                 f"{key}.address", repr(value.address), "IP:port by number"
             )
             return None, (mistake,)
+    if not mistakes and value_type is Customer:
+        mistakes = _check_customer(key, name, value)
+        value = None if mistakes else value
     return value, mistakes
 
 
+def _check_customer(key, name, customer):
+    """Return the mistakes in a customer; none of them shows a key."""
+    mistakes = []
+    if not name.isprintable():
+        mistakes.append(
+            _schema.Mistake(key, repr(name), "a name of printable characters")
+        )
+    if not customer.keys:
+        mistakes.append(
+            _schema.Mistake(f"{key}.keys", "no key", "at least one key")
+        )
+    for index, text in enumerate(customer.keys):
+        if not text.strip() or text != text.strip():
+            mistakes.append(
+                _schema.Mistake(
+                    f"{key}.keys[{index}]",
+                    "an empty key or blanks around it",
+                    "a non-empty string without them",
+                )
+            )
+    return tuple(mistakes)
+
+
+def shared_keys(customer_by_key):
+    """Return a mistake for each key that two customers have.
+
+    ``customer_by_key`` has customers by their ``customer/NAME``.  A mistake
+    names a key by its place, since messages end up in logs.
+    """
+    owner_by_text = {}
+    mistakes = []
+    for key, customer in sorted(customer_by_key.items()):
+        for index, text in enumerate(customer.keys):
+            owner = owner_by_text.setdefault(text, key)
+            if owner != key:
+                mistakes.append(
+                    _schema.Mistake(
+                        f"{key}.keys[{index}]",
+                        f"a key of {owner}",
+                        "a key of one customer only",
+                    )
+                )
+    return tuple(mistakes)
+
+
 def flatten(document):
     """Turn an operator's TOML document into a map from key to data.
 
@@ -124,8 +183,13 @@
                     prefix, repr(prefix), ", ".join(PUBLISHED_PREFIXES)
                 )
             )
+    customer_by_key = {}
     for key, data in by_key.items():
-        mistakes.extend(read_value(key, data)[1])
+        value, found = read_value(key, data)
+        mistakes.extend(found)
+        if isinstance(value, Customer):
+            customer_by_key[key] = value
+    mistakes.extend(shared_keys(customer_by_key))
     if mistakes:
         raise errors.SettingsError("\n".join(map(str, mistakes)))
     return by_key
@@ -139,6 +203,7 @@
     endpoints_by_id: dict[str, Endpoint]
     policy: Policy
     assignments_by_id: dict[str, Assignment]
+    customers_by_name: dict[str, Customer]
 
 
 def view(version, value_by_key):
@@ -157,4 +222,5 @@
         named["endpoint"],
         named["policy"].get("", Policy()),
         named["assignment"],
+        named["customer"],
     )
--- a/clementinewall/records/control.py
+++ b/clementinewall/records/control.py
@@ -23,6 +23,7 @@
 # by more than the log is meant to keep.
 MAX_BUFFERED_RECORDS = 100_000
 NO_OFFSET = -1
+_CUSTOMER_PREFIX = "customer/"
 
 
 class Change(typing.NamedTuple):
@@ -240,6 +241,9 @@
         values = _parse_all(record.sets)
         if values is None:
             return "a value has the wrong shape"
+        shared = self._shared_keys(record.sets, values)
+        if shared:
+            return str(shared[0])
         for key, data in record.sets.items():
             if data is None:
                 self.data_by_key.pop(key, None)
@@ -252,6 +256,23 @@
         self.version = offset
         return ""
 
+    def _shared_keys(self, sets, values):
+        """Return the mistakes of customers after a change.
+
+        Two operators may give one key to two customers, each in a change
+        that is right in itself.
+        """
+        if not any(key.startswith(_CUSTOMER_PREFIX) for key in sets):
+            return ()
+        kept = {k: v for k, v in self._value_by_key.items() if k not in sets}
+        return configuration.shared_keys(
+            {
+                key: value
+                for key, value in {**kept, **values}.items()
+                if key.startswith(_CUSTOMER_PREFIX)
+            }
+        )
+
     def _apply_claim(self, offset, record):
         held = self.held_by_scope.get(record.scope)
         if held is not None and held.offset > record.expects:
