--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -46,6 +46,32 @@
         self.dep.operate("wait", str(version), "--timeout-ms=6000")
         self.assertEqual({version}, set(self.versions().values()))
 
+    def test_unusable_customers_leave_the_version_in_force(self):
+        """A customer is cut off, or served as another, by a mistake.
+
+        Documents without a key for a customer, or with one key for two, must
+        be refused with the reason, and change nothing.
+        """
+        self.bring_up(1, 1)
+        path = self.dep.folder / "customers.toml"
+        before = self.dep.operate("show")["version"]
+        for keys, reason in (
+            ([], "at least one key"),
+            (["k-1"], "customer/mill.keys[0]: found a key of customer/harbo"),
+            ([""], "customer/mill.keys[0]: found an empty key"),
+        ):
+            self.dep.fleet["customer"] = {
+                "harbour": {"keys": ["k-1"]},
+                "mill": {"keys": keys},
+            }
+            path.write_text(bringup.to_toml(self.dep.fleet))
+            done = self.dep.operate("publish", str(path), check=False)
+            self.assertEqual(2, done.returncode, done.stderr)
+            self.assertIn(reason, done.stderr)
+            self.assertEqual(before, self.dep.operate("show")["version"])
+        self.dep.fleet["customer"]["mill"]["keys"] = ["k-2"]
+        self.assertGreater(self.dep.publish(), before)
+
     def test_concurrent_publications_conflict(self):
         """A publication overwrites another that it has not seen.
 
