--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -207,11 +207,17 @@
 
         :raises UnknownKey, StaleKeys: it may not be served here now.
         """
+        try:
+            return self._checked(configuration, route, call)
+        except (errors.UnknownKey, errors.StaleKeys) as exc:
+            metrics.count("keys_refused", code=exc.code)
+            raise
+
+    def _checked(self, configuration, route, call):
         try:
             call = authorization.authorize(configuration, route, call)
         except errors.UnknownKey:
             self._freshness.check_unknown()
-            metrics.count("keys_refused", code=errors.UnknownKey.code)
             raise
         if call.customer is not None:
             self._freshness.check()
