Keep counts and decisions through restarts, losses and corrections

Standbys claim only where a window lacks a record, and leave a second to the one whose claim stands.

--- a/clementinewall/duties/holder.py
+++ b/clementinewall/duties/holder.py
@@ -23,6 +23,9 @@
 FIRST_CLAIM_DELAY_MS = 3_000
 # Each candidate leaves so much time to the one before it.
 TAKEOVER_STEP_MS = 2_000
+# Less than that for one whose claim stands: it renews at once, or it has
+# restarted and claims nothing for now.
+RENEWAL_STEP_MS = 1_000
 # A lease that ends sooner is renewed before it is used.
 MIN_LEFT_MS = 1_000
 RELEASE_RETRY_MS = 1_000
@@ -68,8 +71,11 @@
         return self._is_ready() and self._lease.is_held()
 
     def is_acting(self):
-        """Return whether the claim that stands is this gateway's."""
-        return self._lease.has_unreleased_claim
+        """Return whether the claim that stands is this process's."""
+        return (
+            self._lease.has_unreleased_claim
+            and not self._lease.is_claim_of_predecessor
+        )
 
     def candidates(self):
         """Return the addresses of the gateways that may act."""
@@ -108,9 +114,12 @@
     async def ensure(self):
         """Return whether calls may be sent for a second at least.
 
-        A lease that isn't held is claimed, if it is this gateway's turn.
+        A lease that isn't held is claimed, if it is this gateway's turn.  A
+        gateway that is no candidate any more isn't told the counts of others.
         """
         async with self._lock:
+            if self._own_ip not in self.candidates():
+                return False
             if self.is_held() and self._lease.left_ms >= MIN_LEFT_MS:
                 return True
             if not self.is_acting() and not self._is_turn():
@@ -122,13 +131,13 @@
                 return False
             return held and self.is_held()
 
-    async def write(self, key, value):
-        """Write a value under the lease; return whether it was written.
+    async def write(self, key, value, previous):
+        """Replace ``previous`` under the lease; return whether it was written.
 
         :raises LogUnavailable: it isn't known whether it was written.
         """
         async with self._lock:
-            return await self._lease.write(key, value)
+            return await self._lease.write(key, value, previous)
 
     def _is_turn(self):
         """Return whether the lease may be claimed by this gateway now."""
@@ -136,7 +145,7 @@
         ips = self.candidates()
         if self._own_ip not in ips or not self._table.is_complete:
             return False
-        if now - self._started_at < FIRST_CLAIM_DELAY_MS:
+        if now - self._started_at < self._first_claim_delay_ms(ips):
             return False
         wait_ms = self._lease.remaining_wait_ms
         if wait_ms is None or wait_ms > 0:
@@ -144,12 +153,29 @@
             return False
         if self._vacant_since is None:
             self._vacant_since = now
-        step_ms = ips.index(self._own_ip) * TAKEOVER_STEP_MS
+        step_ms = sum(
+            RENEWAL_STEP_MS if ip == self._lease.claimant else TAKEOVER_STEP_MS
+            for ip in ips[: ips.index(self._own_ip)]
+        )
         return now - self._vacant_since >= step_ms
 
+    def _first_claim_delay_ms(self, ips):
+        """Return how long after its start this process may claim.
+
+        What earlier processes counted or were told is known to the other
+        candidates only, so they are left time to claim first.
+        """
+        if len(ips) == 1 or not self._lease.has_seen_claim:
+            return FIRST_CLAIM_DELAY_MS
+        found = FIRST_CLAIM_DELAY_MS + self._read_interval_ms
+        found += POLL_INTERVAL_MS
+        if self._lease.claimant == self._own_ip:
+            found += self._lease.takeover_wait_ms
+        return found
+
     async def _release(self):
         now = self._clock.now()
-        if not self.is_acting() or now < self._next_release:
+        if not self._lease.has_unreleased_claim or now < self._next_release:
             return
         try:
             async with self._lock:
--- a/clementinewall/duties/lease.py
+++ b/clementinewall/duties/lease.py
@@ -105,6 +105,32 @@
         """Return whether a claim of this instance makes others wait."""
         return self._unreleased_claim is not None
 
+    @property
+    def takeover_wait_ms(self):
+        """Return for how long an unreleased claim makes others wait."""
+        return self._takeover_wait_ms
+
+    @property
+    def has_seen_claim(self):
+        """Return whether there was a claim, released or not, as last read."""
+        return self._latest_claim is not None
+
+    @property
+    def claimant(self):
+        """Return who holds the claim that stands unreleased, or ``None``."""
+        seen = self._latest_claim
+        return None if seen is None or seen.is_released else seen.holder
+
+    @property
+    def is_claim_of_predecessor(self):
+        """Return whether an earlier process of this instance claimed last."""
+        seen = self._latest_claim
+        return (
+            seen is not None
+            and seen.offset == self._unreleased_claim
+            and seen.boot_id != self._boot_id
+        )
+
     @property
     def remaining_wait_ms(self):
         """Return the ms after which the lease may be claimed, as last read.
@@ -177,16 +203,20 @@
         _log.info("lease held", token=offset, for_ms=LEASE_MS)
         return self.is_held()
 
-    async def write(self, key, value):
-        """Write the newest value of a key; return whether it was written.
+    async def write(self, key, value, previous):
+        """Replace the newest value of a key; return whether it was written.
 
         It is written only if no other gateway has claimed the lease since
-        the last record of this holder, however long the call takes.
+        the last record of this holder, however long the call takes, and if
+        the value was ``previous`` when last read (``None``: none): a claim
+        in the meantime may have read what another holder wrote.
 
         :raises LogUnavailable: it isn't known whether it was written.
         """
         if not self.is_held() or self._end is None:
             return False
+        if self.value_by_key.get(key) != previous:
+            return False
         offset = await self._append(key, value, self._end)
         if offset is None:
             self._held = None
--- a/clementinewall/usage/counter.py
+++ b/clementinewall/usage/counter.py
@@ -21,7 +21,8 @@
         """Start in the current window."""
         self._clock = window_clock
         self._process_id = secrets.token_hex(ID_BYTES)
-        self._first = window_clock.window()
+        self._current = window_clock.window()
+        self._first = self._current
         self._counts_by_window = collections.defaultdict(collections.Counter)
         # Windows whose final counts a candidate has, by its address.
         self._confirmed_by_ip = collections.defaultdict(set)
@@ -30,7 +31,19 @@
 
     def count(self, customer):
         """Count a request of a customer that an endpoint began to run."""
-        self._counts_by_window[self._clock.window()][customer.name] += 1
+        self._counts_by_window[self._window()][customer.name] += 1
+
+    def _window(self):
+        """Return the current window, which a small correction can't end.
+
+        The counts of the one before may have been handed over as final.
+        """
+        window = self._clock.window()
+        if window != self._current - 1:
+            self._current = window
+        # Counts began before the clock was set back.
+        self._first = min(self._first, self._current)
+        return self._current
 
     def close(self):
         """End the current window, as no further request will begin."""
@@ -38,7 +51,7 @@
 
     def messages(self, ip):
         """Return what the candidate at ``ip`` lacks, as plain data."""
-        current = self._clock.window()
+        current = self._window()
         oldest = max(self._first, current - KEEP_WINDOWS)
         self._forget_before(oldest)
         confirmed = self._confirmed_by_ip[ip]
--- a/clementinewall/usage/ledger.py
+++ b/clementinewall/usage/ledger.py
@@ -17,14 +17,15 @@
 
     def __init__(self):
         self.count_by_customer = {}
-        # How many customers there are in the end, once that is known.
+        # How many customers there are in the end, once that is known, and
+        # those whose final counts have come.  A customer may be known by
+        # counts of the open window only.
         self.size = None
+        self.final_names = set()
 
     @property
     def is_whole(self):
-        return self.size is not None and self.size <= len(
-            self.count_by_customer
-        )
+        return self.size is not None and self.size <= len(self.final_names)
 
 
 class Ledger:
@@ -67,6 +68,7 @@
             known[name] = max(count, known.get(name, 0))
         if size is not None:
             counts.size = size
+            counts.final_names.update(name for name, _ in checked)
         return [*reply, counts.is_whole]
 
     def _forget_before(self, window):
--- a/clementinewall/usage/reporting.py
+++ b/clementinewall/usage/reporting.py
@@ -23,7 +23,8 @@
 MIN_WAIT_MS = 500
 # A gateway that is silent or late is waited for this long after the end.
 MAX_WAIT_MS = 6_000
-# Windows in the record: a new holder sends them once more.
+# Windows in the record, and those not accepted yet: a new holder sends them
+# once more.
 KEEP_DECIDED = 4
 # Later reports are of no use to anybody.
 GIVE_UP_MS = 30_000
@@ -57,6 +58,8 @@
         self._report_by_window = {}
         self._accepted = set()
         self._known_value = None
+        # Windows before may have been decided in a record that can't be read.
+        self._first_undecided = 0
         self._retry_ms = RETRY_MS
         self._retry_at = 0
 
@@ -72,10 +75,12 @@
             return
         self._apply_record()
         due = self._due_windows()
-        if not due and not self._unsent():
+        # A standby doesn't know what was accepted, so that only windows
+        # without a record are a reason to claim.
+        if not due and not (self._holder.is_acting() and self._unsent()):
             return
         if not await self._holder.ensure():
-            self._back_off()
+            self._retry_at = self._clock.now() + RETRY_MS
             return
         # Claiming may have read what an earlier holder has decided.
         self._apply_record()
@@ -96,9 +101,11 @@
     def _apply_record(self):
         """Take over what was decided, as the store has it."""
         value = self._holder.value_by_key.get(VALUE_KEY)
-        if value is None or value == self._known_value:
+        if value == self._known_value:
             return
         self._known_value = value
+        if value is None:
+            return
         try:
             rows = json.loads(value)["windows"]
             found = {
@@ -108,18 +115,29 @@
                 for window, counts in rows
             }
         except (AttributeError, KeyError, TypeError, ValueError) as exc:
-            _log.error("record of the reports is unreadable", why=repr(exc))
+            self._first_undecided = self._windows.window()
+            _log.error(
+                "record of the reports is unreadable",
+                next_window=self._first_undecided,
+                why=repr(exc),
+            )
             return
         self._report_by_window = found
 
     def _due_windows(self):
         """Return the windows to decide now, oldest first."""
-        first = self._ledger.first_window
+        if self._report_by_window:
+            # Also windows of which nothing is known here are reported.
+            first = max(self._report_by_window) + 1
+        else:
+            first = self._ledger.first_window
         if first is None:
             return []
-        last = max(self._report_by_window, default=first - 1)
+        first = max(
+            first, self._first_undecided, self._windows.window(GIVE_UP_MS)
+        )
         due = []
-        for window in range(max(first, last + 1), self._windows.window()):
+        for window in range(first, self._windows.window()):
             if not self._is_due(window):
                 break
             due.append(window)
@@ -138,13 +156,17 @@
         found = dict(self._report_by_window)
         for window in due:
             found[window] = Report(window, self._ledger.totals(window))
-        kept = sorted(found)[-max(KEEP_DECIDED, len(due)) :]
+        newest = sorted(found)[-max(KEEP_DECIDED, len(due)) :]
+        unsent = [report.window for report in self._unsent()]
+        kept = sorted({*newest, *unsent})
         value = json.dumps(
             {"windows": [list(found[window]) for window in kept]},
             separators=(",", ":"),
         ).encode()
         try:
-            is_written = await self._holder.write(VALUE_KEY, value)
+            is_written = await self._holder.write(
+                VALUE_KEY, value, self._known_value
+            )
         except errors.LogUnavailable as exc:
             _log.info("usage not decided yet", windows=due, why=exc.message)
             return False
--- a/clementinewall/usage/window_clock.py
+++ b/clementinewall/usage/window_clock.py
@@ -20,6 +20,7 @@
         self._window_ms = window_ms
         self._offset = ticker.time_of_day() - ticker.now_with_suspend()
         self._jumped_at = None
+        self._jump_offset = None
 
     def now(self) -> clock.Millis:
         """Return the ms since 1970, without jumps that don't last."""
@@ -28,16 +29,21 @@
         if abs(offset - self._offset) <= MAX_CORRECTION_MS:
             self._offset = offset
             self._jumped_at = None
-        elif self._jumped_at is None:
+        elif (
+            self._jumped_at is None
+            or abs(offset - self._jump_offset) > MAX_CORRECTION_MS
+        ):
+            # Each jump has to last by itself.
             self._jumped_at = steady
+            self._jump_offset = offset
         elif steady - self._jumped_at >= JUMP_LASTING_MS:
             self._offset = offset
             self._jumped_at = None
         return steady + self._offset
 
-    def window(self):
-        """Return the number of the current window."""
-        return self.now() // self._window_ms
+    def window(self, ago_ms=0):
+        """Return the number of the current window, or of one before."""
+        return (self.now() - ago_ms) // self._window_ms
 
     def since_end_ms(self, window):
         """Return how long ago a window ended, negative before its end."""
--- /dev/null
+++ b/tests/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the counts and reports of usage."""
