--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,6 +10,7 @@
   standins proxy ADDRESS CONTROL TARGET
   standins egress ADDRESS CONTROL
   standins store ADDRESS
+  standins duties ADDRESS [--lease-ms=N]
 
 Options:
   --keep=N          Records kept in each stream [default: 100000].
@@ -24,11 +25,13 @@
   --role=R          Role at the start [default: mixed].
   --ignore-fencing  Take orders whatever their fencing token.
   --delay-ms=N      Time a call takes [default: 5].
+  --lease-ms=N      Time between two holders' calls [default: 3000].
 """
 
 import anyio
 import docopt
 
+from standins import duty_service
 from standins import egress
 from standins import engine
 from standins import instances
@@ -45,6 +48,7 @@
     "proxy": proxy.main,
     "egress": egress.main,
     "store": store.main,
+    "duties": duty_service.main,
 }
 
 
