Send each window while the duty service gives no answer

A service that carries out calls but whose answers are lost got the oldest window only, until that was given up after 30 s. Reports that were tried least go first, and each new one is tried once a round.

--- a/clementinewall/usage/reporting.py
+++ b/clementinewall/usage/reporting.py
@@ -4,6 +4,7 @@
 is written is sent.  Whoever sends a report, however often, sends the same.
 """
 
+import collections
 import json
 import typing
 
@@ -57,6 +58,7 @@
         # Reports as written to the store, and which of them were accepted.
         self._report_by_window = {}
         self._accepted = set()
+        self._tries_by_window = collections.Counter()
         self._known_value = None
         # Windows before may have been decided in a record that can't be read.
         self._first_undecided = 0
@@ -88,11 +90,15 @@
         if due and not await self._decide(due):
             self._back_off()
             return
+        is_all_sent = True
         for report in self._unsent():
-            if not await self._send(report):
-                self._back_off()
-                return
-        self._retry_ms = RETRY_MS
+            if not is_all_sent and self._tries_by_window[report.window]:
+                break
+            is_all_sent &= await self._send(report)
+        if is_all_sent:
+            self._retry_ms = RETRY_MS
+        else:
+            self._back_off()
 
     def _back_off(self):
         self._retry_at = self._clock.now() + self._retry_ms
@@ -187,17 +193,27 @@
         return True
 
     def _unsent(self):
-        """Return the reports that are to be sent, oldest first."""
+        """Return the reports that are to be sent, the least tried first.
+
+        A service that carries out calls without an answer would get no other
+        window while the oldest one is repeated.
+        """
         self._accepted &= self._report_by_window.keys()
+        tries = self._tries_by_window
+        for window in [w for w in tries if w not in self._report_by_window]:
+            del tries[window]
         return [
             self._report_by_window[window]
-            for window in sorted(self._report_by_window)
+            for window in sorted(
+                self._report_by_window, key=lambda w: (tries[w], w)
+            )
             if window not in self._accepted
             and self._windows.since_end_ms(window) < GIVE_UP_MS
         ]
 
     async def _send(self, report):
         """Send a report; return whether it needs no further try."""
+        self._tries_by_window[report.window] += 1
         outcome = await self._client.send(
             duty_calls.usage_report(report.window, report.count_by_customer)
         )
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -54,6 +54,10 @@
     """
 
     has_egress = False
+    # What the configuration says of customers, and the settings of the duty
+    # service, where there are any.
+    tenants = None
+    cloud = None
 
     def setUp(self):
         """Start the store."""
@@ -103,6 +107,7 @@
                 "engine": ENGINE,
             },
         ]
+        more = {} if self.tenants is None else {"tenants": self.tenants}
         self.put(
             CONFIGURATION_TOPIC,
             "config",
@@ -111,6 +116,7 @@
                 "routes": list(routes),
                 "services": services,
                 "limits": limits,
+                **more,
             },
         )
 
@@ -174,6 +180,7 @@
         }
         self.listen_by_name[name] = listen
         path = self.dep.folder / f"{name}.toml"
+        more = {} if self.cloud is None else {"cloud": self.cloud}
         path.write_text(
             bringup.to_toml(
                 {
@@ -186,6 +193,7 @@
                     "limits": {"memory_mb": 300, "max_fds": 1_000},
                     "platform": {"address": self.store},
                     "bounds": {"grace_s": 3, **bounds},
+                    **more,
                 }
             )
         )
