--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -72,13 +72,15 @@
 class Caller(threading.Thread):
     """One caller; it keeps a connection to each target that it used."""
 
-    def __init__(self, seed, history, routing, stop, takes_up=False):
+    def __init__(self, seed, history, routing, stop, takes_up=False, key=None):
         """Call until ``stop`` is set.
 
         ``routing(rng)`` returns an object that picks the target of each
         request.  With ``takes_up`` streams that break off are taken up.
+        ``key`` is that of the caller's customer.
         """
         self._takes_up = takes_up
+        self._key = key
         super().__init__(daemon=True)
         self._rng = random.Random(seed)
         self._history = history
@@ -194,7 +196,10 @@
         try:
             # Requests with equal bodies would be taken for repeats of one.
             body = request.attempt.encode()
-            connection.request("POST", request.path, body, _headers(request))
+            headers = _headers(request)
+            if self._key is not None:
+                headers["Credential"] = self._key
+            connection.request("POST", request.path, body, headers)
         except OSError:
             connection.close()
             return _Outcome(None, b"", history_module.Failure.NOT_SENT)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -11,6 +11,7 @@
 from bench.soak import backends
 from bench.soak import bounds
 from bench.soak import callers
+from bench.soak import duties
 from bench.soak import history as history_module
 from standins import bringup
 from tests.integration import gateway_base
@@ -32,12 +33,21 @@
 class Deployment:
     """All parts of one run, on which the kinds of fault act."""
 
-    def __init__(self, seed, gateways, has_egress=False, versions=("v1",)):
+    def __init__(
+        self,
+        seed,
+        gateways,
+        has_egress=False,
+        versions=("v1",),
+        has_duties=False,
+    ):
         """Prepare ``gateways`` gateways; :meth:`bring_up` starts them.
 
         With ``has_egress`` they can be cut off from endpoints.  Engines have
-        the software ``versions`` in turn.
+        the software ``versions`` in turn.  With ``has_duties`` callers have
+        keys, and usage is reported.
         """
+        self._has_duties = has_duties
         self._versions = itertools.cycle(versions)
         self._takes_up = len(versions) > 1
         self.rng = random.Random(seed)
@@ -58,6 +68,8 @@
         """Start all parts and wait until the gateways are ready."""
         case = self.case
         case.setUp()
+        if self._has_duties:
+            duties.start(case)
         self.publish()
         for number in range(SERVICES):
             self.add_endpoint(f"app-{number}", "app")
@@ -74,6 +86,7 @@
                 budget_ratio=bounds.RETRY_RATIO,
                 budget_slack=bounds.RETRY_SLACK,
                 budget_window_s=bounds.RETRY_WINDOW_SECONDS,
+                report_window_s=duties.WINDOW_SECONDS,
             )
             case.store = store
             self.history.gateway_by_holder[ip] = name
@@ -84,6 +97,10 @@
             bringup.wait_until(lambda n=name: case.is_ready(n), what=name)
         self._started = time.monotonic()
 
+    def duty_violations(self):
+        """Return a sentence for each broken guarantee of the duties."""
+        return duties.find_violations(self.case) if self._has_duties else []
+
     def close(self):
         """Close the endpoints and end the processes."""
         self.stopping.set()
@@ -93,6 +110,9 @@
 
     def start_clients(self):
         """Start callers and readiness checks; return their threads."""
+        keys = list(duties.KEY_BY_CUSTOMER.values())
+        if not self._has_duties:
+            keys = [None]
         threads = [
             callers.Caller(
                 seed,
@@ -100,6 +120,7 @@
                 self._routing(seed),
                 self.stopping,
                 self._takes_up,
+                keys[seed % len(keys)],
             )
             for seed in range(NAMED_CALLERS + DIRECTORY_CALLERS)
         ]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -6,6 +6,7 @@
 from bench.soak import bounds
 from bench.soak import checks
 from bench.soak import deployment
+from bench.soak import duties
 from bench.soak import endpoint_faults
 from bench.soak import harmful_parts
 from bench.soak import partitions
@@ -67,11 +68,15 @@
 # it is asked for; by a generator of its own, too.
 RESTART_KINDS = {"lose-all": restarts.lose_all}
 RESTART_GAP_SECONDS = (18.0, 22.0)
+# Needs customers and a duty service, so that it is drawn only when it is asked
+# for; by a generator of its own, too.
+DUTY_KINDS = {"duty": duties.disturb}
 SIDE_KINDS = {
     **ENDPOINT_KINDS,
     **PARTITION_KINDS,
     **PART_KINDS,
     **RESTART_KINDS,
+    **DUTY_KINDS,
 }
 VERSIONS = ("v1", "v2")
 
@@ -100,6 +105,7 @@
         self._partition_rng = random.Random(f"partitions {seed}")
         self._part_rng = random.Random(f"parts {seed}")
         self._restart_rng = random.Random(f"restarts {seed}")
+        self._duty_rng = random.Random(f"duties {seed}")
         self._function_by_kind = PLANNED_KINDS if planned else KINDS
         self._planned = planned
         self._deployment = deployment.Deployment(
@@ -107,6 +113,7 @@
             gateways,
             bool(self._partition_kinds()),
             VERSIONS if has_versions else VERSIONS[:1],
+            bool(self._duty_kinds()),
         )
         self.history = self._deployment.history
 
@@ -122,6 +129,7 @@
                     self._inject_partitions,
                     self._inject_parts,
                     self._inject_restarts,
+                    self._inject_duty_faults,
                 )
             ]
             self._inject()
@@ -133,6 +141,7 @@
                 thread.join(30)
             return [
                 *checks.find_violations(self.history),
+                *self._deployment.duty_violations(),
                 *self._ended_gateways(),
             ]
         finally:
@@ -213,6 +222,17 @@
         kinds = [kind for kind in self._only if kind in RESTART_KINDS]
         self._inject_series(rng, kinds, inject, RESTART_GAP_SECONDS)
 
+    def _duty_kinds(self):
+        return [kind for kind in self._only if kind in DUTY_KINDS]
+
+    def _inject_duty_faults(self):
+        rng = self._duty_rng
+
+        def inject(kind):
+            return DUTY_KINDS[kind](self._deployment, rng)
+
+        self._inject_series(rng, self._duty_kinds(), inject)
+
     def _inject_series(self, rng, kinds, inject, gap_seconds=GAP_SECONDS):
         end = time.monotonic() + self._seconds
         threads = []
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -96,6 +96,13 @@
         history = self.check(534, "lose-all", seconds=2)
         self.assertTrue(history.restarts)
 
+    def test_duties_beside_faults_of_gateways_store_and_service(self):
+        # Guards against two holders at a time and different reports of one
+        # window, whatever fails together.
+        self.check(
+            612, *faults.DUTY_KINDS, "kill", "signal", "store", seconds=30
+        )
+
     def test_parts_of_prompts_that_crash_engines(self):
         # Guards against a part that ends engine after engine.
         history = self.check(471, *faults.PART_KINDS, "hup", seconds=20)
