Let the stop's test serve until the listener closes

The former test passed without the last counts of a stop, as those of its first second are handed over by the periodic sends.

--- a/tests/integration/test_gateway_usage.py
+++ b/tests/integration/test_gateway_usage.py
@@ -8,6 +8,8 @@
 import threading
 import time
 
+import httpx
+
 from standins import bringup
 from standins import scripted
 from tests.integration import gateway_base
@@ -213,13 +215,30 @@
         self.check()
 
     def test_stopping_gateway_hands_over_its_last_counts(self):
-        # Guards against the loss of what began during a stop.
+        # Guards against the loss of what began in the last second of a stop.
         self.use(2)
         self.terminate("gateway-3")
-        self.use(2, calls=2)
+        served = 0
+        while self.is_served(served):
+            served += 1
+            self.began["anna"] += 1
+        self.assertGreater(served, 10)
         self.dep.wait_end("gateway-3")
         self.check()
 
+    def is_served(self, number):
+        """Return whether the third gateway still serves a call."""
+        try:
+            got = self.ask(
+                self.fronts[2],
+                "/look/x",
+                f"last{number}",
+                Credential=CUSTOMERS["anna"],
+            )
+        except httpx.TransportError:
+            return False
+        return got.status_code == 200
+
     def test_stopping_holder_hands_over_the_duties(self):
         # Guards against windows that are missed by a planned stop.
         holder = self.holder()
