Make two usage tests fail without what they guard

Without final sends and with one candidate they had passed on a scratch copy: calls of the drain were refused before its last second, and the killed holder had counted nothing itself.

--- a/tests/integration/test_gateway_usage.py
+++ b/tests/integration/test_gateway_usage.py
@@ -165,11 +165,13 @@
         self.assertEqual(len({c["holder"] for c in self.calls()}), 2)
 
     def test_holder_killed_before_its_write(self):
-        # Guards against counts that only the holder knew of.
+        # Guards against counts that only the holder knew of, its own first.
+        holder = self.holder()
         self.set_store_mode("busy")
         self.use(2)
+        self.use(int(holder[-1]) - 1)
         time.sleep(WINDOW_SECONDS + 1)
-        self.dep.kill(self.holder())
+        self.dep.kill(holder)
         self.set_store_mode("ok")
         self.check()
 
@@ -234,6 +236,7 @@
                 "/look/x",
                 f"last{number}",
                 Credential=CUSTOMERS["anna"],
+                Deadline_Ms="200",
             )
         except httpx.TransportError:
             return False
