--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -57,6 +57,10 @@
 
     has_egress = False
     calls_store_by_own_ip = False
+    # What the configuration says of customers, and the settings of the duty
+    # service, where there are any.
+    tenants = None
+    cloud = None
 
     def setUp(self):
         """Start the store."""
@@ -115,6 +119,8 @@
             "services": services,
             "limits": limits,
         }
+        if customers is None:
+            customers = self.tenants
         if customers is not None:
             content["tenants"] = customers
         self.put(CONFIGURATION_TOPIC, "config", content)
@@ -188,6 +194,7 @@
         }
         self.listen_by_name[name] = listen
         path = self.dep.folder / f"{name}.toml"
+        more = {} if self.cloud is None else {"cloud": self.cloud}
         path.write_text(
             bringup.to_toml(
                 {
@@ -200,6 +207,7 @@
                     "limits": {"memory_mb": 300, "max_fds": 1_000},
                     "platform": {"address": self._store_for(ip)},
                     "bounds": {"grace_s": 3, **bounds},
+                    **more,
                 }
             )
         )
