Leave out engines whose memory has no room for a request

Cause: an engine crashes when the requests that it holds exceed its memory, and no gateway counted what the others have placed there.

Change: gateways count the tokens of their requests at each engine and report them beside their work, in a field of its own that earlier versions ignore. Placement leaves out an engine if these, the request, and a margin for what peers have not reported yet exceed its memory.

--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -69,6 +69,8 @@
         self.health = endpoint_health.Health()
         self.open = 0
         self.streams = 0
+        # For which its memory is taken by requests of this gateway.
+        self.tokens = 0
         self.jobs = []
         # Predicted time of all prompts that were sent to it.
         self.prompt_ms = 0.0
@@ -401,5 +403,5 @@
     def own_work(self):
         """Return this gateway's unfinished work."""
         return peer_messages.Work(
-            tuple(self.jobs), self.streams, self.last_prefill_end
+            tuple(self.jobs), self.streams, self.last_prefill_end, self.tokens
         )
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -129,7 +129,7 @@
         """Apply a prompt that an engine prefilled for another gateway."""
         endpoint = self._fleet_view.endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
-            self.state(endpoint).cache.use(parts, self._capacity(endpoint))
+            self.state(endpoint).cache.use(parts, self.capacity(endpoint))
             self._changes.record_shared(parts)
             self.cache_holders.record_peer(endpoint_id, parts)
 
@@ -174,7 +174,7 @@
     def record_prefill(self, state, prompt):
         """Record a prefill for this gateway, and queue it for peers."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
-        state.cache.use(parts, self._capacity(state.endpoint))
+        state.cache.use(parts, self.capacity(state.endpoint))
         # The last part is specific to this request.
         shared = parts[:-1]
         self._changes.record_shared(shared)
@@ -184,10 +184,11 @@
     def record_fetch(self, state, prompt):
         """Record that an engine fetched the KV cache of a prompt."""
         parts = [(part.id, part.tokens) for part in prompt.parts]
-        state.cache.use(parts, self._capacity(state.endpoint))
+        state.cache.use(parts, self.capacity(state.endpoint))
         self._prefills.append((state.endpoint.id, parts[:-1]))
 
-    def _capacity(self, endpoint):
+    def capacity(self, endpoint):
+        """Return the tokens for which an engine has memory, 0 if unknown."""
         configuration = self._fleet_view.configuration
         service = configuration and configuration.service_by_name.get(
             endpoint.service
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -32,11 +32,13 @@
 
     ``jobs`` are the prompts that are queued or in prefill, ``streams`` counts
     the answers in decode, ``last_prefill_end`` is when a prefill last ended.
+    ``tokens`` is for how many tokens the work takes the engine's memory.
     """
 
     jobs: tuple[prefill_queue.Job, ...]
     streams: int
     last_prefill_end: float
+    tokens: int = 0
 
 
 class Heartbeat(typing.NamedTuple):
@@ -116,6 +118,12 @@
             ]
             for name, work in value.work_by_endpoint_id.items()
         },
+        # Apart, since gateways of the version before read rows of three.
+        "held": {
+            name: work.tokens
+            for name, work in value.work_by_endpoint_id.items()
+            if work.tokens
+        },
     }
 
 
@@ -209,6 +217,7 @@
 
     :raises AttributeError, KeyError, TypeError, ValueError: if malformed.
     """
+    held = data.get("held") or {}
     work = {
         name: Work(
             tuple(
@@ -217,6 +226,7 @@
             ),
             streams,
             now - end_age,
+            _checked_tokens(held.get(name, 0)),
         )
         for name, (streams, end_age, jobs) in data["work"].items()
     }
@@ -229,6 +239,26 @@
     )
 
 
+def _checked_tokens(number):
+    if type(number) is not int or not 0 <= number < MAX_NUMBER:
+        raise ValueError(f"tokens at an engine: {number!r}")
+    return number
+
+
+def all_work(own, peers, endpoint_id):
+    """Return the work of this gateway and its peers at an engine."""
+    jobs = list(own.jobs)
+    _, streams, last_prefill_end, tokens = own
+    for peer in peers:
+        work = peer.work_by_endpoint_id.get(endpoint_id)
+        if work is not None:
+            jobs.extend(work.jobs)
+            streams += work.streams
+            last_prefill_end = max(last_prefill_end, work.last_prefill_end)
+            tokens += work.tokens
+    return Work(jobs, streams, last_prefill_end, tokens)
+
+
 def _estimates(rows):
     """Return the estimates in a message.
 
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -4,11 +4,13 @@
 import typing
 import zlib
 
+from clementinewall.backpressure import engine_memory
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import exchange as exchanges
+from clementinewall.gateway import peer_messages
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import placement
@@ -286,28 +288,26 @@
 
     def _engine_view(self, state, prompt, urgency, peers, usable_stages):
         endpoint = state.endpoint
-        jobs = list(state.jobs)
-        streams = state.streams
-        last_prefill_end = state.last_prefill_end
-        for peer in peers:
-            work = peer.work_by_endpoint_id.get(endpoint.id)
-            if work is not None:
-                jobs.extend(work.jobs)
-                streams += work.streams
-                last_prefill_end = max(last_prefill_end, work.last_prefill_end)
-        wait_ms = prefill_queue.wait_ms(
-            jobs, last_prefill_end, self._now(), urgency
-        )
+        work = peer_messages.all_work(state.own_work(), peers, endpoint.id)
         return placement.Engine(
             id=endpoint.id,
             prefill=endpoint.stage == domain.PREFILL,
-            wait_ms=wait_ms,
-            streams=streams,
+            wait_ms=prefill_queue.wait_ms(
+                work.jobs, work.last_prefill_end, self._now(), urgency
+            ),
+            streams=work.streams,
             slots=max(1, endpoint.slots),
             cached=state.cache.cached_prefix_tokens(prompt.parts[:-1]),
             slowness=_slowness(state, usable_stages),
             unreachable=state.is_unavailable(),
             rest_ms=state.rest_ms,
+            has_room=engine_memory.has_room(
+                self._endpoints.capacity(endpoint),
+                state.tokens,
+                work.tokens - state.tokens,
+                engine_memory.tokens(prompt, _decodes(state)),
+                bool(peers),
+            ),
         )
 
     def _refuse(self, exchange, demand, refusal, last):
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from clementinewall.backpressure import engine_memory
 from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
@@ -166,6 +167,8 @@
             None if prefilled else _source(plan),
         )
         decode_engine.streams += 1
+        tokens = engine_memory.tokens(exchange.call.prompt)
+        decode_engine.tokens += tokens
         job = None
         if not prefilled:
             job = decode_engine.begin_prompt(
@@ -193,6 +196,7 @@
                 await stream.forward(sent)
         finally:
             decode_engine.streams -= 1
+            decode_engine.tokens -= tokens
             if job is not None and not stream.has_first_event:
                 decode_engine.end_prompt(job, False)
             if prefilled is not None and not is_accepted:
@@ -279,6 +283,8 @@
         )
         started = self._now()
         job = prefill_engine.begin_prompt(plan.urgency, prompt_ms)
+        tokens = engine_memory.tokens(exchange.call.prompt, False)
+        prefill_engine.tokens += tokens
         is_prefilled = False
         self._announce_prompt(job)
         expected_ms = plan.option.wait_ms + prompt_ms
@@ -312,6 +318,7 @@
             raise
         finally:
             prefill_engine.end_prompt(job, is_prefilled)
+            prefill_engine.tokens -= tokens
         try:
             prefilled = calls.decode_prefill_answer(
                 prefill_engine.endpoint, body
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -68,7 +68,8 @@
     ``wait_ms`` is the prefill time queued ahead of the request at its urgency,
     ``cached`` how many leading tokens of the prompt are in its cache.
     ``slowness`` is the ratio of observed to predicted time.  An engine gets
-    nothing for the ``rest_ms`` for which it has asked for no requests.
+    nothing for the ``rest_ms`` for which it has asked for no requests, and
+    without ``has_room``: requests beyond its memory would crash it.
     """
 
     id: str
@@ -80,6 +81,7 @@
     slowness: float = 1.0
     unreachable: bool = False
     rest_ms: float = 0.0
+    has_room: bool = True
 
 
 class Demand(typing.NamedTuple):
@@ -223,7 +225,7 @@
     if not decode_engines:
         return
     for engine in engines:
-        if engine.prefill:
+        if engine.prefill and engine.has_room:
             yield _split(engine, decode_engines, holders, demand)
 
 
@@ -267,7 +269,7 @@
         if demand.tokens_out > LONG_ANSWER_TOKENS
         else MAX_SLOT_FRACTION
     )
-    return engine.streams < engine.slots * part
+    return engine.has_room and engine.streams < engine.slots * part
 
 
 def _direct(engine, holders, demand):
--- a/tests/gateway/test_peer_table.py
+++ b/tests/gateway/test_peer_table.py
@@ -209,7 +209,7 @@
         rows = tuple(
             prefill_queue.Job(urgency, 30, here - age) for urgency, age in jobs
         )
-        work = {"e1": peer_messages.Work(rows, 3, here - 7)}
+        work = {"e1": peer_messages.Work(rows, 3, here - 7, 70)}
         sent = peer_messages.GatewayState(
             heartbeat("10.0.0.2", here), work, {"e2": 40}
         )
@@ -222,3 +222,25 @@
         ):
             self.assertEqual(here - old.sent_at, there - new.sent_at)
             self.assertEqual(old[:2], new[:2])
+        self.assertEqual(got.work_by_endpoint_id["e1"].tokens, 70)
+
+    def test_a_gateway_of_the_version_before_is_understood(self):
+        # Guards against gateways that don't hear each other while a fleet is
+        # updated: rows of work keep their three fields.
+        work = {"e1": peer_messages.Work((), 3, 0, 70)}
+        sent = peer_messages.GatewayState(heartbeat("10.0.0.2", 0), work, {})
+        data = peer_messages.encode_state(sent, 0)
+        self.assertEqual(len(data["work"]["e1"]), 3)
+        del data["held"]
+        got = peer_messages.decode_state(data, 0)
+        self.assertEqual(got.work_by_endpoint_id["e1"].tokens, 0)
+
+    def test_malformed_tokens_are_refused(self):
+        # Guards against a datagram after which no engine has room.
+        work = {"e1": peer_messages.Work((), 3, 0, 70)}
+        sent = peer_messages.GatewayState(heartbeat("10.0.0.2", 0), work, {})
+        data = peer_messages.encode_state(sent, 0)
+        for held in (-1, 1.5, "7", True, None, 2**60):
+            data["held"] = {"e1": held}
+            with self.assertRaises(ValueError):
+                peer_messages.decode_state(data, 0)
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -11,6 +11,7 @@
 from clementinewall.gateway import endpoints
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import fleet_view
+from clementinewall.gateway import peer_messages
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import placing
 from clementinewall.http1 import server
@@ -193,6 +194,44 @@
             and state.endpoint.stage == stage
         ]
 
+    def hold(self, endpoint_id, tokens):
+        """Let a peer report work at an engine."""
+        work = {endpoint_id: peer_messages.Work((), 1, 0, tokens)}
+        peer = types.SimpleNamespace(
+            work_by_endpoint_id=work, estimate_by_service={}
+        )
+        table = types.SimpleNamespace(states=lambda: [peer])
+        self.placer._peers = types.SimpleNamespace(table=table)
+
+    def test_an_engine_whose_memory_peers_use_gets_nothing(self):
+        # Guards against requests of several gateways that together exceed an
+        # engine's memory, by which it crashes with all of them.
+        for stage in domain.STAGES:
+            name = self.cell_engines(stage)[0].endpoint.id
+            self.hold(name, SERVICE.engine.kv_tokens - PROMPT.tokens_in)
+            for _ in range(20):
+                plan = self.place()
+                self.assertNotEqual(plan.decode_engine.endpoint.id, name)
+                self.assertNotEqual(plan.option.prefill, name)
+
+    def test_the_own_work_at_an_engine_counts(self):
+        # Guards against a gateway that alone exceeds an engine's memory.
+        states = self.cell_engines(domain.DECODE)
+        for state in states:
+            state.tokens = SERVICE.engine.kv_tokens - PROMPT.tokens_in
+        with self.assertRaises(errors.Overloaded):
+            self.place()
+        states[-1].tokens = 0
+        self.assertEqual(self.place().decode_engine, states[-1])
+
+    def test_memory_does_not_matter_while_engines_are_far_from_full(self):
+        # Guards against other decisions than before in ordinary load.
+        name = self.cell_engines(domain.DECODE)[0].endpoint.id
+        self.hold(name, 0)
+        before = self.place().option
+        self.hold(name, SERVICE.engine.kv_tokens // 2)
+        self.assertEqual(self.place().option, before)
+
     def test_requests_stay_in_the_cell(self):
         for _ in range(50):
             plan = self.place()
