--- /dev/null
+++ b/tests/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the orders of engines."""
