Show what is held for callers, and why an engine has no room

Cause: the sum that decides which callers are closed was visible only in the line that closes one, and a refusal for memory read like one for slots. A call that was sent again could wait for the room of its own first answer.

Change: a gauge of the held bytes, a reason of its own for refusals for memory, and an answer that gives up the reservation of the one before.

--- a/clementinewall/backpressure/holdings.py
+++ b/clementinewall/backpressure/holdings.py
@@ -85,6 +85,11 @@
             if not entry.reserved:
                 del self._entry_by_connection[connection]
 
+    def report(self):
+        """Set the gauge of what is held."""
+        if self._limit:
+            metrics.gauge("caller_bytes_held", self.held_bytes)
+
     def forget(self, connection):
         """Count nothing more of a connection, whose request has ended."""
         entry = self._entry_by_connection.pop(connection, None)
@@ -97,6 +102,8 @@
         ``on_wait()`` is called now and then meanwhile.  An answer that exceeds
         the bound by itself is held alone.
         """
+        # The answer of an earlier attempt is given up.
+        self.forget(connection)
         if not self._limit or size < MIN_RESERVED_BYTES:
             return
         while self.held_bytes and self.held_bytes + size > self._limit:
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -141,6 +141,7 @@
             group,
             now,
         )
+        self._holdings = holdings.Holdings(settings.memory_mb, now)
         self._callers = callers.Callers(
             self._fleet_view,
             self._freshness,
@@ -149,7 +150,7 @@
             self._streams,
             drain,
             now,
-            holdings.Holdings(settings.memory_mb, now),
+            self._holdings,
         )
         self._duties = None
         if settings.duty_service is not None:
@@ -339,6 +340,7 @@
             self._relays.sweep()
             self._origins.sweep()
             self._crash_guard.sweep(self._fleet_view)
+            self._holdings.report()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -159,7 +159,10 @@
         engines = decode_engines
     options = list(_options(engines, demand, holder))
     if not options:
-        return Refusal("no engine takes work", MIN_RETRY_MS, None)
+        why = "no engine takes work"
+        if not any(engine.has_room for engine in decode_engines):
+            why = "no engine has memory for it"
+        return Refusal(why, MIN_RETRY_MS, None)
     best = min(options, key=_price)
     if _is_in_time(best, demand):
         return best
--- a/tests/backpressure/test_holdings.py
+++ b/tests/backpressure/test_holdings.py
@@ -160,6 +160,13 @@
         self.assertTrue(self.reserve(LIMIT // 2))
         self.assertTrue(first.is_closed)
 
+    def test_a_second_attempt_does_not_wait_for_the_first(self):
+        # Guards against a call that waits for its own earlier answer.
+        connection = FakeConnection()
+        self.assertTrue(self.reserve(LIMIT, connection))
+        self.assertTrue(self.reserve(LIMIT, connection))
+        self.assertEqual(self.holdings.held_bytes, LIMIT)
+
     def test_an_answer_above_the_bound_is_held_alone(self):
         # Guards against large answers that no caller ever gets where little
         # memory is there.
--- a/tests/integration/test_gateway_memory.py
+++ b/tests/integration/test_gateway_memory.py
@@ -1,9 +1,10 @@
-"""Callers that read nothing, and the memory of the gateway."""
+"""The memory of a gateway whose callers read nothing, and of engines."""
 
 import concurrent.futures
 import itertools
 import pathlib
 import socket
+import threading
 import time
 
 import httpx
@@ -31,6 +32,9 @@
 HOLD_SECONDS = 2.0
 # Large answers come and are dropped all the time, which delays others.
 MAX_SECONDS = 2.0
+# Until gateways have told each other what they have at engines.
+REPORT_SECONDS = 1.0
+REFUSED = 429
 
 
 class UnreadAnswers(gateway_base.GatewayCase):
@@ -144,3 +148,61 @@
         time.sleep(HOLD_SECONDS)
         self.assertLess(self.peak_mb(), MEMORY_MB)
         self.assertLess(self.p99(), MAX_SECONDS)
+
+
+class EngineMemory(gateway_base.GatewayCase):
+    """Two gateways and an engine for one stream of so many tokens."""
+
+    def setUp(self):
+        """Start an engine that sends an event and ends when told to."""
+        super().setUp()
+        self.begun = threading.Event()
+        self.may_end = threading.Event()
+        self.addCleanup(self.may_end.set)
+        self.engine("model-1", self.stream)
+        self.publish(
+            gateway_base.route("model", "model", "stream", timeout_ms=9_000)
+        )
+
+    def stream(self, _endpoint, request):
+        """Send one event, and the end when told to."""
+        yield scripted.stream_head(request)
+        yield scripted.chunk(scripted.event(1))
+        self.begun.set()
+        self.may_end.wait(8)
+        yield scripted.chunk(b"")
+
+    def status(self, front, attempt):
+        """Return the status of a stream that needs most of the memory."""
+        share = int(0.6 * gateway_base.ENGINE["kv_capacity"])
+        answer = self.ask(
+            front,
+            "/model/x",
+            attempt,
+            Model="m",
+            Token_Usage=f"100,{share}",
+            Prompt_Prefix="aa:40,bb:40,cc:20",
+            Deadline_Ms="9000",
+        )
+        return answer.status_code
+
+    def test_requests_of_two_gateways_fit_an_engine(self):
+        # Guards against an engine that crashes, with all its streams, by what
+        # gateways send it together.
+        fronts = self.gateways(2)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            first = pool.submit(self.status, fronts[0], "a1")
+            self.assertTrue(self.begun.wait(5))
+            self.assertEqual(self.status(fronts[0], "a2"), REFUSED)
+            time.sleep(REPORT_SECONDS)
+            self.assertEqual(self.status(fronts[1], "a3"), REFUSED)
+            self.may_end.set()
+            self.assertEqual(first.result(), 200)
+        for number, front in enumerate(fronts):
+            bringup.wait_until(
+                lambda front=front, number=number: (
+                    self.status(front, f"b{number}") == 200
+                ),
+                seconds=2,
+                what="room at the engine",
+            )
