--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -8,6 +8,7 @@
 from clementinewall.access import confirmation
 from clementinewall.access import freshness
 from clementinewall.access import peer_clocks
+from clementinewall.backpressure import holdings
 from clementinewall import clock
 from clementinewall.duties import assembly
 from clementinewall.gateway import budgets
@@ -140,6 +141,7 @@
             group,
             now,
         )
+        self._holdings = holdings.Holdings(settings.memory_mb, now)
         self._callers = callers.Callers(
             self._fleet_view,
             self._freshness,
@@ -148,6 +150,7 @@
             self._streams,
             drain,
             now,
+            self._holdings,
         )
         self._duties = None
         if settings.duty_service is not None:
@@ -343,6 +346,7 @@
             self._relays.sweep()
             self._origins.sweep()
             self._crash_guard.sweep(self._fleet_view)
+            self._holdings.report()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -68,7 +68,8 @@
     ``wait_ms`` is the prefill time queued ahead of the request at its urgency,
     ``cached`` how many leading tokens of the prompt are in its cache.
     ``slowness`` is the ratio of observed to predicted time.  An engine gets
-    nothing for the ``rest_ms`` for which it has asked for no requests.
+    nothing for the ``rest_ms`` for which it has asked for no requests, and
+    without ``has_room``: requests beyond its memory would crash it.
     """
 
     id: str
@@ -80,6 +81,7 @@
     slowness: float = 1.0
     unreachable: bool = False
     rest_ms: float = 0.0
+    has_room: bool = True
 
 
 class Demand(typing.NamedTuple):
@@ -157,7 +159,10 @@
         engines = decode_engines
     options = list(_options(engines, demand, holder))
     if not options:
-        return Refusal("no engine takes work", MIN_RETRY_MS, None)
+        why = "no engine takes work"
+        if not any(engine.has_room for engine in decode_engines):
+            why = "no engine has memory for it"
+        return Refusal(why, MIN_RETRY_MS, None)
     best = min(options, key=_price)
     if _is_in_time(best, demand):
         return best
@@ -223,7 +228,7 @@
     if not decode_engines:
         return
     for engine in engines:
-        if engine.prefill:
+        if engine.prefill and engine.has_room:
             yield _split(engine, decode_engines, holders, demand)
 
 
@@ -267,7 +272,7 @@
         if demand.tokens_out > LONG_ANSWER_TOKENS
         else MAX_SLOT_FRACTION
     )
-    return engine.streams < engine.slots * part
+    return engine.has_room and engine.streams < engine.slots * part
 
 
 def _direct(engine, holders, demand):
