Predict the time of each engine from its own speed and pace

Engines of one service may differ for good, and their pace changes many times a second; placement knew one scale for all of them, so it sent prompts to slow engines as often as to fast ones.

Each gateway now learns a long-term time per incarnation of an engine from prefills and first events that didn't have to wait, and weighs the pace that the engine last reported by the figure's age. Both apply to the prefill, the first event, the queue of the engine and the time after which a silent prefill is replaced. Gateways of a cell tell each other what they learned with the state that they send anyway, in an optional key. Options that are nearly as good as the best are drawn, so that many gateways don't all run to one engine. Without a pace from an engine of the service nothing of this applies.

Moved to make room: retry costs, handles of prefills, views of engines and the fetch of prefixes are modules of their own; prefix_fetch has two constants of placement.

No comparison of policies yet.

--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -8,6 +8,7 @@
 from clementinewall.gateway import cache_view
 from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoint_state
+from clementinewall.gateway import engine_speeds
 from clementinewall.gateway import request_limits
 from clementinewall import logs
 from clementinewall.policy import endpoint_health
@@ -39,6 +40,7 @@
         self._prefills = []
         self._changes = cache_view.UnsentChanges()
         self.scales = prefill_scale.PrefillScales()
+        self.speeds = engine_speeds.EngineSpeeds(now)
         self.cache_holders = cache_holders.CacheHolders(now)
         self._relays = relays
         if relays is not None:
@@ -284,6 +286,7 @@
                 service = state.endpoint.service
                 self._prompt_ms_of_removed[service] += state.prompt_ms
                 _log.info("endpoint state removed", endpoint=state.endpoint.id)
+        self.speeds.keep(self._state_by_incarnation.keys())
 
     def _is_forgotten(self, state):
         missing_ms = self._now() - state.missing_since
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -22,6 +22,8 @@
 
 from clementinewall import clock
 from clementinewall import domain
+from clementinewall.gateway import engine_speeds
+from clementinewall.gateway import speed_messages
 from clementinewall.policy import dissemination
 from clementinewall.policy import prefill_queue
 from clementinewall.policy import prefill_scale
@@ -54,13 +56,15 @@
 
     ``unavailable_ms_by_endpoint_id`` is for how many ms engines that change
     their stage take no work, ``estimate_by_service`` how the prefill time
-    that the gateway measured compares with the predicted one.
+    that the gateway measured compares with the predicted one, and
+    ``speed_rows`` tell of single engines.
     """
 
     heartbeat: Heartbeat
     work_by_endpoint_id: dict[str, Work]
     unavailable_ms_by_endpoint_id: dict[str, float]
     estimate_by_service: dict[str, prefill_scale.Estimate] = {}
+    speed_rows: tuple[engine_speeds.SpeedRow, ...] = ()
 
 
 # The fastest level.  Compression pays since traffic between data centres is
@@ -98,7 +102,7 @@
 
 def encode_state(value, now):
     """Return a gateway's state as plain data."""
-    return {
+    data = {
         "scales": {
             name: [round(number, 2) for number in estimate]
             for name, estimate in value.estimate_by_service.items()
@@ -117,6 +121,10 @@
             for name, work in value.work_by_endpoint_id.items()
         },
     }
+    if value.speed_rows:
+        # Left out where no engine tells its pace.
+        data["speeds"] = speed_messages.encode(value.speed_rows, now)
+    return data
 
 
 def encode_beats(beats, now):
@@ -226,6 +234,7 @@
         work,
         away,
         _estimates(data.get("scales")),
+        speed_messages.decode(data.get("speeds", ()), now),
     )
 
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -234,6 +234,7 @@
             self._endpoints.drain_cache_changes(),
             self._crash_guard.drain_records(),
             self._crash_guard.drain_parts(),
+            self._endpoints.speeds.rows_to_send(),
         )
         if len(raw) > MAX_BYTES:
             _log.warning(
@@ -250,6 +251,7 @@
         cache_changes=(),
         crash_records=(),
         parts=None,
+        speed_rows=(),
     ):
         heartbeat = peer_messages.Heartbeat(
             self._settings.ip,
@@ -263,6 +265,7 @@
             work,
             self._endpoints.unavailable_ms_by_endpoint_id(),
             self._endpoints.scales.estimate_by_service(),
+            speed_rows,
         )
         return peer_messages.dump(
             {
@@ -330,4 +333,5 @@
         self._endpoints.apply_peer_cache_changes(message.get("changed", ()))
         for endpoint_id, ms in state.unavailable_ms_by_endpoint_id.items():
             self._endpoints.apply_unavailability(endpoint_id, ms)
+        self._endpoints.speeds.take(ip, state.speed_rows, self._endpoints.find)
         self.table.record_state(ip, state)
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -8,11 +8,11 @@
 from clementinewall import errors
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
+from clementinewall.gateway import engine_views
 from clementinewall.gateway import exchange as exchanges
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import placement
-from clementinewall.policy import prefill_queue
 
 _log = logs.PartLog("stream")
 
@@ -21,8 +21,6 @@
 MAX_OTHER_CELL_ENGINES = 2
 # While all decode engines are unreachable, one request per interval tries one.
 PROBE_INTERVAL_MS = 500
-# Makes an engine that failed or is unresponsive the last choice.
-UNUSABLE_SLOWNESS = 10.0
 
 
 class Plan(typing.NamedTuple):
@@ -121,6 +119,8 @@
             tokens_out=demand.tokens_out,
             left_ms=round(demand.left_ms),
             scale=round(demand.prefill_scale, 2),
+            relative=round(chosen.relative_time, 2),
+            pace=round(chosen.pace, 2),
         )
         prefill_engine = states.get(chosen.prefill)
         source = chosen.fetch and self._endpoints.find(chosen.fetch)
@@ -194,17 +194,19 @@
             default=0,
         )
         urgency = placement.prefill_urgency(demand, cached)
-        usable_stages = {
-            state.endpoint.stage
-            for state in states.values()
-            if state.is_usable()
-        }
-        known = [
-            self._engine_view(state, prompt, urgency, peers, usable_stages)
-            for state in states.values()
-        ]
+        speeds = self._endpoints.speeds.of_reporting(candidates)
+        known = engine_views.views(
+            states.values(),
+            prompt,
+            urgency,
+            peers,
+            speeds,
+            demand.prefill_scale,
+            self._now(),
+        )
         holder = self._cache_holder(prompt, states)
-        chosen = placement.choose(known, demand, holder)
+        draw = random.choices if speeds else None
+        chosen = placement.choose(known, demand, holder, draw)
         return Options(demand, states, known, chosen, urgency)
 
     def _candidates(self, engines, version):
@@ -284,32 +286,6 @@
             return 0.0
         return len(body) * 8 / (self._link_mbps * 1_000)
 
-    def _engine_view(self, state, prompt, urgency, peers, usable_stages):
-        endpoint = state.endpoint
-        jobs = list(state.jobs)
-        streams = state.streams
-        last_prefill_end = state.last_prefill_end
-        for peer in peers:
-            work = peer.work_by_endpoint_id.get(endpoint.id)
-            if work is not None:
-                jobs.extend(work.jobs)
-                streams += work.streams
-                last_prefill_end = max(last_prefill_end, work.last_prefill_end)
-        wait_ms = prefill_queue.wait_ms(
-            jobs, last_prefill_end, self._now(), urgency
-        )
-        return placement.Engine(
-            id=endpoint.id,
-            prefill=endpoint.stage == domain.PREFILL,
-            wait_ms=wait_ms,
-            streams=streams,
-            slots=max(1, endpoint.slots),
-            cached=state.cache.cached_prefix_tokens(prompt.parts[:-1]),
-            slowness=_slowness(state, usable_stages),
-            unreachable=state.is_unavailable(),
-            rest_ms=state.rest_ms,
-        )
-
     def _refuse(self, exchange, demand, refusal, last):
         best = refusal.best
         _log.info(
@@ -379,18 +355,6 @@
     return zlib.crc32(f"{part} {name}".encode()), name
 
 
-def _slowness(state, usable_stages):
-    """Return the slowness to predict the times of an engine with.
-
-    A pausing engine is the last choice while others of its stage respond.  If
-    none does, its pause must not make every request seem late.
-    """
-    is_only_choice = state.endpoint.stage not in usable_stages
-    if state.is_usable() or (is_only_choice and state.may_be_pausing()):
-        return state.health.slowness
-    return UNUSABLE_SLOWNESS
-
-
 def _is_worth_serving_late(refusal, exchange):
     """Tell whether to send again although the first event misses its target.
 
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -1,14 +1,12 @@
 """Relays model requests: placement, prefill, streaming and resumption."""
 
-import anyio
-
-from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
+from clementinewall.gateway import prefill_handles
+from clementinewall.gateway import retry_costs
 from clementinewall.gateway import sending
 from clementinewall.gateway import silence_watch
 from clementinewall.gateway import stream_answer
-from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import calls
@@ -18,9 +16,6 @@
 
 _log = logs.PartLog("stream")
 
-FREE_TIMEOUT_MS = 1_000
-# A handle that is not freed for longer expires by itself.
-MAX_FREE_DELAY_MS = 5_000
 # A prefill that exceeds this multiple of its predicted time plus the slack is
 # done on another engine.  A prefill does not run the request, so repeating it
 # is always allowed.
@@ -73,9 +68,9 @@
             self._crash_guard.check(exchange)
             plan = self._placer.place(exchange, last)
             self._drain.check_stream(exchange, plan.option.first_ms)
-            spent = _budgeted_sends(exchange, plan)
+            spent = retry_costs.budgeted_sends(exchange, plan)
             if spent and not self._budgets.spend(
-                exchange.service, spent, _retry_reason(exchange)
+                exchange.service, spent, retry_costs.retry_reason(exchange)
             ):
                 _log.info(
                     "no budget", request=exchange.call.attempt, sends=spent
@@ -86,7 +81,7 @@
                 await self._run_plan(exchange, stream, plan)
             except exchanges.AttemptFailed as exc:
                 last = exc
-                unused = _refundable_sends(plan, spent, exc)
+                unused = retry_costs.refundable_sends(plan, spent, exc)
                 if unused:
                     self._budgets.refund(exchange.service, unused)
                 await self._record_failure(exchange, plan, exc)
@@ -147,7 +142,7 @@
             # another engine.
             if prefilled is not None:
                 self._group.start_soon(
-                    self._free_handle, plan.prefill_engine, prefilled
+                    prefill_handles.free, plan.prefill_engine, prefilled
                 )
             raise exchanges.AttemptFailed(
                 verdicts.Verdict.NOT_RUN,
@@ -169,7 +164,7 @@
         job = None
         if not prefilled:
             job = decode_engine.begin_prompt(
-                plan.run_urgency, plan.option.prompt_ms
+                plan.run_urgency, plan.option.cost_ms
             )
             self._announce_prompt(job)
         watch = silence_watch.SilenceWatch(
@@ -179,7 +174,14 @@
             lambda _silent_ms: self._can_replace(exchange),
             self._now,
         )
-        stream.begin(lambda: self._on_first_event(exchange, plan, job, watch))
+        started = self._now()
+
+        def on_first_event():
+            took_ms = self._now() - started
+            self._endpoints.speeds.record_first_event(plan, took_ms)
+            self._on_first_event(exchange, plan, job, watch)
+
+        stream.begin(on_first_event)
         is_accepted = False
         try:
             async with sending.send(
@@ -197,7 +199,7 @@
                 decode_engine.end_prompt(job, False)
             if prefilled is not None and not is_accepted:
                 self._group.start_soon(
-                    self._free_handle, plan.prefill_engine, prefilled
+                    prefill_handles.free, plan.prefill_engine, prefilled
                 )
         decode_engine.health.record_success()
 
@@ -214,7 +216,7 @@
             self._crash_guard.check(exchange)
         except (errors.Draining, errors.HarmfulRequest):
             self._group.start_soon(
-                self._free_handle, plan.prefill_engine, prefilled
+                prefill_handles.free, plan.prefill_engine, prefilled
             )
             raise
 
@@ -269,7 +271,7 @@
 
     async def _prefill(self, exchange, plan):
         prefill_engine = plan.prefill_engine
-        prompt_ms = plan.option.prompt_ms
+        prompt_ms = plan.option.prefill_ms
         request = calls.prefill_request(
             exchange.call,
             prefill_engine.endpoint,
@@ -278,7 +280,7 @@
             _source(plan),
         )
         started = self._now()
-        job = prefill_engine.begin_prompt(plan.urgency, prompt_ms)
+        job = prefill_engine.begin_prompt(plan.urgency, plan.option.cost_ms)
         is_prefilled = False
         self._announce_prompt(job)
         expected_ms = plan.option.wait_ms + prompt_ms
@@ -326,6 +328,7 @@
         prefill_engine.health.record_success()
         took_ms = self._now() - started
         self._endpoints.record_prefill(prefill_engine, exchange.call.prompt)
+        self._endpoints.speeds.record_prefill(plan, took_ms)
         if plan.measures_prefill_speed:
             self._endpoints.scales.record(
                 exchange.service.name,
@@ -343,28 +346,6 @@
         )
         return prefilled
 
-    async def _free_handle(self, prefill_engine, prefilled):
-        request = calls.free_request(prefilled.handle)
-        rest_ms = prefill_engine.rest_ms
-        if rest_ms > MAX_FREE_DELAY_MS:
-            _log.info(
-                "prefill handle not freed; the engine asked for rest",
-                engine=prefill_engine.endpoint.id,
-                rest_ms=round(rest_ms),
-            )
-            return
-        await anyio.sleep(clock.seconds(rest_ms))
-        with anyio.move_on_after(clock.seconds(FREE_TIMEOUT_MS)):
-            try:
-                await prefill_engine.send_request(
-                    request, sending.MAX_ANSWER_BYTES
-                )
-            except client.LinkBroken as exc:
-                _log.info(
-                    "prefill handle not freed; the engine did not answer",
-                    why=exc.why,
-                )
-
     async def _record_failure(self, exchange, plan, exc):
         exchange.record_failure(exc)
         if exc.answer is None:
@@ -395,44 +376,9 @@
         return self._now() - exchange.run_began_at
 
 
-def _budgeted_sends(exchange, plan):
-    """Return how many sends of a plan draw on the retry budget.
-
-    Only the first prefill of a request is free.  A retry with a prefill
-    reaches two engines: counted as one send, retries exceeded the
-    deployment's bound when decode engines were replaced under load.
-    """
-    sends = 0
-    if exchange.reached_sends:
-        sends += 1
-    if exchange.prefills and plan.prefill_engine is not None:
-        sends += 1
-    return sends
-
-
-def _refundable_sends(plan, spent, failure):
-    """Return how many of the budgeted sends reached no engine."""
-    reached = 1 if failure.reached else 0
-    prefill_engine = plan.prefill_engine
-    if (
-        prefill_engine is not None
-        and failure.endpoint_id == prefill_engine.endpoint.id
-    ):
-        # The prefill failed, so the request was not sent for decode.
-        return max(0, spent - reached)
-    return min(spent, 1 - reached)
-
-
 def _silence_timeouts(exchange, plan):
     return silence.stream_timeouts(exchange.route, plan.option.first_ms)
 
 
-def _retry_reason(exchange):
-    """Return the reason for further sends, as a metrics label."""
-    if exchange.first_event_ms is not None:
-        return "resume"
-    return "read again" if exchange.prefills else "send again"
-
-
 def _source(plan):
     return plan.source and plan.source.endpoint
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -14,6 +14,8 @@
 import typing
 
 from clementinewall.policy import engine_time
+from clementinewall.policy import option_draw
+from clementinewall.policy import prefix_fetch
 
 # Fraction of the time to the target that a prediction may use.  Work that
 # other gateways have just sent isn't known yet.
@@ -50,14 +52,12 @@
 # urgency.  An engine without a free slot preempts a running stream for a more
 # urgent one and later prefills its prompt again; its caller sees a pause.
 FEW_FREE_SLOTS = 6
+# Time at a decode engine of usual speed that is compared beside its load: the
+# first event, and a share of the steps after it.
+TARGET_STEP_MS = 40.0
 MIN_RETRY_MS = 50
 # Engines that crash or change their stage are unavailable for seconds.
 NO_DECODE_RETRY_MS = 1_000
-# Time of a fetch before its first byte, as published by the operators.  It is
-# worth it up to this fraction of the prefill time that it saves: the cached
-# content is inferred from what was sent there, and may have been evicted.
-FETCH_SETUP_MS = 5.0
-MAX_FETCH_FRACTION = 0.6
 # Fetching delays no engine but uses bandwidth.
 FETCH_WEIGHT = 1.0
 
@@ -69,6 +69,9 @@
     ``cached`` how many leading tokens of the prompt are in its cache.
     ``slowness`` is the ratio of observed to predicted time.  An engine gets
     nothing for the ``rest_ms`` for which it has asked for no requests.
+    ``relative_time`` is how long its work takes against that of its service,
+    ``pace`` how long it takes now against its usual time; ``wait_ms`` has
+    both.
     """
 
     id: str
@@ -80,6 +83,18 @@
     slowness: float = 1.0
     unreachable: bool = False
     rest_ms: float = 0.0
+    relative_time: float = 1.0
+    pace: float = 1.0
+
+    @property
+    def time_factor(self):
+        """Return how long work takes there now, against the prediction."""
+        return self.slowness * self.speed_factor
+
+    @property
+    def speed_factor(self):
+        """Return the part of it that the engine's speed accounts for."""
+        return self.relative_time * self.pace
 
 
 class Demand(typing.NamedTuple):
@@ -107,6 +122,9 @@
 
     ``fetch`` is the engine from whose cache the prefilling engine first
     fetches the prompt prefix; ``cached`` tokens then need no prefill.
+    ``prompt_ms`` is the prefill time at an engine of usual speed, from which
+    that of the prefilling engine follows with ``relative_time`` and ``pace``.
+    ``decode_wait_ms`` is how long the decode engine still prefills others.
     """
 
     prefill: str | None
@@ -117,6 +135,20 @@
     cached: int
     fetch: str | None = None
     fetch_ms: float = 0.0
+    relative_time: float = 1.0
+    pace: float = 1.0
+    decode_wait_ms: float = 0.0
+    transfer_ms: float = 0.0
+
+    @property
+    def cost_ms(self):
+        """Return the prefill time at the engine's usual pace."""
+        return self.prompt_ms * self.relative_time
+
+    @property
+    def prefill_ms(self):
+        """Return the prefill time at the engine's momentary pace."""
+        return self.cost_ms * self.pace
 
 
 class Refusal(typing.NamedTuple):
@@ -139,10 +171,13 @@
     cached: int
 
 
-def choose(engines, demand, holder=None):
+def choose(engines, demand, holder=None, draw=None):
     """Return the best :class:`Option`, or a :class:`Refusal`.
 
-    ``holder`` is a :class:`CacheHolder` that is none of ``engines``.
+    ``holder`` is a :class:`CacheHolder` that is none of ``engines``.  With
+    ``draw``, a function like :func:`random.choices`, one of the options that
+    are nearly as good is drawn: engines that report their pace attract many
+    gateways at once, and these must not all choose the same one.
     """
     rests = [e.rest_ms for e in engines if e.rest_ms and not e.prefill]
     engines = [engine for engine in engines if not engine.rest_ms]
@@ -155,12 +190,15 @@
             return Refusal("no engine decodes", NO_DECODE_RETRY_MS, None)
         # Prefills by other engines would be wasted: it may not answer.
         engines = decode_engines
-    options = list(_options(engines, demand, holder))
+    options = list(_options(engines, demand, holder, draw))
     if not options:
         return Refusal("no engine takes work", MIN_RETRY_MS, None)
     best = min(options, key=_price)
     if _is_in_time(best, demand):
-        return best
+        if draw is None:
+            return best
+        in_time = [each for each in options if _is_in_time(each, demand)]
+        return option_draw.drawn(in_time, _cost, draw)
     fastest = min(options, key=lambda option: (option.first_ms, option.decode))
     if _is_in_time(fastest, demand):
         return fastest
@@ -171,8 +209,14 @@
 
 
 def _price(option):
+    return _cost(option), option.decode
+
+
+def _cost(option):
+    # The time at an engine of usual speed: a slow one could do less else with
+    # its time.
     work = WORK_WEIGHT * option.prompt_ms + FETCH_WEIGHT * option.fetch_ms
-    return option.first_ms + work, option.decode
+    return option.first_ms + work
 
 
 def _is_in_time(option, demand):
@@ -213,7 +257,7 @@
     return prompt_urgency
 
 
-def _options(engines, demand, holder):
+def _options(engines, demand, holder, draw):
     decode_engines = [
         e for e in engines if not e.prefill and _has_slot(e, demand)
     ]
@@ -224,7 +268,7 @@
         return
     for engine in engines:
         if engine.prefill:
-            yield _split(engine, decode_engines, holders, demand)
+            yield _split(engine, decode_engines, holders, demand, draw)
 
 
 def _holders(engines, holder):
@@ -239,24 +283,6 @@
     return sorted(found, key=lambda holder: (-holder.cached, holder.id))[:2]
 
 
-def _fetch(engine, holders, demand):
-    """Return the engine to fetch a prefix from, and the time in ms.
-
-    The third value is how many leading tokens need no prefill then.
-    """
-    holder = next((e for e in holders if e.id != engine.id), None)
-    if holder is None or not demand.link_mbps:
-        return None, 0.0, engine.cached
-    tokens = holder.cached - engine.cached
-    cost = FETCH_SETUP_MS + engine_time.transfer_ms(
-        tokens, demand.token_bytes, demand.link_mbps
-    )
-    saved = tokens / engine_time.PROMPT_TOKENS_PER_MS * demand.prefill_scale
-    if cost > saved * MAX_FETCH_FRACTION:
-        return None, 0.0, engine.cached
-    return holder.id, cost, holder.cached
-
-
 def _prompt_ms(demand, cached):
     return demand.prefill_scale * engine_time.prefill_ms(demand.tokens, cached)
 
@@ -271,35 +297,70 @@
 
 
 def _direct(engine, holders, demand):
-    fetch, fetch_ms, cached = _fetch(engine, holders, demand)
+    fetch, fetch_ms, cached = prefix_fetch.choose(engine, holders, demand)
     prompt = demand.prefill_scale * engine_time.decode_engine_prefill_ms(
         demand.tokens, cached, engine.streams
     )
     wait = engine.wait_ms * engine.slowness
-    own = engine_time.HOP_MS + engine_time.FIRST_EVENT_MS
+    # The first event is a step of the engine, and slow where all steps are.
+    own_ms = engine_time.FIRST_EVENT_MS * engine.speed_factor
+    own = engine_time.HOP_MS + own_ms
     begin = max(wait, fetch_ms + demand.send_ms)
-    first = begin + own + prompt * engine.slowness
+    first = begin + own + prompt * engine.time_factor
     return Option(
-        None, engine.id, first, wait, prompt, cached, fetch, fetch_ms
+        None,
+        engine.id,
+        first,
+        wait,
+        prompt,
+        cached,
+        fetch,
+        fetch_ms,
+        engine.relative_time,
+        engine.pace,
+        wait,
     )
 
 
-def _split(engine, decode_engines, holders, demand):
-    fetch, fetch_ms, cached = _fetch(engine, holders, demand)
+def _split(engine, decode_engines, holders, demand, draw):
+    fetch, fetch_ms, cached = prefix_fetch.choose(engine, holders, demand)
     prompt = _prompt_ms(demand, cached)
     wait = engine.wait_ms * engine.slowness
     begin = max(wait, fetch_ms + demand.send_ms)
     transfer = engine_time.transfer_ms(
         demand.tokens, demand.token_bytes, demand.link_mbps
     )
-    ready = begin + prompt * engine.slowness + transfer + demand.send_ms
-    target = min(decode_engines, key=lambda e: _target_rank(e, ready))
+    ready = begin + prompt * engine.time_factor + transfer + demand.send_ms
+    target = _target(decode_engines, ready, draw)
     own = engine_time.HOP_MS + engine_time.FIRST_EVENT_MS * (
-        1 + target.slowness
+        engine.speed_factor + target.time_factor
     )
-    first = ready + _blocked_ms(target, ready) + own
+    blocked = _blocked_ms(target, ready)
+    first = ready + blocked + own
     return Option(
-        engine.id, target.id, first, wait, prompt, cached, fetch, fetch_ms
+        engine.id,
+        target.id,
+        first,
+        wait,
+        prompt,
+        cached,
+        fetch,
+        fetch_ms,
+        engine.relative_time,
+        engine.pace,
+        blocked,
+        transfer,
+    )
+
+
+def _target(engines, ready_ms, draw):
+    """Return the decode engine of a split whose prompt is then ready."""
+    best = min(engines, key=lambda e: _target_rank(e, ready_ms))
+    if draw is None:
+        return best
+    similar = [e for e in engines if e.slowness <= best.slowness]
+    return option_draw.drawn(
+        similar, lambda e: _target_rank(e, ready_ms)[1], draw
     )
 
 
@@ -309,7 +370,12 @@
     # prefills for it would be wasted.
     full = FULL_BATCH_MS * engine.streams / engine.slots
     blocked = _blocked_ms(engine, ready_ms)
-    return engine.slowness, blocked + full, engine.id
+    cost = blocked + full
+    if engine.speed_factor != 1.0:
+        # Its first event and its steps take longer.
+        steps = (full + TARGET_STEP_MS) * engine.speed_factor
+        cost = blocked + steps - TARGET_STEP_MS
+    return engine.slowness, cost, engine.id
 
 
 def _blocked_ms(engine, ready_ms):
