Let the lab's engines differ in speed, for good and at the moment

The lab had engines of one speed, so it couldn't compare policies for uneven ones. A deployment can now deal relative times to its engines and let their pace change, in spells and at random; the timing is the lab's own. A run ends once all its requests have an outcome.

--- a/clementinewall/lab/deployment.py
+++ b/clementinewall/lab/deployment.py
@@ -59,6 +59,24 @@
     factor: typing.Annotated[float, _schema.Range(0.0, 100.0)]
 
 
+class Pace(typing.NamedTuple):
+    """How the pace of each engine changes, every ``every_ms``.
+
+    ``spread`` is the standard deviation of the logarithm of the pace.  For
+    ``slow_part`` of the time, in spells of ``slow_ms``, an engine also takes
+    ``slow_factor`` times as long.  Where ``is_reported``, its answers tell the
+    pace, with ``has_relative_time`` times its relative time.
+    """
+
+    is_reported: bool = False
+    has_relative_time: bool = False
+    every_ms: _Positive = 100.0
+    spread: float = 0.0
+    slow_part: _Fraction = 0.0
+    slow_ms: _Positive = 600.0
+    slow_factor: _Positive = 2.5
+
+
 class Engines(typing.NamedTuple):
     """The engines, with the speeds that their operators publish.
 
@@ -68,6 +86,8 @@
     ``piece_tokens``.  A decode engine prefills in chunks of
     ``decode_piece_tokens`` and ``decode_slowdown`` times as slowly.
     ``reading_part`` is the fraction of the engines that prefill.
+    ``relative_times`` are dealt in turn: all work of an engine takes so many
+    times as long.
     """
 
     count: _Count
@@ -85,6 +105,8 @@
     first_event_ms: _Positive = 26.0
     step_ms: _Positive = 3.55
     step_ms_a_stream: _Positive = 0.0462
+    relative_times: tuple[_Positive, ...] = (1.0,)
+    pace: Pace = Pace()
 
 
 class Gateways(typing.NamedTuple):
--- a/clementinewall/lab/engine.py
+++ b/clementinewall/lab/engine.py
@@ -16,7 +16,9 @@
 import heapq
 import itertools
 
+from clementinewall.lab import deployment as deployments
 from clementinewall.lab import engine_timing
+from clementinewall.lab import pace as paces
 
 # Set-up time of a cache transfer, as operators state it.
 TRANSFER_SETUP_MS = 5.0
@@ -27,11 +29,12 @@
 class Engine:
     """One engine, driven by the callbacks of ``loop``."""
 
-    def __init__(self, name, row, is_prefill, loop):
+    def __init__(self, name, row, is_prefill, loop, pace=None):
         """Start idle with an empty cache.
 
         :param row: the :class:`deployment.Engines`.
         :param is_prefill: whether this is a prefill engine.
+        :param pace: the :class:`pace.EnginePace`, usual for good without one.
         """
         self.name = name
         self.is_prefill = is_prefill
@@ -51,6 +54,29 @@
         self._steps_done = 0.0
         self._advanced_at = 0.0
         self._plan_version = 0
+        self._prefill_left_ms = 0.0
+        self._prefill_at = 0.0
+        self._prefill_version = 0
+        self._prefill_end = None
+        self._pace = pace or paces.EnginePace(
+            deployments.Pace(), 1.0, None, loop
+        )
+        self._pace.start(self._before_change, self._after_change)
+
+    def load(self):
+        """Return the load figures of an answer, ``None`` without a pace."""
+        return self._pace.load(len(self._running), self._row.slots)
+
+    def _before_change(self):
+        self._advance()
+        elapsed_ms = self._loop.now - self._prefill_at
+        self._prefill_left_ms -= elapsed_ms / self._pace.factor
+        self._prefill_at = self._loop.now
+
+    def _after_change(self):
+        self._schedule_next_end()
+        if self._current_prompt is not None:
+            self._schedule_prefill_end()
 
     # Prefill.
 
@@ -68,10 +94,22 @@
         cached_prefix_tokens = self.cached_prefix_tokens(prompt)
         self._advance()
         duration_ms = self._prefill_ms(prompt, cached_prefix_tokens)
-        self.total_prefill_ms += duration_ms
+        self.total_prefill_ms += duration_ms * self._pace.factor
         self.prefilled_tokens += prompt.tokens_in - cached_prefix_tokens
         self._schedule_next_end()
-        self._loop.after(duration_ms, self._finish_prefill, prompt, done)
+        self._prefill_left_ms = duration_ms
+        self._prefill_at = self._loop.now
+        self._prefill_end = done
+        self._schedule_prefill_end()
+
+    def _schedule_prefill_end(self):
+        """Schedule the end of the prefill; earlier plans are ignored."""
+        self._prefill_version += 1
+        self._loop.after(
+            self._prefill_left_ms * self._pace.factor,
+            self._finish_prefill,
+            self._prefill_version,
+        )
 
     def _prefill_ms(self, prompt, cached_prefix_tokens):
         if self.is_prefill:
@@ -85,8 +123,12 @@
             len(self._running),
         )
 
-    def _finish_prefill(self, prompt, done):
+    def _finish_prefill(self, version):
+        if version != self._prefill_version:
+            return
         self._advance()
+        prompt = self._current_prompt
+        done = self._prefill_end
         self._current_prompt = None
         self.cache_prompt(prompt)
         self._schedule_next_end()
@@ -154,15 +196,16 @@
             end = self._steps_done + prompt.tokens_out
             heapq.heappush(self._running, (end, serial, prompt, on_end))
             self._stream_tokens += prompt.tokens_in + prompt.tokens_out
-            self._loop.after(self._row.first_event_ms, on_first)
+            first_ms = self._row.first_event_ms * self._pace.factor
+            self._loop.after(first_ms, on_first)
         self._schedule_next_end()
 
     def _step_ms(self):
         step_ms = engine_timing.step_ms(self._row, len(self._running))
-        if self._current_prompt is None or self.is_prefill:
-            return step_ms
-        chunk_ms = self._row.decode_piece_tokens / self._row.tokens_a_ms
-        return step_ms + chunk_ms * self._row.decode_slowdown
+        if self._current_prompt is not None and not self.is_prefill:
+            chunk_ms = self._row.decode_piece_tokens / self._row.tokens_a_ms
+            step_ms += chunk_ms * self._row.decode_slowdown
+        return step_ms * self._pace.factor
 
     def _advance(self):
         """Advance all streams to the current time."""
--- a/clementinewall/lab/gateway.py
+++ b/clementinewall/lab/gateway.py
@@ -31,6 +31,8 @@
         after the network delay, or never if the message is lost.
         """
         self.ip = ip
+        # Whether it knows the fourth figure of the load header.
+        self.reads_pace = True
         self._loop = loop
         self._deliver = deliver
         view = fleet_view.FleetView(loop.time_ms)
@@ -117,6 +119,7 @@
             work,
             {},
             estimate_by_service=self.endpoints.scales.estimate_by_service(),
+            speed_rows=self.endpoints.speeds.rows_to_send(),
         )
         prefilled = self.endpoints.drain_prefills()
         for ip in self.cell_ips():
@@ -128,6 +131,7 @@
         """Apply the state and the prefills that a peer of the cell sent."""
         for endpoint_id, parts in prefilled:
             self.endpoints.apply_peer_prefill(endpoint_id, parts)
+        self.endpoints.speeds.take(ip, state.speed_rows, self.endpoints.find)
         self.table.record_state(ip, state)
 
     def receive_from_other_cell(self, rows):
--- a/clementinewall/lab/main.py
+++ b/clementinewall/lab/main.py
@@ -5,10 +5,14 @@
   clementinewall-lab --help
 
 Options:
-  --policy=POLICY  gateway, random or random-split; to override constants
-                   of modules of clementinewall.policy, give
-                   NAME:module.CONSTANT=VALUE,...  All three by default.
+  --policy=POLICY  gateway, one-scale (without the speeds of single engines),
+                   shortest-queue, random or random-split; to override
+                   constants of modules of clementinewall.policy, give
+                   NAME:module.CONSTANT=VALUE,...  The default is gateway,
+                   random and random-split.
   --load=X         Multiply the request rates of all classes [default: 1.0].
+  --gateways=N     Simulate N gateways, with engines and request rates in
+                   proportion.
   --reading=PART   Fraction of the engines that prefill, instead of the
                    deployment file's.
   --seconds=S      Duration of the load in seconds [default: 20].
@@ -86,6 +90,16 @@
     """
     deployment = deployments.load(options["DEPLOYMENT"])
     factor = _number(options, "--load")
+    if options["--gateways"] is not None:
+        count = round(_number(options, "--gateways"))
+        part = count / deployment.gateways.count
+        engines = deployment.engines
+        engines = engines._replace(count=max(2, round(engines.count * part)))
+        deployment = deployment._replace(
+            gateways=deployment.gateways._replace(count=count),
+            engines=engines,
+        )
+        factor *= part
     classes = {
         name: row._replace(per_s=row.per_s * factor)
         for name, row in deployment.classes.items()
--- a/clementinewall/lab/policies.py
+++ b/clementinewall/lab/policies.py
@@ -73,6 +73,51 @@
     return gateway.placer.place
 
 
+def _one_scale_placer(gateway, _rng):
+    """Place as the gateway does where no engine tells its pace."""
+    gateway.reads_pace = False
+    return gateway.placer.place
+
+
+def _shortest_queue_placer(gateway, rng):
+    """Use the engines with the shortest known queues; refuse nothing."""
+
+    def place(exchange, _last):
+        states = gateway.endpoints.of_service(exchange.service.name)
+        prefill_engine = _shortest(
+            _of_stage(states, domain.PREFILL), _prompts, gateway, rng
+        )
+        decode_engine = _shortest(
+            _of_stage(states, domain.DECODE), _streams, gateway, rng
+        )
+        return _plan(prefill_engine, decode_engine)
+
+    return place
+
+
+def _shortest(states, length, gateway, rng):
+    """Return the engine with the shortest queue, any one of equal ones.
+
+    The queue is the own one and those that the peers announced.
+    """
+    length_by_id = {state.endpoint.id: length(state) for state in states}
+    for peer in gateway.table.states():
+        for id_, work in peer.work_by_endpoint_id.items():
+            if id_ in length_by_id:
+                length_by_id[id_] += length(work)
+    return min(
+        states, key=lambda s: (length_by_id[s.endpoint.id], rng.random())
+    )
+
+
+def _prompts(work):
+    return len(work.jobs)
+
+
+def _streams(work):
+    return work.streams
+
+
 def _random_placer(gateway, rng):
     """Prefill and decode on one random decode engine; refuse nothing."""
 
@@ -116,8 +161,10 @@
 
 PLACERS = {
     "gateway": _gateway_placer,
+    "one-scale": _one_scale_placer,
     "random": _random_placer,
     "random-split": _random_split_placer,
+    "shortest-queue": _shortest_queue_placer,
 }
 
 
--- a/clementinewall/lab/simulation.py
+++ b/clementinewall/lab/simulation.py
@@ -3,21 +3,21 @@
 import random
 import typing
 
-from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
-from clementinewall.http1 import server
 from clementinewall.lab import engine as engines
 from clementinewall.lab import gateway as gateways
 from clementinewall.lab import loop as loops
+from clementinewall.lab import pace as paces
 from clementinewall.lab import policies
+from clementinewall.lab import records
 
-SERVICE = "model"
 # Time before the first arrival, in which gateways exchange their state.
 STARTUP_MS = 2_000.0
 # Time after the last arrival, in which open requests complete.
 COMPLETION_MS = 10_000.0
-GAP_TARGET_MS = 150
+# How often it is checked whether all requests have completed.
+CHECK_INTERVAL_MS = 500.0
 
 
 class Outcome(typing.NamedTuple):
@@ -61,15 +61,21 @@
         self._cached_elsewhere_tokens = 0
         row = deployment.engines
         prefill_count = round(row.count * row.reading_part)
-        self._engine_by_id = {
-            f"e{n:04}": engines.Engine(
-                f"e{n:04}", row, n < prefill_count, self._loop
+        self._engine_by_id = {}
+        for n in range(row.count):
+            name = f"e{n:04}"
+            pace = paces.EnginePace(
+                row.pace,
+                row.relative_times[n % len(row.relative_times)],
+                random.Random(f"{seed}{name}"),
+                self._loop,
             )
-            for n in range(row.count)
-        }
-        self._configuration = _configuration(deployment)
+            self._engine_by_id[name] = engines.Engine(
+                name, row, n < prefill_count, self._loop, pace
+            )
+        self._configuration = records.configuration(deployment)
         endpoint_by_id = {
-            name: _endpoint(name, engine.is_prefill, row.slots)
+            name: records.endpoint(name, engine.is_prefill, row.slots)
             for name, engine in self._engine_by_id.items()
         }
         self._gateway_by_ip = {
@@ -80,7 +86,7 @@
                 self._deliver,
                 self._loop,
             )
-            for ip in (f"10.0.0.{n}" for n in range(deployment.gateways.count))
+            for ip in records.addresses(deployment.gateways.count)
         }
         self._place_by_ip = {
             ip: policies.placer(policy, gateway, seed)
@@ -97,7 +103,7 @@
             self._loop.after(STARTUP_MS + arrival.at_ms, request.arrive)
         last = arrivals[-1].at_ms if arrivals else 0.0
         with policies.overridden_constants(self._policy):
-            self._loop.run(STARTUP_MS + last + COMPLETION_MS)
+            self._run_until(STARTUP_MS + last + COMPLETION_MS, len(arrivals))
         every = self._engine_by_id.values()
         return Run(
             tuple(self._outcomes),
@@ -106,6 +112,13 @@
             self._cached_elsewhere_tokens,
         )
 
+    def _run_until(self, until_ms, requests):
+        """Run until then, or until each request has its outcome."""
+        at = 0.0
+        while at < until_ms and len(self._outcomes) < requests:
+            at = min(until_ms, at + CHECK_INTERVAL_MS)
+            self._loop.run(at)
+
     def _deliver(self, ip, receive):
         row = self._deployment.gateways
         if self._rng.random() < row.lost_part:
@@ -154,10 +167,10 @@
 
     def exchange(self, arrival):
         """Return the gateway's representation of a request."""
-        call = _call(arrival)
+        call = records.call(arrival)
         row = self.work_class(arrival.work_class)
-        route = _route(arrival.work_class, row)
-        service = self._configuration.service_by_name[SERVICE]
+        route = records.route(arrival.work_class, row)
+        service = self._configuration.service_by_name[records.SERVICE]
         return exchanges.Exchange(
             None, call, route, service, self._loop.time_ms
         )
@@ -254,7 +267,8 @@
         self._started_at = simulation.loop.now
         self._decode_engine = simulation.engine(plan.decode_engine)
         state = plan.prefill_engine or plan.decode_engine
-        self._job = state.begin_prompt(plan.urgency, plan.option.prompt_ms)
+        self._job = state.begin_prompt(plan.urgency, plan.option.cost_ms)
+        self._run_at = self._started_at
         if plan.prefill_engine is None:
             plan.decode_engine.streams += 1
         gateway.notify()
@@ -291,15 +305,24 @@
     def _answer_prefill(self):
         self._simulation.loop.after(
             engines.PREFILL_ANSWER_MS,
-            self._simulation.hop,
-            self._start_transfer,
+            self._send_prefill_answer,
         )
 
-    def _start_transfer(self):
+    def _send_prefill_answer(self):
+        engine = self._simulation.engine(self._plan.prefill_engine)
+        self._simulation.hop(self._start_transfer, engine.load())
+
+    def _start_transfer(self, load):
+        self._record_load(self._plan.prefill_engine, load)
         self._record_prefill_end(self._plan.prefill_engine)
+        took_ms = self._simulation.loop.now - self._started_at
+        self._gateway.endpoints.speeds.record_prefill(
+            self._plan, took_ms, engines.PREFILL_ANSWER_MS
+        )
+        self._run_at = self._simulation.loop.now
         if self._plan.measures_prefill_speed:
             self._gateway.endpoints.scales.record(
-                SERVICE,
+                records.SERVICE,
                 self._simulation.loop.now
                 - self._started_at
                 - self._simulation.prefill_overhead_ms,
@@ -312,6 +335,11 @@
             self._cache_and_decode,
         )
 
+    def _record_load(self, state, load):
+        if load is not None and self._gateway.reads_pace:
+            state.load = load
+            state.load_at = self._simulation.loop.now
+
     def _record_prefill_end(self, state):
         state.end_prompt(self._job, True)
         self._gateway.endpoints.record_prefill(state, self._prompt)
@@ -329,9 +357,14 @@
         )
 
     def _send_first_event(self):
-        self._simulation.hop(self._receive_first_event)
+        load = self._decode_engine.load()
+        self._simulation.hop(self._receive_first_event, load)
 
-    def _receive_first_event(self):
+    def _receive_first_event(self, load):
+        self._record_load(self._plan.decode_engine, load)
+        self._gateway.endpoints.speeds.record_first_event(
+            self._plan, self._simulation.loop.now - self._run_at
+        )
         if self._plan.prefill_engine is None:
             self._record_prefill_end(self._plan.decode_engine)
         self._on_first(self._plan.option.first_ms)
@@ -341,48 +374,3 @@
 
     def _receive_end(self):
         self._plan.decode_engine.streams -= 1
-
-
-def _configuration(deployment):
-    row = deployment.engines
-    limits = domain.EngineLimits(
-        row.slots, row.kv_tokens, row.kv_token_bytes, row.link_mbps, 3_000
-    )
-    service = domain.Service(SERVICE, limits)
-    return domain.Configuration(1, {}, {SERVICE: service}, server.Limits())
-
-
-def _endpoint(name, is_prefill, slots):
-    stage = domain.PREFILL if is_prefill else domain.DECODE
-    return domain.Endpoint(name, SERVICE, name, "", slots, False, stage, 1)
-
-
-def _route(name, row):
-    return domain.Route(
-        name=name,
-        host="",
-        prefix="/",
-        kind=domain.STREAM,
-        shares=(domain.Share(SERVICE, 1.0),),
-        timeout_ms=row.deadline_ms,
-        goal_ms=row.goal_ms,
-        gap_goal_ms=GAP_TARGET_MS,
-        priority=0,
-        max_attempts=1,
-        resumable=False,
-    )
-
-
-def _call(arrival):
-    return domain.Call(
-        attempt="lab",
-        method=b"POST",
-        target=b"/",
-        host="",
-        path="/",
-        headers=(),
-        body=b"",
-        wait_ms=None,
-        resume_after=None,
-        prompt=arrival.prompt,
-    )
