--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -283,11 +283,10 @@
         job = prefill_engine.begin_prompt(plan.urgency, plan.option.cost_ms)
         is_prefilled = False
         self._announce_prompt(job)
-        expected_ms = plan.option.wait_ms + prompt_ms
         watch = silence_watch.SilenceWatch(
             exchange.call,
             prefill_engine,
-            PREFILL_TIMEOUT_FACTOR * expected_ms + PREFILL_SLACK_MS,
+            prefill_timeout_ms(plan.option),
             lambda silent_ms: self._can_replace_prefill(
                 exchange, prefill_engine, silent_ms
             ),
@@ -376,6 +375,12 @@
         return self._now() - exchange.run_began_at
 
 
+def prefill_timeout_ms(option):
+    """Return after which silence a prefill is done on another engine."""
+    expected_ms = option.wait_ms + option.prefill_ms
+    return PREFILL_TIMEOUT_FACTOR * expected_ms + PREFILL_SLACK_MS
+
+
 def _silence_timeouts(exchange, plan):
     return silence.stream_timeouts(exchange.route, plan.option.first_ms)
 
--- a/tests/gateway/test_engine_speeds.py
+++ b/tests/gateway/test_engine_speeds.py
@@ -6,9 +6,11 @@
 
 from clementinewall import domain
 from clementinewall.gateway import engine_speeds
+from clementinewall.gateway import engine_views
 from clementinewall.gateway import peer_messages
 from clementinewall.gateway import placing
 from clementinewall.gateway import speed_messages
+from clementinewall.gateway import stream_relay
 from clementinewall.policy import engine_speed
 from clementinewall.policy import engine_time
 from clementinewall.policy import placement
@@ -81,6 +83,50 @@
         self.ticker.advance(int(engine_speed.PACE_LIFETIME_MS))
         self.assertIn(states[0].endpoint.id, self.chosen("prefill"))
 
+    def view(self, state):
+        """Return what the placement is told of an engine now."""
+        speeds = self.endpoints.speeds.of_reporting([state])
+        [found] = engine_views.views(
+            [state],
+            test_placing.PROMPT,
+            placement.URGENCY_NORMAL,
+            [],
+            speeds,
+            1.0,
+            self.ticker.now(),
+        )
+        return found
+
+    def test_the_queue_of_an_engine_takes_as_long_as_its_work(self):
+        # Guards against prompts that wait at an engine that seems idle since
+        # it is slow, and against a pace that counts twice.
+        state = self.cell_engines(domain.PREFILL)[0]
+        self.report(state, 1.0)
+        self.ticker.advance(1_000)
+        for _ in range(2):
+            state.begin_prompt(placement.URGENCY_NORMAL, 100.0)
+        self.ticker.advance(150)
+        usual = self.view(state)
+        self.report(state, 2.5)
+        slow = self.view(state)
+        self.assertAlmostEqual(usual.wait_ms, 50, delta=1)
+        # The second figure of an engine counts a little as its usual pace.
+        self.assertTrue(2.3 < slow.pace <= 2.5)
+        self.assertAlmostEqual(
+            slow.wait_ms, 2 * 100 * slow.pace - 150, delta=1
+        )
+        self.assertEqual(slow.time_factor, slow.pace)
+
+    def test_a_prefill_on_a_slow_engine_is_not_given_up_early(self):
+        # Guards against prompts that are prefilled twice, and against a slow
+        # engine that counts as failed.
+        option = placement.Option("p", "d", 0.0, 100.0, 200.0, 0)
+        usual = stream_relay.prefill_timeout_ms(option)
+        option = option._replace(relative_time=1.7, pace=2.0)
+        slow = stream_relay.prefill_timeout_ms(option)
+        factor = stream_relay.PREFILL_TIMEOUT_FACTOR
+        self.assertAlmostEqual(slow - usual, factor * 2.4 * 200)
+
     def test_a_slow_engine_is_known_to_the_cell(self):
         # Guards against many gateways that each have to find a slow engine.
         other = Speeds()
