Sum the estimates of an engine's speed at most twice a second

Each placement needs the long-term times of all engines of the cell, and summed the estimates of all peers for each of them. The sums are now kept until a sample or message changes them, or 500 ms.

Measured with 8 peers on a busy machine: 13.8 us a call before, 3.2 us after.

--- a/clementinewall/policy/engine_speed.py
+++ b/clementinewall/policy/engine_speed.py
@@ -44,6 +44,9 @@
 # Peers' estimates that weren't repeated for so long are dropped.
 PEER_LIFETIME_MS = 10_000
 MAX_PEERS = 16
+# The sums over all estimates are kept for so long, since each placement needs
+# those of all engines.
+SUMS_LIFETIME_MS = 500
 
 
 class Estimate(typing.NamedTuple):
@@ -60,6 +63,12 @@
     at: float
 
 
+class _Sums(typing.NamedTuple):
+    log_time: float
+    weight: float
+    until: float
+
+
 class EngineSpeed:
     """What one gateway knows of the speed of one incarnation of an engine."""
 
@@ -71,6 +80,7 @@
         self._log_usual = 0.0
         self._paces = 0
         self._peer_estimate_by_ip = {}
+        self._sums = None
 
     @property
     def latest(self):
@@ -99,6 +109,7 @@
         """
         if predicted_ms < MIN_PREDICTED_MS:
             return
+        self._sums = None
         usual_ms = max(1.0, seen_ms) / self.pace(now)
         distance = math.log(usual_ms / predicted_ms) - self._log_time
         self._samples += 1
@@ -118,23 +129,31 @@
         if len(known) >= MAX_PEERS and ip not in known:
             del known[min(known, key=lambda each: known[each][1])]
         known[ip] = estimate, now
+        self._sums = None
 
     def relative_time(self, scale, now):
         """Return the long-term time relative to the service's ``scale``.
 
         It is 1 without a sample of any gateway.
         """
+        if self._sums is None or now >= self._sums.until:
+            self._sums = self._summed(now)
+        # With distances from the scale, the prior needs no term of its own.
+        total = self._sums.log_time - self._sums.weight * math.log(scale)
+        found = math.exp(total / (self._sums.weight + PRIOR_WEIGHT))
+        return min(MAX_RELATIVE_TIME, max(MIN_RELATIVE_TIME, found))
+
+    def _summed(self, now):
         estimates = [self.estimate] + [
             estimate
             for estimate, at in self._peer_estimate_by_ip.values()
             if now - at <= PEER_LIFETIME_MS
         ]
-        weight = sum(each.weight for each in estimates)
-        log_scale = math.log(scale)
-        # With distances from the scale, the prior needs no term of its own.
-        total = sum(e.weight * (e.log_time - log_scale) for e in estimates)
-        found = math.exp(total / (weight + PRIOR_WEIGHT))
-        return min(MAX_RELATIVE_TIME, max(MIN_RELATIVE_TIME, found))
+        return _Sums(
+            sum(each.weight * each.log_time for each in estimates),
+            sum(each.weight for each in estimates),
+            now + SUMS_LIFETIME_MS,
+        )
 
     def pace(self, now):
         """Return the momentary pace relative to the engine's usual one."""
