--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -8,6 +8,7 @@
 from clementinewall.gateway import cache_view
 from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import endpoint_state
+from clementinewall.gateway import engine_speeds
 from clementinewall.gateway import request_limits
 from clementinewall import logs
 from clementinewall.policy import endpoint_health
@@ -39,6 +40,7 @@
         self._prefills = []
         self._changes = cache_view.UnsentChanges()
         self.scales = prefill_scale.PrefillScales()
+        self.speeds = engine_speeds.EngineSpeeds(now)
         self.cache_holders = cache_holders.CacheHolders(now)
         self._relays = relays
         if relays is not None:
@@ -228,6 +230,9 @@
         work = {}
         for state in self._state_by_incarnation.values():
             own = state.own_work()
+            if not self.speeds.is_reporting(state.endpoint.service):
+                # Nobody bounds what such engines hold.
+                own = own._replace(tokens=0)
             if own.streams or own.jobs:
                 work[state.endpoint.id] = own
         return work
@@ -285,6 +290,7 @@
                 service = state.endpoint.service
                 self._prompt_ms_of_removed[service] += state.prompt_ms
                 _log.info("endpoint state removed", endpoint=state.endpoint.id)
+        self.speeds.keep(self._state_by_incarnation.keys())
 
     def _is_forgotten(self, state):
         missing_ms = self._now() - state.missing_since
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -203,9 +203,25 @@
         table = types.SimpleNamespace(states=lambda: [peer])
         self.placer._peers = types.SimpleNamespace(table=table)
 
+    def report_pace(self):
+        """Let the engines tell their pace, as those do that may crash."""
+        for stage in domain.STAGES:
+            for state in self.cell_engines(stage):
+                state.load = domain.EndpointLoad(1, 0, 16, 1.0)
+                state.load_at = 0
+
+    def test_memory_bounds_nothing_where_engines_preempt(self):
+        # Guards against refusals in deployments whose engines preempt
+        # requests when their memory is full.
+        for state in self.cell_engines(domain.DECODE):
+            self.hold(state.endpoint.id, SERVICE.engine.kv_tokens)
+            state.tokens = SERVICE.engine.kv_tokens
+        self.place()
+
     def test_an_engine_whose_memory_peers_use_gets_nothing(self):
         # Guards against requests of several gateways that together exceed an
         # engine's memory, by which it crashes with all of them.
+        self.report_pace()
         for stage in domain.STAGES:
             name = self.cell_engines(stage)[0].endpoint.id
             self.hold(name, SERVICE.engine.kv_tokens - PROMPT.tokens_in)
@@ -216,6 +232,7 @@
 
     def test_the_own_work_at_an_engine_counts(self):
         # Guards against a gateway that alone exceeds an engine's memory.
+        self.report_pace()
         states = self.cell_engines(domain.DECODE)
         for state in states:
             state.tokens = SERVICE.engine.kv_tokens - PROMPT.tokens_in
