--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -97,6 +97,15 @@
         """Return the configured service of this name, or ``None``."""
         return self._fleet_view.configuration.service_by_name.get(name)
 
+    @property
+    def has_customers(self):
+        """Tell whether the configuration in force names customers."""
+        configuration = self._fleet_view.configuration
+        return (
+            configuration is not None
+            and configuration.customer_by_key is not None
+        )
+
     def of_service(self, service):
         """Return the states of the endpoints that don't leave."""
         states = [
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -114,6 +114,11 @@
         digest.update(call.body)
         return digest.hexdigest()[: 2 * DIGEST_BYTES]
 
+    @property
+    def caller_ip(self):
+        """Return the caller's address, or ``None`` if it is unknown."""
+        return self.connection and self.connection.caller_ip
+
     @property
     def left_ms(self):
         """Return the time left until the deadline of the answer."""
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -7,9 +7,9 @@
 request limits), ``beats`` (the newest heartbeats of all gateways), ``facts``
 (what else is known of their processes), ``ask`` (gateways whose facts the
 sender needs), ``signs`` (heartbeats with their age, from gateways of the
-version before), ``kept`` (long prompt prefixes that engines prefilled) and
-``news`` (updates read from the store).  Times are sent as ages, since clocks
-of two machines are never compared.
+version before), ``kept`` (long prompt prefixes that engines prefilled),
+``news`` (updates read from the store) and ``room`` (recent admissions). Times
+are sent as ages, since clocks of two machines are never compared.
 """
 
 import functools
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -85,6 +85,9 @@
         )
         # Called as ``take(message, ip)`` with what known gateways send.
         self.listeners = []
+        # What else the state message has, by key: each returns plain data, or
+        # None to leave its key out.
+        self.source_by_key = {}
         self._cell_ips = frozenset()
         self._last_content = None
         self._last_at = -REPEAT_INTERVAL_MS
@@ -264,16 +267,19 @@
             self._endpoints.unavailable_ms_by_endpoint_id(),
             self._endpoints.scales.estimate_by_service(),
         )
-        return peer_messages.dump(
-            {
-                "state": peer_messages.encode_state(state, now),
-                "beats": self._rounds.own_beat(),
-                "read": prefills,
-                "changed": cache_changes,
-                "marks": crash_records,
-                "parts": parts or {},
-            }
-        )
+        message = {
+            "state": peer_messages.encode_state(state, now),
+            "beats": self._rounds.own_beat(),
+            "read": prefills,
+            "changed": cache_changes,
+            "marks": crash_records,
+            "parts": parts or {},
+        }
+        for key, source in self.source_by_key.items():
+            data = source()
+            if data is not None:
+                message[key] = data
+        return peer_messages.dump(message)
 
     def _receive(self, raw, ip):
         try:
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -2,14 +2,15 @@
 
 import random
 import typing
-import zlib
 
+from clementinewall.admission import controller
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import exchange as exchanges
 from clementinewall import logs
+from clementinewall.membership import isolation
 from clementinewall import metrics
 from clementinewall.policy import placement
 from clementinewall.policy import prefill_queue
@@ -75,13 +76,18 @@
     known: list[placement.Engine]
     chosen: placement.Option | placement.Refusal
     urgency: int
+    # Whether admission control applies.
+    is_shared: bool
 
 
 class Placer:
     """Chooses engines for model requests."""
 
-    def __init__(self, settings, endpoints, peers, cell_membership, now):
+    def __init__(
+        self, settings, endpoints, peers, cell_membership, now, admission=None
+    ):
         """Use the known engines and the work that peers announced there."""
+        self._admission = admission or controller.Admission(now)
         self._link_mbps = settings.link_mbps
         self._endpoints = endpoints
         self._peers = peers
@@ -97,11 +103,20 @@
         :raises Overloaded: the request cannot be served in time.
         :raises ClementinewallError: no further send can serve the request.
         """
-        options = self._options(exchange, self._may_probe(), may_repeat=True)
-        demand, states, known, chosen, urgency = options
-        self._record_probe(known, chosen)
+        is_probe = self._may_probe()
+        options = self._options(exchange, is_probe, may_repeat=True)
+        self._record_probe(options.known, options.chosen)
+        is_begun = last is not None or exchange.call.takes_up
+        if options.is_shared and not is_begun:
+            options = self._admission.admit(
+                exchange,
+                options,
+                lambda: self._options(
+                    exchange, is_probe, urgency=placement.URGENCY_LATE
+                ),
+            )
+        demand, states, known, chosen, urgency, _ = options
         if isinstance(chosen, placement.Refusal):
-            is_begun = last is not None or exchange.call.takes_up
             if not is_begun or not _is_worth_serving_late(chosen, exchange):
                 self._refuse(exchange, demand, chosen, last)
             chosen = chosen.best
@@ -150,7 +165,12 @@
         return all(options.state_by_id[id_].is_usable() for id_ in engine_ids)
 
     def _options(
-        self, exchange, is_probe, excluded_ids=frozenset(), may_repeat=False
+        self,
+        exchange,
+        is_probe,
+        excluded_ids=frozenset(),
+        may_repeat=False,
+        urgency=None,
     ):
         """Return the engines that are left for the request, and the best.
 
@@ -177,7 +197,7 @@
             if state.endpoint.id not in excluded_ids
         }
         if exchange.suspect is not None:
-            states = _isolated(states, engines, exchange)
+            states = isolation.isolated(states, engines, exchange)
         elif may_repeat and exchange.version is not None:
             if not any(_decodes(state) for state in states.values()):
                 states |= {
@@ -193,7 +213,13 @@
             ),
             default=0,
         )
-        urgency = placement.prefill_urgency(demand, cached)
+        is_shared = controller.is_on(self._endpoints.has_customers, engines)
+        if urgency is None:
+            urgency = placement.prefill_urgency(
+                demand,
+                cached,
+                controller.priority(exchange) if is_shared else 0,
+            )
         usable_stages = {
             state.endpoint.stage
             for state in states.values()
@@ -205,7 +231,7 @@
         ]
         holder = self._cache_holder(prompt, states)
         chosen = placement.choose(known, demand, holder)
-        return Options(demand, states, known, chosen, urgency)
+        return Options(demand, states, known, chosen, urgency, is_shared)
 
     def _candidates(self, engines, version):
         """Return the engines of the cell, and others if most of these fail.
@@ -351,34 +377,6 @@
     return state.endpoint.version == version
 
 
-def _isolated(state_by_id, engines, exchange):
-    """Leave one decode engine, the same at all gateways, for a suspect part.
-
-    If the part crashes engines, requests with it that come together cost one.
-    The last decode engine, without which nothing is served, is spared.
-    """
-    suspect = exchange.suspect
-    able = [
-        state
-        for state in engines
-        if _decodes(state)
-        and state.is_usable()
-        and not state.path.is_unreached
-        and state.endpoint.incarnation_name not in suspect.endpoints
-    ]
-    able.sort(key=lambda state: _isolation_rank(state, suspect.part))
-    found = {k: s for k, s in state_by_id.items() if not _decodes(s)}
-    if len(able) > 1 or not suspect.spares_last:
-        left = [s for s in able if s.endpoint.id not in exchange.tried_ids]
-        found |= {state.endpoint.id: state for state in left[:1]}
-    return found
-
-
-def _isolation_rank(state, part):
-    name = state.endpoint.id
-    return zlib.crc32(f"{part} {name}".encode()), name
-
-
 def _slowness(state, usable_stages):
     """Return the slowness to predict the times of an engine with.
 
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -8,6 +8,7 @@
 from clementinewall.access import confirmation
 from clementinewall.access import freshness
 from clementinewall.access import peer_clocks
+from clementinewall.admission import controller
 from clementinewall import clock
 from clementinewall.duties import assembly
 from clementinewall.gateway import budgets
@@ -103,6 +104,9 @@
             settings, self._peers, ticker.now_with_suspend
         )
         drain = draining.Drain(ticker)
+        admission = controller.Admission(now)
+        self._peers.source_by_key[controller.MESSAGE_KEY] = admission.message
+        self._peers.listeners.append(admission.take)
         self._plain = plain_relay.PlainRelay(
             settings, self._endpoints, self._budgets, self._crash_guard, now
         )
@@ -114,6 +118,7 @@
                 self._peers,
                 self._cell_membership,
                 now,
+                admission,
             ),
             self._peers.announce_prompt,
             self._budgets,
--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -66,6 +66,11 @@
             and not self._h11.trailing_data[0]
         )
 
+    @property
+    def caller_ip(self):
+        """Return the address at the other end, or ``None`` if unknown."""
+        return self._stream.remote_ip
+
     def close_after_answer(self):
         """Close the connection after the next answer."""
         self._closing = True
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -111,6 +111,12 @@
         """Tell whether there are unread bytes."""
         return bool(self._chunks)
 
+    @property
+    def remote_ip(self):
+        """Return the address at the other end, or ``None`` if unknown."""
+        address = self._transport.get_extra_info("peername")
+        return address[0] if address else None
+
     @property
     def raw_socket(self):
         """Return the socket, to set its options and poll it."""
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -33,6 +33,12 @@
 URGENCY_SHORT = 0
 URGENCY_TIGHT = 1
 URGENCY_NORMAL = 2
+# Of answers that would be late anyway: behind all others at an engine.
+URGENCY_LATE = 9
+# Each level of priority is put this much behind the one before; levels from
+# the last on are equal.  Prompts of one level still differ.
+URGENCY_PER_PRIORITY = 1
+LOWEST_PRIORITY = 6
 # Cost of a millisecond of engine time, relative to one of the caller's time.
 # It keeps prompts at engines that have their prefix in the cache.
 WORK_WEIGHT = 3.0
@@ -188,22 +194,25 @@
     )
 
 
-def prefill_urgency(demand, cached):
+def prefill_urgency(demand, cached, priority=0):
     """Return the urgency of a prompt in an engine's queue, 0 first.
 
+    ``priority`` is that of its route or customer, 0 the highest.
+
     Engines prefill urgent prompts first.  Short ones hardly delay others, so
     they go first.  Of the rest, a prompt that needs most of its target would
     be late behind any other, while a normal one can wait for it.
     """
+    level = URGENCY_PER_PRIORITY * max(0, min(priority, LOWEST_PRIORITY))
     prompt_ms = _prompt_ms(demand, cached)
     if prompt_ms <= demand.goal_ms * SHORT_PROMPT_FRACTION:
-        return URGENCY_SHORT
+        return level + URGENCY_SHORT
     own_time_ms = prompt_ms + 2 * (
         engine_time.HOP_MS + engine_time.FIRST_EVENT_MS
     )
     if own_time_ms >= demand.goal_ms * TIGHT_FRACTION:
-        return URGENCY_TIGHT
-    return URGENCY_NORMAL
+        return level + URGENCY_TIGHT
+    return level + URGENCY_NORMAL
 
 
 def decode_urgency(engine, prompt_urgency):
