--- a/clementinewall/admission/controller.py
+++ b/clementinewall/admission/controller.py
@@ -47,15 +47,19 @@
         service_sizes = self._sizes_by_service[group.service]
         tokens = options.demand.tokens
         load = self._recent.load(group.service)
+        slack_ms = _slack_ms(options.demand, best) if best else 0.0
+        # Placement accepts short prompts late, however many there are.
+        is_in_time = not is_refused and slack_ms >= 0
         request = room.Request(
             first_ms=best.first_ms if best else None,
             wait_ms=best.wait_ms if best else 0.0,
-            is_in_time=not is_refused,
+            is_in_time=is_in_time,
             left_ms=options.demand.left_ms,
             deadline_ms=exchange.left_ms,
             room_ms=_room_ms(options),
             priority=group.priority,
             standing=self._recent.standing(group),
+            slack_ms=slack_ms,
             is_return=is_return is True,
             is_repeat=is_return is False,
             is_large_underserved=service_sizes.is_underserved(tokens),
@@ -73,7 +77,7 @@
                 options = late
         is_admitted = decision.action != room.REFUSE
         # Nothing is lacking where an idle engine takes too long.
-        is_lacking = is_refused and (best is None or best.wait_ms > 0)
+        is_lacking = not is_in_time and (best is None or best.wait_ms > 0)
         self._recent.record(group, is_admitted, is_lacking, request.is_repeat)
         if not request.is_repeat:
             service_sizes.record(tokens, is_admitted)
@@ -167,6 +171,18 @@
     return max(placement.MIN_RETRY_MS, options.chosen.wait_ms)
 
 
+def _slack_ms(demand, option):
+    """Return how much longer an option may wait until it is late.
+
+    Prompts that take longer than their target are measured by their wait.
+    """
+    own_time_ms = option.first_ms - option.wait_ms
+    if own_time_ms > demand.goal_ms * placement.TARGET_FRACTION:
+        limit_ms = demand.goal_ms * placement.LARGE_PROMPT_WAIT_FRACTION
+        return limit_ms - option.wait_ms
+    return demand.left_ms * placement.TARGET_FRACTION - option.first_ms
+
+
 def _behind_others(options):
     """Return options with the best chosen, in time or not."""
     chosen = options.chosen
--- a/clementinewall/admission/sizes.py
+++ b/clementinewall/admission/sizes.py
@@ -1,5 +1,6 @@
 """How often the largest prompts are served, against all prompts."""
 
+import bisect
 import collections
 
 from clementinewall.policy import room
@@ -7,6 +8,7 @@
 # Recent prompts by which the largest tenth is determined.
 KEPT_PROMPTS = 200
 LARGEST_FRACTION = 0.1
+MAX_LARGE_FRACTION = 0.2
 MIN_PROMPTS = 20
 # Counts are multiplied by this with each prompt.
 KEPT_PER_PROMPT = 0.99
@@ -39,9 +41,8 @@
         if len(self._sizes) < MIN_PROMPTS:
             return False
         if self._limit is None:
-            ranked = sorted(self._sizes)
-            self._limit = ranked[int(len(ranked) * (1 - LARGEST_FRACTION))]
-        return tokens >= self._limit > ranked_min(self._sizes)
+            self._limit = _limit(sorted(self._sizes))
+        return tokens >= self._limit
 
     def is_underserved(self, tokens):
         """Tell whether a prompt is large and too few such were served."""
@@ -49,9 +50,16 @@
             return False
         rate = self._served / self._asked
         wanted = room.MIN_LARGE_RATE_FRACTION * rate * self._large_asked
-        return wanted - self._large_served >= room.MIN_DEFICIT
+        return wanted - self._large_served >= room.MIN_LARGE_DEFICIT
 
 
-def ranked_min(sizes):
-    """Return the smallest size; if it is also the largest, none is large."""
-    return min(sizes)
+def _limit(ranked):
+    """Return from which size on a prompt is one of the largest.
+
+    If one size is that of many prompts, only larger ones count.
+    """
+    limit = ranked[int(len(ranked) * (1 - LARGEST_FRACTION))]
+    count = len(ranked) - bisect.bisect_left(ranked, limit)
+    if count > len(ranked) * MAX_LARGE_FRACTION:
+        return limit + 1
+    return limit
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -35,10 +35,10 @@
 URGENCY_NORMAL = 2
 # Of answers that would be late anyway: behind all others at an engine.
 URGENCY_LATE = 9
-# Each level of priority is put this much behind the one before; levels from
-# the last on are equal.  Prompts of one level still differ.
-URGENCY_PER_PRIORITY = 1
-LOWEST_PRIORITY = 6
+# All priorities but the highest are put this much behind it.  With more
+# levels, each fills the time to its target by itself, and the engines do
+# nothing for the lowest.
+URGENCY_OF_LOWER_PRIORITIES = 1
 # Cost of a millisecond of engine time, relative to one of the caller's time.
 # It keeps prompts at engines that have their prefix in the cache.
 WORK_WEIGHT = 3.0
@@ -203,7 +203,7 @@
     they go first.  Of the rest, a prompt that needs most of its target would
     be late behind any other, while a normal one can wait for it.
     """
-    level = URGENCY_PER_PRIORITY * max(0, min(priority, LOWEST_PRIORITY))
+    level = URGENCY_OF_LOWER_PRIORITIES if priority > 0 else 0
     prompt_ms = _prompt_ms(demand, cached)
     if prompt_ms <= demand.goal_ms * SHORT_PROMPT_FRACTION:
         return level + URGENCY_SHORT
--- a/clementinewall/policy/room.py
+++ b/clementinewall/policy/room.py
@@ -23,9 +23,10 @@
 MIN_EVEN_FRACTION = 0.3
 # The largest prompts are admitted late if their rate falls below this
 # fraction of that of all; half is promised.
-MIN_LARGE_RATE_FRACTION = 0.7
+MIN_LARGE_RATE_FRACTION = 0.6
+MIN_LARGE_DEFICIT = 0.5
 # Fewer requests than this don't show that a group is underserved.
-MIN_DEFICIT = 1.0
+MIN_DEFICIT = 2.0
 # From this fraction of requests without room in time on, entitlements count
 # in full; below, proportionally less.
 FULL_PRESSURE = 0.1
@@ -44,6 +45,8 @@
 # A repeat before its time is served only if the wait is below this fraction
 # of the time to the target.
 REPEAT_WAIT_FRACTION = 0.1
+# Bounds the wait that is predicted behind higher priorities.
+MAX_OVERTAKEN = 0.8
 MIN_RETRY_MS = 50
 MAX_RETRY_MS = 2_000
 # Callers are spread over up to this multiple of the time until there is room.
@@ -63,6 +66,8 @@
     admitted: float = 0.0
     entitled: float = 0.0
     minimum: float = 0.0
+    # Fraction of the admissions of all that has a higher priority.
+    overtaken: float = 0.0
 
     @property
     def ratio(self):
@@ -83,12 +88,12 @@
 
     ``first_ms`` is when the first event is predicted, ``None`` if no engine
     takes work; ``wait_ms`` is the part of it spent in the engine's queue, and
-    ``is_in_time`` tells that placement expects it in time.  ``left_ms`` is the
-    time to the target, ``deadline_ms`` that to the deadline, ``room_ms`` when
-    room is expected.  ``is_return`` tells that the caller returns after a
-    refusal as advised, ``is_repeat`` that it returns earlier.
-    ``is_large_underserved`` marks one of the largest prompts if too few of
-    them were served.
+    ``is_in_time`` tells that placement expects it in time, ``slack_ms`` how
+    much longer it may wait then. ``left_ms`` is the time to the target,
+    ``deadline_ms`` that to the deadline, ``room_ms`` when room is expected.
+    ``is_return`` tells that the caller returns after a refusal as advised,
+    ``is_repeat`` that it returns earlier. ``is_large_underserved`` marks one
+    of the largest prompts if too few of them were served.
     """
 
     first_ms: float | None
@@ -99,6 +104,7 @@
     room_ms: float
     priority: int
     standing: Standing
+    slack_ms: float = 0.0
     is_return: bool = False
     is_repeat: bool = False
     is_large_underserved: bool = False
@@ -144,6 +150,18 @@
     return Decision(REFUSE, reason, _retry_ms(request, load, spread))
 
 
+def _is_in_time(request):
+    """Tell whether the answer is in time although others overtake it.
+
+    Engines take prompts of higher priority first, also those that come later.
+    """
+    if not request.is_in_time:
+        return False
+    overtaken = min(MAX_OVERTAKEN, request.standing.overtaken)
+    limit_ms = request.wait_ms + request.slack_ms
+    return request.wait_ms / (1.0 - overtaken) <= limit_ms
+
+
 def is_late_in_time(request, option):
     """Tell whether a late answer by this option precedes the deadline."""
     return option.first_ms <= request.deadline_ms * LATE_DEADLINE_FRACTION
@@ -161,7 +179,7 @@
             return "repeat"
     limit_ms = request.left_ms * RETURN_TARGET_FRACTION
     is_return_in_time = request.is_return and request.first_ms <= limit_ms
-    if not request.is_in_time and not is_return_in_time:
+    if not _is_in_time(request) and not is_return_in_time:
         return "no time"
     if request.standing.is_underserved or request.is_large_underserved:
         return None
@@ -235,6 +253,7 @@
         minimums.append(min(demand.asked, minimum))
     left = max(0.0, room - sum(minimums))
     found = {}
+    higher = 0.0
     for priority in sorted({demand.priority for demand in demands}):
         group = [
             (demand, minimum)
@@ -246,8 +265,13 @@
             entitled = max(minimum, min(demand.asked, level))
             left -= entitled - minimum
             found[demand.owner, priority] = Standing(
-                demand.asked, demand.admitted, entitled, minimum
+                demand.asked,
+                demand.admitted,
+                entitled,
+                minimum,
+                higher / room if room else 0.0,
             )
+        higher += sum(demand.admitted for demand, _ in group)
         left = max(0.0, left)
     return found
 
--- /dev/null
+++ b/tests/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the admission control under load."""
