--- a/clementinewall/admission/controller.py
+++ b/clementinewall/admission/controller.py
@@ -18,6 +18,8 @@
 
 # Key of the counts in the messages to the cell.
 MESSAGE_KEY = "room"
+# State is sent up to each few ms; the counts change slowly and are large.
+REPORT_INTERVAL_MS = 250
 
 
 class Admission:
@@ -25,7 +27,9 @@
 
     def __init__(self, now, chance=random.random):
         """Start without requests; ``chance()`` is from 0 to 1."""
+        self._now = now
         self._chance = chance
+        self._reported_at = now() - REPORT_INTERVAL_MS
         self._recent = recent.Recent(now)
         self._returns = returns.Returns(now)
         self._sizes_by_service = collections.defaultdict(sizes.Sizes)
@@ -78,7 +82,7 @@
         is_admitted = decision.action != room.REFUSE
         # Nothing is lacking where an idle engine takes too long.
         is_lacking = not is_in_time and (best is None or best.wait_ms > 0)
-        self._recent.record(group, is_admitted, is_lacking, request.is_repeat)
+        self._recent.record(group, is_admitted, is_lacking, is_return is None)
         if not request.is_repeat:
             service_sizes.record(tokens, is_admitted)
         metrics.count("admissions", reason=decision.reason)
@@ -111,7 +115,11 @@
         raise errors.Overloaded(why, retry_after_ms=retry_ms)
 
     def message(self):
-        """Return what the cell needs, or ``None`` if that is nothing."""
+        """Return what the cell needs, or ``None`` if that is nothing now."""
+        now = self._now()
+        if now - self._reported_at < REPORT_INTERVAL_MS:
+            return None
+        self._reported_at = now
         return self._recent.report()
 
     def take(self, message, ip):
--- a/clementinewall/admission/recent.py
+++ b/clementinewall/admission/recent.py
@@ -24,7 +24,7 @@
 MAX_REPORTED_SERVICES = 8
 MAX_COUNT = 1e6
 # Entitlements change slowly; they are computed once in this time.
-REFRESH_MS = 100
+REFRESH_MS = 200
 
 
 class Group(typing.NamedTuple):
@@ -76,8 +76,11 @@
         self._report_by_ip = {}
         self._computed_by_service = {}
 
-    def record(self, group, is_admitted, is_lacking, is_repeat):
-        """Count a request and the decision on it."""
+    def record(self, group, is_admitted, is_lacking, is_new):
+        """Count a request and the decision on it.
+
+        One that was refused before isn't counted again as asked for.
+        """
         now = self._now()
         if (
             group not in self._tally_by_group
@@ -88,10 +91,10 @@
         total = self._total_by_service.setdefault(group.service, Tally(now))
         for counts in (tally, total):
             counts.decay(now)
-            counts.asked += not is_repeat
+            counts.asked += is_new
             counts.admitted += is_admitted
             counts.refused += not is_admitted
-            counts.lacking += is_lacking and not is_repeat
+            counts.lacking += is_lacking and is_new
 
     def standing(self, group):
         """Return the group's :class:`room.Standing`."""
--- a/clementinewall/policy/room.py
+++ b/clementinewall/policy/room.py
@@ -37,11 +37,11 @@
 LATE_DEADLINE_FRACTION = 0.7
 # Requests of a group that exceeds its entitlement are refused with a
 # probability of this factor times the excess.
-EXCESS_FACTOR = 2.0
+EXCESS_FACTOR = 5.0
 # For callers that return after a refusal: their excess is reduced by this
 # factor, and more of the time to the target may be used.
-RETURN_RATIO_FACTOR = 0.7
-RETURN_TARGET_FRACTION = 0.95
+RETURN_RATIO_FACTOR = 0.9
+RETURN_TARGET_FRACTION = 0.9
 # A repeat before its time is served only if the wait is below this fraction
 # of the time to the target.
 REPEAT_WAIT_FRACTION = 0.1
@@ -51,6 +51,8 @@
 MAX_RETRY_MS = 2_000
 # Callers are spread over up to this multiple of the time until there is room.
 MAX_BACKLOG = 4.0
+# Each halves the error of the level up to which demands are met.
+LEVEL_STEPS = 30
 # Priorities from here on are equally low.
 LOWEST_PRIORITY = 4
 
@@ -219,7 +221,8 @@
 class Demand(typing.NamedTuple):
     """What one customer or caller asked for at one priority.
 
-    ``asked`` excludes repeats, so that these don't raise an entitlement.
+    ``asked`` excludes returns and repeats after a refusal, so that these don't
+    raise an entitlement.
     """
 
     owner: str
@@ -283,7 +286,7 @@
     """
     low = 0.0
     high = max(demand.asked for demand, _ in group)
-    for _ in range(30):
+    for _ in range(LEVEL_STEPS):
         middle = (low + high) / 2
         used = sum(
             max(minimum, min(demand.asked, middle)) - minimum
--- a/tests/admission/test_counts.py
+++ b/tests/admission/test_counts.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from clementinewall.admission import controller
 from clementinewall.admission import recent
 from clementinewall.admission import returns
 from clementinewall.admission import sizes
@@ -23,7 +24,7 @@
         """Count some requests of an owner."""
         group = recent.Group(SERVICE, owner, 0)
         for _ in range(times):
-            counts.record(group, is_admitted, not is_admitted, False)
+            counts.record(group, is_admitted, not is_admitted, True)
 
     def test_what_a_peer_reports_counts_once(self):
         # Load: two gateways, one report that comes twice.  Guards against
@@ -74,6 +75,23 @@
         self.assertIsNone(self.own.report())
 
 
+class Reports(unittest.TestCase):
+    """What a gateway adds to its messages."""
+
+    def test_counts_are_not_in_each_message(self):
+        # Load: messages each 10 ms.  Guards against counts that fill slow
+        # links.
+        ticker = clock.ManualClock(10_000)
+        admission = controller.Admission(ticker.now)
+        group = recent.Group(SERVICE, "a", 0)
+        admission._recent.record(group, True, False, True)
+        messages = 0
+        for _ in range(100):
+            messages += admission.message() is not None
+            ticker.advance(10)
+        self.assertEqual(messages, 4)
+
+
 class Returns(unittest.TestCase):
     """Callers that come back."""
 
--- a/tests/admission/test_overload.py
+++ b/tests/admission/test_overload.py
@@ -43,7 +43,7 @@
                 large = by_name.pop("large")
                 self.assertGreaterEqual(min(by_name.values()), served / 2)
                 mean = sum(by_name.values()) / len(by_name)
-                self.assertLess(large, mean)
+                self.assertLess(large, 0.8 * mean)
                 self.assertGreaterEqual(large * 10, mean / 4)
 
     def test_repeating_at_once_gains_nothing(self):
@@ -125,7 +125,3 @@
         wanted.run(5)
         self.assertLessEqual(wanted.largest_report, 40)
         self.assertGreater(wanted.largest_report, 20)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/gateway/test_placing.py
+++ b/tests/gateway/test_placing.py
@@ -2,7 +2,9 @@
 
 import types
 import unittest
+from unittest import mock
 
+from clementinewall.admission import controller
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall import errors
@@ -97,6 +99,44 @@
             found = found._replace(version=version)
             self.fleet_view.endpoint_by_id[name] = found
 
+    def admissions(self):
+        """Return how many of three requests admission control decides on."""
+        with mock.patch.object(
+            controller.Admission,
+            "admit",
+            autospec=True,
+            side_effect=lambda _self, _exchange, options, _late: options,
+        ) as admit:
+            for _ in range(3):
+                self.place()
+            resumed = self.exchange()
+            resumed.call = resumed.call._replace(resume_after=3)
+            self.placer.place(resumed, None)
+        return admit.call_count
+
+    def test_admission_control_is_off_without_customers_and_pace(self):
+        # Load: three requests and a resumed stream.  Guards against changed
+        # decisions and urgencies in deployments that have neither.
+        state = self.endpoints.of_service("model")[0]
+        self.assertEqual(self.admissions(), 0)
+        state.load = domain.EndpointLoad(1, 0, 16)
+        self.assertEqual(self.admissions(), 0)
+        with mock.patch.object(
+            controller, "priority", autospec=True, side_effect=AssertionError
+        ):
+            self.place()
+
+    def test_admission_control_is_on_with_customers_or_pace(self):
+        # Load: three requests and a resumed stream, which isn't refused.
+        # Guards against a rule that doesn't take effect.
+        state = self.endpoints.of_service("model")[0]
+        state.load = domain.EndpointLoad(1, 0, 16, 1.0)
+        self.assertEqual(self.admissions(), 3)
+        state.load = None
+        view = self.fleet_view
+        view.configuration = view.configuration._replace(customer_by_key={})
+        self.assertEqual(self.admissions(), 3)
+
     def place_at(self, version, tried_ids=()):
         """Place a stream that has to go on at a version."""
         exchange = self.exchange()
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -272,6 +272,18 @@
 class Urgency(unittest.TestCase):
     """The order of prompts at an engine."""
 
+    def test_the_highest_priority_goes_before_others_of_its_kind(self):
+        # Guards against urgent routes that wait behind others, and against
+        # levels that starve the lowest.
+        for tokens in (600, 6_000, 50_000):
+            urgencies = [
+                placement.prefill_urgency(demand(tokens, 500), 0, priority)
+                for priority in range(4)
+            ]
+            first = urgencies[0]
+            self.assertEqual(urgencies[1:], [first + 1] * 3)
+            self.assertLess(max(urgencies), placement.URGENCY_LATE)
+
     def test_short_before_tight_before_normal(self):
         places = [
             placement.prefill_urgency(demand(tokens, goal), 0)
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -98,7 +98,7 @@
     def test_a_return_goes_before_a_new_request(self):
         # Load: half lacks room.  Guards against callers that are refused
         # each time they come.
-        wanted = request(first_ms=370.0, wait_ms=270.0, is_in_time=False)
+        wanted = request(first_ms=355.0, wait_ms=255.0, is_in_time=False)
         self.assertEqual(self.action(wanted), room.REFUSE)
         wanted = wanted._replace(is_return=True)
         self.assertEqual(self.action(wanted), room.SERVE)
