--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -144,6 +144,12 @@
         """Return how many bytes the system has not accepted yet."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def remote_ip(self):
+        """Return the address at the other end, or ``None`` if unknown."""
+        address = self._transport.get_extra_info("peername")
+        return address[0] if address else None
+
     @property
     def raw_socket(self):
         """Return the socket, to set its options and poll it."""
--- a/clementinewall/policy/placement.py
+++ b/clementinewall/policy/placement.py
@@ -35,6 +35,12 @@
 URGENCY_SHORT = 0
 URGENCY_TIGHT = 1
 URGENCY_NORMAL = 2
+# Of answers that would be late anyway: behind all others at an engine.
+URGENCY_LATE = 9
+# All priorities but the highest are put this much behind it.  With more
+# levels, each fills the time to its target by itself, and the engines do
+# nothing for the lowest.
+URGENCY_OF_LOWER_PRIORITIES = 1
 # Cost of a millisecond of engine time, relative to one of the caller's time.
 # It keeps prompts at engines that have their prefix in the cache.
 WORK_WEIGHT = 3.0
@@ -237,22 +243,25 @@
     )
 
 
-def prefill_urgency(demand, cached):
+def prefill_urgency(demand, cached, priority=0):
     """Return the urgency of a prompt in an engine's queue, 0 first.
 
+    ``priority`` is that of its route or customer, 0 the highest.
+
     Engines prefill urgent prompts first.  Short ones hardly delay others, so
     they go first.  Of the rest, a prompt that needs most of its target would
     be late behind any other, while a normal one can wait for it.
     """
+    level = URGENCY_OF_LOWER_PRIORITIES if priority > 0 else 0
     prompt_ms = _prompt_ms(demand, cached)
     if prompt_ms <= demand.goal_ms * SHORT_PROMPT_FRACTION:
-        return URGENCY_SHORT
+        return level + URGENCY_SHORT
     own_time_ms = prompt_ms + 2 * (
         engine_time.HOP_MS + engine_time.FIRST_EVENT_MS
     )
     if own_time_ms >= demand.goal_ms * TIGHT_FRACTION:
-        return URGENCY_TIGHT
-    return URGENCY_NORMAL
+        return level + URGENCY_TIGHT
+    return level + URGENCY_NORMAL
 
 
 def decode_urgency(engine, prompt_urgency):
