Plan engines so that each kind is exact and nothing goes too early

Change: the plan makes a target and holds back what must not go yet; the load is the median of five seconds; missing kinds aren't ordered.

--- a/clementinewall/policy/fleet_size.py
+++ b/clementinewall/policy/fleet_size.py
@@ -8,6 +8,7 @@
 
 import collections
 import math
+import statistics
 import typing
 
 # Engines work off this fraction of their time at the load that is planned
@@ -18,12 +19,12 @@
 SLOT_UTILISATION = 0.3
 # Engines of each stage, so that the loss of one leaves another.
 MIN_PER_STAGE = 2
-# At the loss of a data centre's preemptible engines the others work at most
-# this much more than planned.
-LOSS_FACTOR = 1.6
+# Part of the engines that is left when all preemptible ones of a data centre
+# are taken back: these serve the load at full utilisation.
+LEFT_AFTER_LOSS = max(PREFILL_UTILISATION, SLOT_UTILISATION)
 # On-demand engines in different data centres.
 MIN_ON_DEMAND = 2
-RISE_LASTING_MS = 3_000
+RISE_LASTING_MS = 5_000
 FALL_LASTING_MS = 10_000
 # A load that rises is expected to go on rising, up to this factor.
 MAX_RISE_FACTOR = 1.25
@@ -115,14 +116,14 @@
     before = [
         x for x in loads if RISE_LASTING_MS < now - x.at <= 2 * RISE_LASTING_MS
     ]
-    mean = _mean(recent)
+    lasting = _median(recent)
     if not before:
-        return mean
-    earlier = _mean(before)
+        return lasting
+    earlier = _median(before)
     steps = boot_ms / RISE_LASTING_MS
-    return mean._replace(
-        prompt_ms=_extrapolate(earlier.prompt_ms, mean.prompt_ms, steps),
-        streams=_extrapolate(earlier.streams, mean.streams, steps),
+    return lasting._replace(
+        prompt_ms=_extrapolate(earlier.prompt_ms, lasting.prompt_ms, steps),
+        streams=_extrapolate(earlier.streams, lasting.streams, steps),
     )
 
 
@@ -130,26 +131,30 @@
     return min(MAX_RISE_FACTOR * now, now + max(0.0, now - before) * steps)
 
 
-def _mean(loads):
+def _median(loads):
+    """Return the load that half of the time was not exceeded.
+
+    A burst that is shorter doesn't change it.
+    """
     return Load(
         loads[-1].at,
-        sum(x.prompt_ms for x in loads) / len(loads),
-        sum(x.streams for x in loads) / len(loads),
+        statistics.median(x.prompt_ms for x in loads),
+        statistics.median(x.streams for x in loads),
     )
 
 
 def _peak(loads, now):
     """Return the highest load that lasted as long as a rise has to."""
     lasting = [x for x in loads if now - x.at <= FALL_LASTING_MS]
-    means = [
-        _mean([x for x in lasting if 0 <= end.at - x.at <= RISE_LASTING_MS])
+    medians = [
+        _median([x for x in lasting if 0 <= end.at - x.at <= RISE_LASTING_MS])
         for end in lasting
         if end.at - lasting[0].at >= RISE_LASTING_MS or end is lasting[-1]
     ]
     return Load(
         loads[-1].at,
-        max(x.prompt_ms for x in means),
-        max(x.streams for x in means),
+        max(x.prompt_ms for x in medians),
+        max(x.streams for x in medians),
     )
 
 
@@ -165,86 +170,107 @@
     """Return how many engines of each kind to have for ``wanted`` in all.
 
     ``engines`` are those that exist and don't leave; ``missing`` are the
-    kinds of which none was to be had lately.  On-demand engines stay until
-    preemptible ones serve in their place.
+    kinds of which none was to be had lately.  Engines stay until those that
+    replace them serve.
     """
     centres = sorted(
         range_.price_by_data_centre,
         key=lambda name: (range_.price_by_data_centre[name], name),
     )
-    if not centres:
-        return Plan(wanted, {}, "no data centre has a price")
     present = collections.Counter(
         Kind(e.data_centre, e.is_spot) for e in engines if e.is_serving
     )
-    spot_centres = [c for c in centres if Kind(c, True) not in missing]
-    if range_.spot_price is None:
-        spot_centres = []
-    base = min(wanted, MIN_ON_DEMAND)
-    per_centre = _spot_per_centre(wanted, base, len(spot_centres), range_)
-    found = {
-        Kind(c, True): per_centre if c in spot_centres else present[c, True]
-        for c in centres
-        if range_.spot_price is not None
-    }
-    planned_spot = sum(found.values())
-    serving_spot = sum(min(found[kind], present[kind]) for kind in found)
-    held = sum(n for kind, n in present.items() if not kind.is_spot)
-    # Those that are there stay until the preemptible ones that are on their
-    # way serve; further ones would come no sooner than these.
-    kept = min(held, wanted - serving_spot)
-    on_demand = max(base, wanted - planned_spot, kept)
-    fall = max(1, math.floor(present.total() * MAX_FALL_FRACTION))
-    on_demand = max(on_demand, held - fall)
-    found |= _on_demand(on_demand, centres, found, present, range_)
-    why = "load" if on_demand <= max(base, held) else "too few preemptible"
+    spot = _spot(wanted, centres, range_, present, missing)
+    count = max(_least_on_demand(wanted, spot), wanted - sum(spot.values()))
+    on_demand = _on_demand(count, centres, spot, present, range_, missing)
+    target = spot | on_demand
+    found = _held_back(target, present, wanted)
+    found = _within_range(found, range_)
+    why = "load" if found == target else "replacements don't serve yet"
     return Plan(wanted, found, why)
 
 
-def _spot_per_centre(wanted, base, centres, range_):
-    """Return the preemptible engines in each of some data centres.
+def _spot(wanted, centres, range_, present, missing):
+    """Return the number of preemptible engines by kind, spread evenly."""
+    if range_.spot_price is None:
+        return {}
+    kinds = [Kind(c, True) for c in centres]
+    open_kinds = [kind for kind in kinds if kind not in missing]
+    found = {kind: present[kind] for kind in kinds}
+    left = wanted - sum(present[kind] for kind in kinds if kind in missing)
+    on_demand = min(max(0, left), MIN_ON_DEMAND)
+    while open_kinds and on_demand < left:
+        largest = math.ceil((left - on_demand) / len(open_kinds))
+        if wanted - largest >= wanted * LEFT_AFTER_LOSS:
+            break
+        on_demand += 1
+    share, larger = divmod(max(0, left - on_demand), max(1, len(open_kinds)))
+    for index, kind in enumerate(open_kinds):
+        found[kind] = min(range_.most, share + (index < larger))
+    return found
 
-    With those of one of them lost, the others still serve the load.
-    """
-    if not centres:
-        return 0
-    for_load = (wanted - base) / centres
-    after_loss = 0.0
-    if centres > 1:
-        after_loss = (wanted / LOSS_FACTOR - base) / (centres - 1)
-    most = range_.most - (1 if base else 0)
-    return max(0, min(most, math.ceil(max(for_load, after_loss))))
+
+def _least_on_demand(wanted, spot):
+    """Return the on-demand engines for the loss of a data centre's others."""
+    largest = max(spot.values(), default=0)
+    after_loss = wanted * LEFT_AFTER_LOSS - sum(spot.values()) + largest
+    return max(min(wanted, MIN_ON_DEMAND), math.ceil(after_loss))
 
 
-def _on_demand(count, centres, spot_by_kind, present, range_):
-    """Return the on-demand engines of each data centre, ``count`` in all.
+def _on_demand(count, centres, spot, present, range_, missing):
+    """Return the on-demand engines by kind, ``count`` in all.
 
     Those that are there stay where they are as far as possible: replacing one
     by one elsewhere would cost its cache.  Others go where they are cheapest,
     the first ones to different data centres.
     """
-    room = {
-        c: max(0, range_.most - spot_by_kind.get(Kind(c, True), 0))
-        for c in centres
-    }
-    floor = {
-        c: max(0, range_.least - spot_by_kind.get(Kind(c, True), 0))
-        for c in centres
-    }
-    found = {c: min(floor[c], room[c]) for c in centres}
+    found = {}
+    most = {}
+    for c in centres:
+        kind = Kind(c, False)
+        room = range_.most - spot.get(Kind(c, True), 0)
+        most[c] = min(room, present[kind]) if kind in missing else room
+        least = range_.least - spot.get(Kind(c, True), 0)
+        found[c] = max(0, min(least, room))
     spread = centres[:MIN_ON_DEMAND]
     while sum(found.values()) < count:
-        open_centres = [c for c in centres if found[c] < room[c]]
+        open_centres = [c for c in centres if found[c] < most[c]]
         if not open_centres:
             break
         chosen = min(
             open_centres,
             key=lambda c: (
-                found[c] > 0 or c not in spread,
                 found[c] >= present[Kind(c, False)],
+                found[c] > 0 or c not in spread,
                 range_.price_by_data_centre[c],
                 c,
             ),
         )
         found[chosen] += 1
     return {Kind(c, False): found[c] for c in centres}
+
+
+def _held_back(target, present, wanted):
+    """Return the target with the engines that must not go yet.
+
+    Those that stay serve the load, and only a part goes at a time.
+    """
+    found = dict(target)
+    total = present.total()
+    most_going = max(1, math.floor(total * MAX_FALL_FRACTION))
+    least_staying = max(min(wanted, total), total - most_going)
+    going = {k: present[k] - found[k] for k in found if present[k] > found[k]}
+    staying = total - sum(going.values())
+    for kind in sorted(going, key=lambda k: (k.is_spot, -going[k], k)):
+        kept = max(0, min(going[kind], least_staying - staying))
+        found[kind] += kept
+        staying += kept
+    return found
+
+
+def _within_range(found, range_):
+    """Put off new preemptible engines for which there is no room yet."""
+    for kind in [kind for kind in found if kind.is_spot]:
+        room = range_.most - found[Kind(kind.data_centre, False)]
+        found[kind] = max(0, min(found[kind], room))
+    return found
--- a/clementinewall/scaling/scaler.py
+++ b/clementinewall/scaling/scaler.py
@@ -119,6 +119,8 @@
         plan = fleet_size.plan(wanted, engines, range_, missing)
         self._log_plan(service, plan, engines, is_load_known)
         for kind, count in sorted(plan.count_by_kind.items()):
+            if kind in missing:
+                continue
             if self._is_due(service, kind, count, engines, now):
                 await self._order(service, kind, count, plan, now)
 
