--- a/tests/integration/test_gateway_usage.py
+++ b/tests/integration/test_gateway_usage.py
@@ -25,8 +25,13 @@
 
 
 def answer(_endpoint, request):
-    """Answer a call."""
-    yield scripted.answer(request, b"done")
+    """Answer a call, refuse it or break off, as its path says."""
+    if request.target.endswith("/refuse"):
+        yield scripted.answer(request, b"", 503, Not_Executed="1")
+    elif request.target.endswith("/break"):
+        yield scripted.RESET
+    else:
+        yield scripted.answer(request, b"done")
 
 
 def stream(_endpoint, request):
@@ -149,6 +154,19 @@
         self.use()
         self.check(WINDOW_SECONDS + DUE_SECONDS)
 
+    def test_calls_count_when_they_may_have_run(self):
+        # Guards against counts of calls that no endpoint ran, and against
+        # none of calls that broke off.
+        for path, status, count in (("refuse", 503, 0), ("break", 502, 1)):
+            for name, key in CUSTOMERS.items():
+                got = self.ask(
+                    self.fronts[0], f"/look/{path}", path, Credential=key
+                )
+                self.assertEqual(got.status_code, status, got.text)
+                self.began[name] += count
+        self.use(calls=1)
+        self.check(WINDOW_SECONDS + DUE_SECONDS)
+
     def test_holder_killed_between_write_and_answer(self):
         # Guards against a second, different report by the next holder.
         self.duty("mode", mode="silent")
