--- a/clementinewall/admission/recent.py
+++ b/clementinewall/admission/recent.py
@@ -19,7 +19,7 @@
 # Smaller counts are dropped.
 MIN_COUNT = 0.02
 # Bounds of the memory and of a report.
-MAX_GROUPS = 1_000
+MAX_GROUPS = 300
 MAX_REPORTED_GROUPS = 40
 MAX_REPORTED_SERVICES = 8
 MAX_COUNT = 1e6
--- a/clementinewall/policy/room.py
+++ b/clementinewall/policy/room.py
@@ -51,8 +51,6 @@
 MAX_RETRY_MS = 2_000
 # Callers are spread over up to this multiple of the time until there is room.
 MAX_BACKLOG = 4.0
-# Each halves the error of the level up to which demands are met.
-LEVEL_STEPS = 30
 # Priorities from here on are equally low.
 LOWEST_PRIORITY = 4
 
@@ -284,16 +282,18 @@
 
     ``left`` is what there is beyond the minimums.
     """
-    low = 0.0
-    high = max(demand.asked for demand, _ in group)
-    for _ in range(LEVEL_STEPS):
-        middle = (low + high) / 2
-        used = sum(
-            max(minimum, min(demand.asked, middle)) - minimum
-            for demand, minimum in group
-        )
-        if used > left:
-            high = middle
-        else:
-            low = middle
-    return low
+    # Above its minimum, a group takes from the level up to what it asked for.
+    steps = sorted(
+        [(minimum, 1) for _, minimum in group]
+        + [(demand.asked, -1) for demand, _ in group]
+    )
+    level = 0.0
+    takers = 0
+    for value, change in steps:
+        needed = takers * (value - level)
+        if needed > left:
+            return level + left / takers
+        left -= needed
+        level = value
+        takers += change
+    return level
