--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -26,9 +26,6 @@
 # Bytes that the system holds unsent for a peer of an accepted connection.  By
 # default it holds megabytes for one that doesn't read.
 MAX_UNSENT_BYTES = 65_536
-# What the system receives ahead on a connection that this process opened.  By
-# default it keeps megabytes of an answer that nobody reads.
-MAX_RECEIVED_BYTES = 262_144
 # Between keep-alive probes of a connection without data; the shortest time.
 KEEPALIVE_SECONDS = 1
 
@@ -283,9 +280,6 @@
     loop = asyncio.get_running_loop()
     with anyio.fail_after(clock.seconds(limit_ms)):
         _, stream = await loop.create_connection(Stream, host, int(port))
-    stream.raw_socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, MAX_RECEIVED_BYTES
-    )
     return stream
 
 
