--- a/clementinewall/policy/fleet_size.py
+++ b/clementinewall/policy/fleet_size.py
@@ -13,10 +13,10 @@
 
 # Engines work off this fraction of their time at the load that is planned
 # for.  Queues grow fast beyond, and a burst comes before new engines do.
-PREFILL_UTILISATION = 0.4
+PREFILL_UTILISATION = 0.3
 # Fraction of the slots that streams take at the load that is planned for.
 # A full batch makes each token slower.
-SLOT_UTILISATION = 0.3
+SLOT_UTILISATION = 0.22
 # Engines of each stage, so that the loss of one leaves another.
 MIN_PER_STAGE = 2
 # Part of the engines that is left when all preemptible ones of a data centre
