--- a/clementinewall/policy/fleet_size.py
+++ b/clementinewall/policy/fleet_size.py
@@ -20,12 +20,13 @@
 # Engines of each stage, so that the loss of one leaves another.
 MIN_PER_STAGE = 2
 # Part of the engines that is left when all preemptible ones of a data centre
-# are taken back: these serve the load at full utilisation.
-LEFT_AFTER_LOSS = max(PREFILL_UTILISATION, SLOT_UTILISATION)
+# are taken back.  It is above the planned utilisation, as their caches are
+# lost too.
+LEFT_AFTER_LOSS = 0.6
 # On-demand engines in different data centres.
 MIN_ON_DEMAND = 2
 RISE_LASTING_MS = 5_000
-FALL_LASTING_MS = 10_000
+FALL_LASTING_MS = 15_000
 # A load that rises is expected to go on rising, up to this factor.
 MAX_RISE_FACTOR = 1.25
 # Part of the engines that may be given up at a time.
--- a/clementinewall/scaling/load_samples.py
+++ b/clementinewall/scaling/load_samples.py
@@ -11,7 +11,7 @@
 MAX_AGE_MS = 3_000
 MAX_VALUE = 1e9
 # Loads that are kept: some more than a fall has to last.
-KEEP_MS = 16_000
+KEEP_MS = 21_000
 
 
 class _Totals(typing.NamedTuple):
