--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -260,7 +260,7 @@
     for this attempt, which the endpoint repeats in its answer.  ``resumes``
     is that of the attempt that brought the first event of a stream which
     this call takes up after the event ``resume_after``.  ``key`` is the
-    caller's credential, ``customer`` whose it is, once that is known.
+    caller's own, ``customer`` whose it is, once that is known.
     """
 
     attempt: str
