--- a/clementinewall/policy/room.py
+++ b/clementinewall/policy/room.py
@@ -45,6 +45,9 @@
 # A repeat before its time is served only if the wait is below this fraction
 # of the time to the target.
 REPEAT_WAIT_FRACTION = 0.1
+# With a wait below this fraction of the time to the target an engine counts as
+# idle, and a group may exceed its entitlement.
+IDLE_WAIT_FRACTION = 0.05
 # Bounds the wait that is predicted behind higher priorities.
 MAX_OVERTAKEN = 0.8
 MIN_RETRY_MS = 50
@@ -183,6 +186,9 @@
         return "no time"
     if request.standing.is_underserved or request.is_large_underserved:
         return None
+    if request.wait_ms <= request.left_ms * IDLE_WAIT_FRACTION:
+        # An engine that is idle now serves nobody else any sooner.
+        return None
     ratio = request.standing.ratio
     if request.is_return:
         ratio *= RETURN_RATIO_FACTOR
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -53,6 +53,15 @@
         """Return what is done."""
         return room.decide(wanted, load, chance, 0.5).action
 
+    def test_an_idle_engine_serves_also_beyond_a_share(self):
+        # Load: half lacked room a moment ago.  Guards against refusals of a
+        # large customer while engines are idle again.
+        idle = request(wait_ms=0.0, standing=EXCESS_STANDING)
+        for chance in (0.0, 0.5, 0.99):
+            self.assertEqual(self.action(idle, chance=chance), room.SERVE)
+        busy = idle._replace(wait_ms=100.0)
+        self.assertEqual(self.action(busy), room.REFUSE)
+
     def test_a_request_in_time_is_served_within_its_share(self):
         # Load: half lacks room.  Guards against refusals without a reason.
         for chance in (0.0, 0.5, 0.99):
