Lose gateways beside releases in the soak, and judge what is taken up

Cause: streams that callers take up after all or most gateways were killed and came back go on at another software version, or are refused though engines of theirs serve. No run of the soak had a loss of all beside a newer version, and its callers gave a stream up after two tries at once.

Change: three kinds of fault, drawn only when asked for: a newer version is released, the older one leaves before the loss, meanwhile or not at all, and all gateways are killed, all but one, or one after another. Callers take streams up for some ten seconds, between other requests. No more than two streams may hold events of two versions, and of those that are taken up once all are ready again, while an engine of their version has served since the loss, at least half as many must go on as new ones begin in the same seconds.

--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -32,7 +32,8 @@
     return f"100,{events * TOKENS_PER_EVENT}"
 
 
-def _last_event(usage):
+def last_event(usage):
+    """Return the number of events of a stream with this ``Token-Usage``."""
     return int(usage.split(",")[1]) // TOKENS_PER_EVENT
 
 
@@ -125,21 +126,21 @@
     def drain(self):
         """Announce that this endpoint drains; it continues to serve."""
         self._state = "draining"
-        self._end_span()
+        self.end_span()
         self._write_record()
         self._history.drained_at_by_endpoint[self.name] = time.monotonic()
 
     def end(self, crash=False):
         """Close; after a crash the record stays until it expires."""
         self.crashed = crash
-        self._end_span()
+        self.end_span()
         self._stop.set()
         self.endpoint.close()
         if not crash:
             self._put(self.name, None)
 
-    def _end_span(self):
-        """Record that it serves no more, unless it has been."""
+    def end_span(self):
+        """Record how long it has served, unless it has been recorded."""
         if self.service == "model" and self._started is not None:
             row = history_module.EngineSpan(
                 self.name, self.version, self._started, time.monotonic()
@@ -316,7 +317,7 @@
             yield scripted.RESET
         # An engine may repeat an event that the caller already has.
         first = max(1, last + self._rng.randint(0, 1))
-        for number in range(first, _last_event(headers["token-usage"]) + 1):
+        for number in range(first, last_event(headers["token-usage"]) + 1):
             if self.crashed:
                 yield scripted.chunk(scripted.event(number)[:5])
                 yield scripted.RESET
--- a/bench/soak/bounds.py
+++ b/bench/soak/bounds.py
@@ -59,6 +59,11 @@
 MAX_MIXED_STREAMS = 2
 MIN_JUDGED_RETURNS = 12
 MIN_RETURN_SHARE = 0.5
+# After a loss of gateways beside a release, streams that are taken up are
+# judged from this time after all are ready, for so long.
+REJOIN_SECONDS = 1.0
+JUDGED_REJOIN_SECONDS = 5.0
+MIN_JUDGED_REJOINED = 8
 # Requests with a part that crashes engines may reach them so often later than
 # the stable time after so many crashes; sound ones begin half as often.
 PART_CRASHES = 5
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -19,7 +19,6 @@
 SHORT_EVENTS = 12
 LONG_SECONDS = (0.3, 2.5)
 ABANDON_AFTER_SECONDS = (0.05, 0.4)
-MAX_RETURNS = 2
 
 KINDS = (
     "safe",
@@ -62,6 +61,27 @@
     resumes: tuple[str, int] | None = None
 
 
+class Returns(typing.NamedTuple):
+    """How often a caller takes a stream up, and after how many seconds."""
+
+    max_tries: int
+    first: tuple[float, float]
+    next: tuple[float, float]
+
+
+AT_ONCE = Returns(2, (0.0, 0.0), (0.0, 0.0))
+PATIENT = Returns(14, (0.2, 4.0), (0.3, 1.2))
+
+
+class _OpenStream(typing.NamedTuple):
+    """A stream that its caller may take up."""
+
+    request: _PlannedRequest
+    rows: list
+    tries: int
+    due_at: float
+
+
 class _Outcome(typing.NamedTuple):
     status: int | None
     body: bytes
@@ -72,14 +92,16 @@
 class Caller(threading.Thread):
     """One caller; it keeps a connection to each target that it used."""
 
-    def __init__(self, seed, history, routing, stop, takes_up=False, key=None):
+    def __init__(self, seed, history, routing, stop, returns=None, key=None):
         """Call until ``stop`` is set.
 
         ``routing(rng)`` returns an object that picks the target of each
-        request.  With ``takes_up`` streams that break off are taken up.
+        request.  With ``returns`` streams that break off are taken up.
         ``key`` is that of the caller's customer.
         """
-        self._takes_up = takes_up
+        self._returns = returns
+        self._return_rng = random.Random(f"returns {seed}")
+        self._open_streams = []
         self._key = key
         super().__init__(daemon=True)
         self._rng = random.Random(seed)
@@ -95,7 +117,10 @@
             request = self._draw_request()
             if target is not None and request is not None:
                 self._call(target, request)
+            self._take_up_due()
             time.sleep(REQUEST_GAP_SECONDS)
+        for stream in self._open_streams:
+            self._record_stream(stream)
 
     def _draw_request(self):
         kind = self._rng.choice(KINDS)
@@ -153,37 +178,54 @@
         if request.kind == "probe":
             rows = self._history.probes
         self._history.add(rows, sent)
-        if request.events and self._takes_up:
-            self._follow(request, outcome)
-
-    def _follow(self, request, outcome):
-        """Take a stream up until it is whole, or some tries have failed."""
-        rows = _event_rows(outcome.body)
-        for _ in range(MAX_RETURNS):
-            if not rows or len(rows) >= request.events:
-                break
+        rows = _event_rows(outcome.body) if request.events else []
+        if rows and self._returns is not None:
+            due_at = self._draw_due(self._returns.first)
+            self._open_streams.append(_OpenStream(request, rows, 0, due_at))
+
+    def _draw_due(self, span):
+        return time.monotonic() + self._return_rng.uniform(*span)
+
+    def _take_up_due(self):
+        """Take streams up until they are whole or their tries are used up."""
+        streams = self._open_streams
+        while due := [s for s in streams if s.due_at <= time.monotonic()]:
+            stream = due[0]
+            streams.remove(stream)
+            is_whole = len(stream.rows) >= stream.request.events
+            if is_whole or stream.tries >= self._returns.max_tries:
+                self._record_stream(stream)
+                continue
             target = self._targets.pick(self._connection_by_target)
-            if target is None:
-                break
-            attempt = secrets.token_hex(8)
-            self._history.record_attempt(attempt)
-            again = request._replace(
-                attempt=attempt,
-                kind="return",
-                abandon_after=None,
-                resumes=(request.attempt, rows[-1][0]),
+            if target is not None:
+                self._take_up(target, stream.request, stream.rows)
+            due_at = self._draw_due(self._returns.next)
+            streams.append(
+                stream._replace(tries=stream.tries + 1, due_at=due_at)
             )
-            at = time.monotonic()
-            found = _event_rows(self._send(target, again).body)
-            row = history_module.Return(
-                request.attempt, target.gateway, rows[-1][1], at, bool(found)
-            )
-            self._history.add(self._history.returns, row)
-            rows += found
-        if rows:
-            versions = frozenset(version for _, version in rows)
-            row = history_module.Stream(request.attempt, versions)
-            self._history.add(self._history.streams, row)
+
+    def _take_up(self, target, request, rows):
+        """Take a stream up once, and add its events to ``rows``."""
+        attempt = secrets.token_hex(8)
+        self._history.record_attempt(attempt)
+        again = request._replace(
+            attempt=attempt,
+            kind="return",
+            abandon_after=None,
+            resumes=(request.attempt, rows[-1][0]),
+        )
+        at = time.monotonic()
+        found = _event_rows(self._send(target, again).body)
+        row = history_module.Return(
+            request.attempt, target.gateway, rows[-1][1], at, bool(found)
+        )
+        self._history.add(self._history.returns, row)
+        rows += found
+
+    def _record_stream(self, stream):
+        versions = frozenset(version for _, version in stream.rows)
+        row = history_module.Stream(stream.request.attempt, versions)
+        self._history.add(self._history.streams, row)
 
     def _send(self, target, request):
         """Return the outcome of a request."""
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -40,16 +40,20 @@
         has_egress=False,
         versions=("v1",),
         has_duties=False,
+        has_releases=False,
     ):
         """Prepare ``gateways`` gateways; :meth:`bring_up` starts them.
 
         With ``has_egress`` they can be cut off from endpoints.  Engines have
         the software ``versions`` in turn.  With ``has_duties`` callers have
-        keys, and usage is reported.
+        keys, and usage is reported.  With ``has_releases`` newer versions
+        come, and more callers take streams up for longer.
         """
         self._has_duties = has_duties
         self._versions = itertools.cycle(versions)
-        self._takes_up = len(versions) > 1
+        self._returns = callers.AT_ONCE if len(versions) > 1 else None
+        if has_releases:
+            self._returns = callers.PATIENT
         self.rng = random.Random(seed)
         self.gateways = [f"gateway-{n + 1}" for n in range(gateways)]
         self.case = _Case()
@@ -62,6 +66,7 @@
         self._reserved = set()
         self._lock = threading.Lock()
         self._serial = 0
+        self._releases = 0
         self._started = 0.0
 
     def bring_up(self):
@@ -110,6 +115,10 @@
 
     def start_clients(self):
         """Start callers and readiness checks; return their threads."""
+        count = NAMED_CALLERS + DIRECTORY_CALLERS
+        numbers = range(count)
+        if self._returns is callers.PATIENT:
+            numbers = range(2 * count)
         keys = list(duties.KEY_BY_CUSTOMER.values())
         if not self._has_duties:
             keys = [None]
@@ -117,12 +126,12 @@
             callers.Caller(
                 seed,
                 self.history,
-                self._routing(seed),
+                self._routing(seed % count),
                 self.stopping,
-                self._takes_up,
+                self._returns,
                 keys[seed % len(keys)],
             )
-            for seed in range(NAMED_CALLERS + DIRECTORY_CALLERS)
+            for seed in numbers
         ]
         threads += [
             threading.Thread(
@@ -174,6 +183,14 @@
         backend.register(address)
         self.backend_by_name[name] = backend
 
+    def add_release(self, count):
+        """Start engines of a newer version; later ones have it too."""
+        self._releases += 1
+        version = f"v1.{self._releases}"
+        self._versions = itertools.repeat(version)
+        for number in range(count):
+            self.add_endpoint(f"engine-{version}-{number}", "model", "decode")
+
     def replace_endpoint(self, name, old):
         """Replace an endpoint by a new one under a new id."""
         new_name = f"{name.split('~')[0]}~{time.monotonic_ns()}"
@@ -181,6 +198,11 @@
         self.backend_by_name.pop(name, None)
         self.release(name)
 
+    def end_spans(self):
+        """Record how long the engines that still serve have served."""
+        for backend in list(self.backend_by_name.values()):
+            backend.end_span()
+
     def crash_by_part(self, name):
         """Crash an engine that wrote on a harmful part, and replace it."""
         if not self.reserve(name):
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -11,6 +11,7 @@
 from bench.soak import harmful_parts
 from bench.soak import partitions
 from bench.soak import planned_work
+from bench.soak import rejoins
 from bench.soak import restarts
 from bench.soak import unplanned_faults
 
@@ -71,12 +72,20 @@
 # Needs customers and a duty service, so that it is drawn only when it is asked
 # for; by a generator of its own, too.
 DUTY_KINDS = {"duty": duties.disturb}
+# Losses of gateways beside releases of newer engine versions, drawn only when
+# they are asked for; by a generator of its own, too.
+REJOIN_KINDS = {
+    "rejoin-all": rejoins.lose_all,
+    "rejoin-most": rejoins.lose_most,
+    "rejoin-each": rejoins.lose_each,
+}
 SIDE_KINDS = {
     **ENDPOINT_KINDS,
     **PARTITION_KINDS,
     **PART_KINDS,
     **RESTART_KINDS,
     **DUTY_KINDS,
+    **REJOIN_KINDS,
 }
 VERSIONS = ("v1", "v2")
 
@@ -106,6 +115,7 @@
         self._part_rng = random.Random(f"parts {seed}")
         self._restart_rng = random.Random(f"restarts {seed}")
         self._duty_rng = random.Random(f"duties {seed}")
+        self._rejoin_rng = random.Random(f"rejoins {seed}")
         self._function_by_kind = PLANNED_KINDS if planned else KINDS
         self._planned = planned
         self._deployment = deployment.Deployment(
@@ -114,6 +124,7 @@
             bool(self._partition_kinds()),
             VERSIONS if has_versions else VERSIONS[:1],
             bool(self._duty_kinds()),
+            bool(self._rejoin_kinds()),
         )
         self.history = self._deployment.history
 
@@ -130,6 +141,7 @@
                     self._inject_parts,
                     self._inject_restarts,
                     self._inject_duty_faults,
+                    self._inject_rejoins,
                 )
             ]
             self._inject()
@@ -139,6 +151,7 @@
             self._deployment.stopping.set()
             for thread in threads:
                 thread.join(30)
+            self._deployment.end_spans()
             return [
                 *checks.find_violations(self.history),
                 *self._deployment.duty_violations(),
@@ -233,6 +246,17 @@
 
         self._inject_series(rng, self._duty_kinds(), inject)
 
+    def _rejoin_kinds(self):
+        return [kind for kind in self._only if kind in REJOIN_KINDS]
+
+    def _inject_rejoins(self):
+        rng = self._rejoin_rng
+
+        def inject(kind):
+            REJOIN_KINDS[kind](self._deployment, rng)
+
+        self._inject_series(rng, self._rejoin_kinds(), inject)
+
     def _inject_series(self, rng, kinds, inject, gap_seconds=GAP_SECONDS):
         end = time.monotonic() + self._seconds
         threads = []
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -158,7 +158,7 @@
 
 
 class Restart(typing.NamedTuple):
-    """The loss of all gateways, their return, and the end of its check."""
+    """A loss of gateways, their return, and the end of its check."""
 
     lost_at: float
     back_at: float
@@ -223,6 +223,7 @@
         self.disturbances = []
         self.cuts = []
         self.restarts = []
+        self.rejoins = []
         self.stops = []
         self.readiness = []
         self.drained_at_by_endpoint = {}
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -1,5 +1,6 @@
 """How the soak's callers classify answers and choose addresses."""
 
+import collections
 import json
 import random
 import threading
@@ -32,18 +33,27 @@
 class Callers(unittest.TestCase):
     """One caller at a scripted gateway."""
 
-    def record(self, script):
-        """Let a caller send requests; return those that it didn't abandon."""
+    def start(self, script, **more):
+        """Let a caller send requests; return its history."""
         endpoint = scripted.Endpoint(script)
         self.addCleanup(endpoint.close)
         history = history_module.History()
         stop = threading.Event()
         caller = callers.Caller(
-            1, history, lambda _rng: _FixedTarget(endpoint.address), stop
+            1,
+            history,
+            lambda _rng: _FixedTarget(endpoint.address),
+            stop,
+            **more,
         )
         caller.start()
         self.addCleanup(caller.join)
         self.addCleanup(stop.set)
+        return history
+
+    def record(self, script):
+        """Return the ends of requests that the caller didn't abandon."""
+        history = self.start(script)
 
         def ended():
             sent = list(history.sent)
@@ -83,6 +93,37 @@
         for sent in plain:
             self.assertEqual((sent.status, sent.is_correct), (200, True))
 
+    def test_a_patient_caller_returns_until_its_stream_is_whole(self):
+        tries = collections.Counter()
+
+        def script(_endpoint, request):
+            headers = request.header_by_name
+            if "token-usage" not in headers:
+                yield scripted.answer(request, b"")
+                return
+            begun = headers.get("resumes", headers["attempt-id"])
+            tries[begun] += 1
+            if tries[begun] == 2:
+                yield scripted.answer(request, b"", 503)
+                return
+            yield scripted.stream_head(request)
+            first = int(headers.get("last-event-id", 0)) + 1
+            last = backends.last_event(headers["token-usage"])
+            for number in range(first, last + 1):
+                yield scripted.chunk(scripted.event(number, "v1"))
+                if tries[begun] == 1:
+                    yield scripted.RESET
+            yield scripted.chunk(b"")
+
+        history = self.start(script, returns=callers.PATIENT)
+        bringup.wait_until(
+            lambda: any(row.went_on for row in list(history.returns)),
+            what="a stream that went on",
+        )
+        [attempt, *_] = [r.attempt for r in history.returns if r.went_on]
+        ends = [r.went_on for r in history.returns if r.attempt == attempt]
+        self.assertEqual(ends, [False, True])
+
 
 class DirectoryTest(unittest.TestCase):
     """Addresses as a gateway resolves them."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -91,6 +91,14 @@
         )
         self.assertGreater(len(history.returns), 12)
 
+    def test_streams_that_went_on_at_another_version_after_a_loss(self):
+        history = self.check(601, "rejoin-all", seconds=2)
+        self.assertTrue(history.rejoins)
+
+    def test_streams_that_were_refused_after_a_loss(self):
+        history = self.check(602, "rejoin-all", seconds=2)
+        self.assertTrue(history.rejoins)
+
     def test_the_loss_of_all_gateways_beside_a_late_store(self):
         # Guards against starts that give late answers of the store up.
         history = self.check(534, "lose-all", seconds=2)
