Log for how long those that answer know the software versions

A stream that nobody knows goes on at the only version, on the word of gateways of which the logs didn't tell how much they can know: one that started a moment ago answers as one that has run for hours. The line of a stream that is taken up now names the gateway that knew it, and for how long back this gateway and its peers know all versions.

--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -59,6 +59,7 @@
     def record_fleet_read(self, age_ms):
         """Record that the endpoints are those of the store ``age_ms`` ago."""
         read_at = self._now() - age_ms
+        self.versions.record_read(read_at)
         if not self.is_current:
             self._current_since = read_at
         self._fleet_read_at = read_at
--- a/clementinewall/gateway/software_versions.py
+++ b/clementinewall/gateway/software_versions.py
@@ -20,6 +20,20 @@
         self._counts = collections.Counter()
         # When the last endpoint of a version left, by service and version.
         self._left_at_by_service = collections.defaultdict(dict)
+        # Versions that left before are not known; ``None`` before any read.
+        self._observed_since = None
+
+    def record_read(self, at):
+        """Record that the endpoints' records were read as of ``at``."""
+        if self._observed_since is None:
+            self._observed_since = at
+
+    @property
+    def known_ms(self):
+        """Return for how long back all versions are known, in ms."""
+        if self._observed_since is None:
+            return 0
+        return min(RETENTION_MS, self._now() - self._observed_since)
 
     def apply(self, before, after):
         """Apply that an endpoint's record ``before`` became ``after``.
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -50,7 +50,11 @@
         self.unanswered = set(ips)
         self.answers = 0
         self.versions = set()
+        # The longest time for which one that answered knows the versions.
+        self.known_ms = 0
         self.origin = None
+        # The gateway that knew the origin.
+        self.known_by = None
         self.settled = anyio.Event()
 
 
@@ -131,8 +135,9 @@
                 part = rows[start : start + ROWS_PER_MESSAGE]
                 self._send_part("began", part, [ip])
 
-    def _send_part(self, name, rows, ips):
-        self._send(peer_messages.dump({"origins": {name: rows}}), ips)
+    def _send_part(self, name, rows, ips, **more):
+        part = {name: rows, **more}
+        self._send(peer_messages.dump({"origins": part}), ips)
 
     async def find(self, attempt, service):
         """Return the :class:`Origin` of the stream that an attempt began.
@@ -145,10 +150,10 @@
             attempt = None
         origin = None if attempt is None else self._known(attempt)
         how = "own"
-        answers = 0
+        query = _Query(service, ())
         if origin is None:
             query = await self._ask(attempt, service)
-            origin, answers, how = query.origin, query.answers, "owner"
+            origin, how = query.origin, "owner"
             if origin is None:
                 origin, how = self._only_version(query), "only version"
         metrics.count("streams_taken_up", known=how if origin else "no")
@@ -158,7 +163,10 @@
             service=origin.service if origin else service,
             version=origin.version if origin else None,
             known=how if origin else None,
-            answers=answers,
+            known_by=query.known_by,
+            answers=query.answers,
+            own_known_ms=self._fleet_view.versions.known_ms,
+            peers_known_ms=query.known_ms,
         )
         return origin
 
@@ -215,11 +223,12 @@
             self._take_origin(*row)
         asked = part.get("asked", ())[:ROWS_PER_MESSAGE]
         if asked:
-            self._send_part(
-                "known", [self._answer(*row) for row in asked], [ip]
-            )
+            rows = [self._answer(*row) for row in asked]
+            known_ms = self._fleet_view.versions.known_ms
+            self._send_part("known", rows, [ip], known_ms=known_ms)
+        known_ms = int(part.get("known_ms", 0))
         for row in part.get("known", ()):
-            self._take_answer(ip, *row)
+            self._take_answer(ip, known_ms, *row)
 
     def _take_origin(self, attempt, service, version, left_ms):
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
@@ -236,16 +245,18 @@
             row = [origin.service, origin.version, left_ms]
         return [attempt, row, sorted(recent)]
 
-    def _take_answer(self, ip, attempt, row, versions):
+    def _take_answer(self, ip, known_ms, attempt, row, versions):
         query = self._query_by_attempt.get(attempt)
         if query is None or ip not in query.unanswered:
             return
         query.unanswered.discard(ip)
         query.answers += 1
+        query.known_ms = max(query.known_ms, known_ms)
         query.versions.update(str(version) for version in versions)
         if row is not None:
             self._take_origin(attempt, *row)
             query.origin = self._known(attempt)
+            query.known_by = ip
         if self._is_settled(query):
             query.settled.set()
 
