--- a/tests/integration/test_gateway_versions.py
+++ b/tests/integration/test_gateway_versions.py
@@ -1,160 +1,26 @@
 """Streams beside engines of several software versions."""
 
-import contextlib
-import itertools
 import time
 
-import httpx
-
 from standins import bringup
 from standins import scripted
-from tests.integration import base
 from tests.integration import gateway_base
-
-route = gateway_base.route
+from tests.integration import version_base
 
 VERSIONS = ("v1", "v1.1", "v1.2")
-ENGINES_PER_VERSION = 2
 GATEWAYS = 3
-STREAMS = 36
-CALLERS = 12
-EVENTS = 12
-FIRST_EVENTS = 4
-EVENT_SECONDS = 0.02
 RETURN_SECONDS = 0.15
 # The shortest time after which a crashed engine is back.
 RESTART_SECONDS = 1.5
-# Streams that may hold events of two versions.
-MAX_MIXED = 2
-# Of the streams that are taken up again, this fraction goes on.
-MIN_RESUMED = 0.8
-
-
-class Stream:
-    """What a caller received of one stream, over all of its tries."""
-
-    def __init__(self, name):
-        """Start without events; ``name`` is the id of the first attempt."""
-        self.name = name
-        self.rows = []
-
-    @property
-    def numbers(self):
-        """Return the positions of the events."""
-        return [number for number, _ in self.rows]
-
-    @property
-    def versions(self):
-        """Return the software versions that made the events."""
-        return {version for _, version in self.rows}
 
-    @property
-    def is_complete(self):
-        """Return whether every event came, once and in order."""
-        return self.numbers == list(range(1, EVENTS + 1))
+EVENTS = version_base.EVENTS
+FIRST_EVENTS = version_base.FIRST_EVENTS
+Stream = version_base.Stream
 
 
-def parse_events(body):
-    """Return the position and the version of each complete event."""
-    rows = []
-    for event in body.split(b"\n\n")[:-1]:
-        head, data = event.decode().split("\n")
-        rows.append((int(head.removeprefix("id: ")), data.split()[1]))
-    return rows
-
-
-class Versions(gateway_base.GatewayCase):
+class Versions(version_base.VersionCase):
     """Engines of several versions; callers that take streams up again."""
 
-    def setUp(self):
-        """Publish a resumable route."""
-        super().setUp()
-        self.is_breaking = False
-        self.publish(
-            route(
-                "chat",
-                "model",
-                "stream",
-                resumable=True,
-                max_attempts=3,
-                timeout_ms=9_000,
-                goal_ms=2_000,
-            )
-        )
-        # Idle engines are chosen by id, so later ones go first.
-        self._serial = itertools.count(99, -1)
-
-    def add_engines(self, version, count=ENGINES_PER_VERSION, **more):
-        """Start engines of a version; return their endpoints by id."""
-
-        def script(_endpoint, request):
-            yield from self._serve(version, request)
-
-        names = [f"engine-{next(self._serial)}" for _ in range(count)]
-        return {
-            name: self.endpoint(
-                name,
-                script,
-                "model",
-                **{"stage": "decode", "version": version, **more},
-            )
-            for name in names
-        }
-
-    def _serve(self, version, request):
-        headers = request.header_by_name
-        if "attempt-id" not in headers:
-            yield scripted.answer(request, b'{"sequence":0,"born":1000}')
-            return
-        last = int(headers.get("last-event-id", 0))
-        yield scripted.stream_head(request)
-        for number in range(last + 1, EVENTS + 1):
-            if self.is_breaking and not last and number > FIRST_EVENTS:
-                yield scripted.RESET
-            yield scripted.chunk(scripted.event(number, version))
-            yield EVENT_SECONDS
-        yield scripted.chunk(b"")
-
-    def send(self, front, stream, attempt, max_events=EVENTS):
-        """Send one attempt of a stream; leave after ``max_events``.
-
-        Return the status, ``None`` if there was no answer.
-        """
-        # Without parts of prompts, caches don't lead a caller back.
-        headers = {"Model": "m", "Token_Usage": "100,20"}
-        headers["Deadline_Ms"] = "5000"
-        if stream.rows:
-            headers["Last_Event_Id"] = str(stream.rows[-1][0])
-            headers["Resumes"] = stream.name
-        named = {key.replace("_", "-"): v for key, v in headers.items()}
-        body = b""
-        with (
-            contextlib.suppress(httpx.HTTPError),
-            httpx.stream(
-                "POST",
-                f"http://{front}/chat/x",
-                headers={
-                    "Host": gateway_base.HOST,
-                    "Attempt-Id": attempt,
-                    **named,
-                },
-                content=stream.name.encode(),
-                timeout=10,
-                trust_env=False,
-                verify=False,
-            ) as answer,
-        ):
-            if answer.status_code != 200:
-                return answer.status_code
-            for part in answer.iter_raw():
-                body += part
-                if len(parse_events(body)) >= max_events:
-                    break
-            stream.rows += parse_events(body)
-            return answer.status_code
-        stream.rows += parse_events(body)
-        return None
-
     def take_up_all(self, fronts, streams):
         """Take all streams up again at ``fronts``."""
 
@@ -164,31 +30,6 @@
 
         self.run_streams(work, streams)
 
-    def run_streams(self, work, streams=None):
-        """Run ``work(number, stream)`` for each of many streams."""
-        if streams is None:
-            streams = [Stream(f"first-{number}") for number in range(STREAMS)]
-
-        def call(caller):
-            for number in range(caller, STREAMS, CALLERS):
-                work(number, streams[number])
-
-        callers = base.Background(call, [(n,) for n in range(CALLERS)])
-        callers.join()
-        self.assertEqual(callers.errors, [])
-        return streams
-
-    def check(self, streams):
-        """Check that streams went on, each at one version."""
-        mixed = [s for s in streams if len(s.versions) > 1]
-        self.assertLessEqual(len(mixed), MAX_MIXED)
-        complete = sum(s.is_complete for s in streams)
-        self.assertGreaterEqual(complete, MIN_RESUMED * len(streams))
-        for stream in streams:
-            self.assertEqual(
-                stream.numbers, list(range(1, len(stream.rows) + 1))
-            )
-
     def take_up(self, fronts, number, stream, again):
         """Take a stream up at other gateways, ``again`` times."""
         for serial in range(1, again + 1):
@@ -318,22 +159,6 @@
         self.restart(old, "v2", RESTART_SECONDS)
         self.check_streams_that_return(*fronts)
 
-    def restart(self, old, version, seconds=0.0):
-        """Let another process of an engine listen at its address."""
-        host, _, port = old.address.rpartition(":")
-        old.close()
-        time.sleep(seconds)
-
-        def script(_endpoint, request):
-            if "attempt-id" not in request.header_by_name:
-                report = b'{"sequence":0,"born":2000}'
-                yield scripted.answer(request, report)
-            else:
-                yield from self._serve(version, request)
-
-        restarted = scripted.Endpoint(script, (host, int(port)))
-        self.addCleanup(restarted.close)
-
     def check_streams_that_return(self, *fronts):
         """Check streams whose callers take them up at once."""
 
