Tell the limits of the store and its first offset after expiry

Cause: a reader of a topic without keys has to go on at the first record that the store still keeps, and shared writes need the store's limits.

Change: HistoryExpired names the first offset, where the store tells it; settings carry writes_per_s, reads_per_s, keep_s and record_bytes.

Measured: tests.platform.test_store and test_settings pass, with three new checks.

--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -61,6 +61,19 @@
     max_calls_per_second: float = 50.0
 
 
+class StoreLimits(typing.NamedTuple):
+    """The limits of the platform's store.
+
+    The calls are those of all gateways together.  ``keep_ms`` is after which
+    time a record without a key expires, ``None`` if it isn't known.
+    """
+
+    writes_per_second: float = 400.0
+    reads_per_second: float = 2_000.0
+    record_bytes: int = 65_536
+    keep_ms: clock.Millis | None = None
+
+
 class Settings(typing.NamedTuple):
     """The settings of a gateway process.
 
@@ -86,6 +99,7 @@
     memory_mb: float = 0.0
     # The operator's own bounds of the number of engines.
     engine_limits_by_service: dict = {}
+    store_limits: StoreLimits = StoreLimits()
 
 
 class Share(typing.NamedTuple):
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -17,6 +17,8 @@
 GATEWAYS_TOPIC = "keyed.gateways"
 LEASES_TOPIC = "keyed.leases"
 DUTIES_TOPIC = "keyed.duties"
+# Without the prefix, records expire.
+STREAM_ORIGINS_TOPIC = "stream-origins"
 _KNOWN_STATES = ("ready", "draining")
 # Larger numbers can't be combined with floating-point ones.
 MAX_INTEGER = 2**63
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -28,6 +28,10 @@
 
 class _Platform(typing.NamedTuple):
     address: str
+    writes_per_s: _Amount = 400.0
+    reads_per_s: _Amount = 2_000.0
+    keep_s: _Amount = 0.0
+    record_bytes: _Amount = 65_536.0
 
 
 class _Cloud(typing.NamedTuple):
@@ -152,6 +156,12 @@
         link_mbps=known.limits.link_mbps,
         memory_mb=known.limits.memory_mb,
         duty_service=_duty_service(known.cloud),
+        store_limits=domain.StoreLimits(
+            writes_per_second=known.platform.writes_per_s,
+            reads_per_second=known.platform.reads_per_s,
+            record_bytes=int(known.platform.record_bytes),
+            keep_ms=int(known.platform.keep_s * 1_000) or None,
+        ),
         bounds=domain.Bounds(
             grace_ms=int(bounds.grace_s * 1_000),
             retry_ratio=bounds.budget_ratio,
--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -58,7 +58,16 @@
 
 
 class HistoryExpired(Exception):
-    """The requested records have expired; read the newest of each key."""
+    """The requested records have expired; read the newest of each key.
+
+    ``first`` is the offset of the oldest record still stored, ``None`` if the
+    store didn't tell.
+    """
+
+    def __init__(self, why, first=None):
+        """Take the reason and the first offset."""
+        super().__init__(why)
+        self.first = first
 
 
 class Store:
@@ -183,7 +192,7 @@
             ) from exc
         self.late_ms = call.late_ms
         if found[0] == EXPIRED_STATUS:
-            raise HistoryExpired(target)
+            raise HistoryExpired(target, _first_offset(found[1]))
         return found
 
     def _report_overdue(self, target):
@@ -239,6 +248,14 @@
     return data
 
 
+def _first_offset(raw):
+    """Return the oldest offset in the answer to a read of expired records."""
+    try:
+        return int(_decode_object(raw)["first_offset"])
+    except (KeyError, TypeError, ValueError, errors.LogUnavailable):
+        return None
+
+
 def _decode_item(row):
     value = base64.b64decode(row["value"] or "")
     return Record(row["key"], value or None, int(row["offset"]))
@@ -251,7 +268,9 @@
         )
     end, first = _OFFSETS_FORMAT.unpack_from(raw)
     if first > start:
-        raise HistoryExpired(f"the first offset still stored is {first}")
+        raise HistoryExpired(
+            f"the first offset still stored is {first}", first
+        )
     records = []
     position = _OFFSETS_FORMAT.size
     offset = start
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 import tempfile
 import unittest
 
+from clementinewall import domain
 from clementinewall import errors
 from clementinewall.platform import settings
 
@@ -50,6 +51,15 @@
         limited = GOOD + "[limits]\nlink_mbps = 10\nmax_fds = 4_100\n"
         self.assertEqual(self.load(limited).link_mbps, 10.0)
 
+    def test_limits_of_the_store_are_optional(self):
+        self.assertIsNone(self.load(GOOD).store_limits.keep_ms)
+        limits = self.load(
+            GOOD + "writes_per_s = 1_600\nkeep_s = 20\nrecord_bytes = 9\n"
+        ).store_limits
+        self.assertEqual(
+            limits, domain.StoreLimits(1_600.0, 2_000.0, 9, 20_000)
+        )
+
     def test_error_names_file_and_each_mistake(self):
         broken = GOOD.replace('zone = "a"', "zone = 7").replace(
             'front = "10.1.0.38:8149"', ""
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -105,10 +105,17 @@
             (NEVER_SECONDS, 200, b""), (0.0, 410, b'{"first_offset": 9}')
         )
         began = time.monotonic()
-        with self.assertRaises(store.HistoryExpired):
+        with self.assertRaises(store.HistoryExpired) as caught:
             anyio.run(client.read, "t", 0)
+        self.assertEqual(caught.exception.first, 9)
         self.assertLess(time.monotonic() - began, MAX_SECONDS)
 
+    def test_an_expired_history_without_its_first_offset(self):
+        client = self.client((0.0, 410, b"gone"))
+        with self.assertRaises(store.HistoryExpired) as caught:
+            anyio.run(client.read, "t", 0)
+        self.assertIsNone(caught.exception.first)
+
 
 if __name__ == "__main__":
     unittest.main()
