Keep the origins of streams in the platform's store

Cause: at which version a stream began was known to gateways' memory only, and ended with the processes.

--- /dev/null
+++ b/clementinewall/origins/__init__.py
@@ -0,0 +1,1 @@
+"""The origins of streams, kept in the platform's store."""
--- /dev/null
+++ b/tests/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``clementinewall.origins``."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     "policy": set(),
     "domain": {"http1"},
     "platform": {"http1", "domain"},
+    "origins": {"http1", "policy", "domain", "platform"},
 }
 
 
