--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -65,13 +65,15 @@
     """The limits of the platform's store.
 
     The calls are those of all gateways together.  ``keep_ms`` is after which
-    time a record without a key expires, ``None`` if it isn't known.
+    time a record without a key expires, ``None`` if it isn't known;
+    ``append_ms`` is how long an append keeps its topic busy, 0 likewise.
     """
 
     writes_per_second: float = 400.0
     reads_per_second: float = 2_000.0
     record_bytes: int = 65_536
     keep_ms: clock.Millis | None = None
+    append_ms: float = 0.0
 
 
 class Settings(typing.NamedTuple):
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -30,6 +30,7 @@
     address: str
     writes_per_s: _Amount = 400.0
     reads_per_s: _Amount = 2_000.0
+    append_ms: _Amount = 0.0
     keep_s: _Amount = 0.0
     record_bytes: _Amount = 65_536.0
 
@@ -161,6 +162,7 @@
             reads_per_second=known.platform.reads_per_s,
             record_bytes=int(known.platform.record_bytes),
             keep_ms=int(known.platform.keep_s * 1_000) or None,
+            append_ms=known.platform.append_ms,
         ),
         bounds=domain.Bounds(
             grace_ms=int(bounds.grace_s * 1_000),
--- a/clementinewall/policy/origin_writes.py
+++ b/clementinewall/policy/origin_writes.py
@@ -8,6 +8,8 @@
 
 WRITES_FRACTION = 0.05
 READS_FRACTION = 0.25
+# Of the appends that one topic takes, which are made one after another.
+TOPIC_FRACTION = 0.5
 # Of all gateways together, however few calls the store allows.
 MIN_CALLS_PER_SECOND = 1.0
 MIN_INTERVAL_MS = 100
@@ -18,7 +20,11 @@
 
 def write_interval_ms(gateways, limits):
     """Return the time in ms between two appends of one gateway."""
-    return _interval_ms(gateways, WRITES_FRACTION * limits.writes_per_second)
+    calls_per_second = WRITES_FRACTION * limits.writes_per_second
+    if limits.append_ms:
+        possible = 1_000 / limits.append_ms
+        calls_per_second = min(calls_per_second, TOPIC_FRACTION * possible)
+    return _interval_ms(gateways, calls_per_second)
 
 
 def read_interval_ms(gateways, limits):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -55,9 +55,10 @@
         self.assertIsNone(self.load(GOOD).store_limits.keep_ms)
         limits = self.load(
             GOOD + "writes_per_s = 1_600\nkeep_s = 20\nrecord_bytes = 9\n"
+            "append_ms = 3\n"
         ).store_limits
         self.assertEqual(
-            limits, domain.StoreLimits(1_600.0, 2_000.0, 9, 20_000)
+            limits, domain.StoreLimits(1_600.0, 2_000.0, 9, 20_000, 3.0)
         )
 
     def test_error_names_file_and_each_mistake(self):
--- a/tests/policy/test_origin_writes.py
+++ b/tests/policy/test_origin_writes.py
@@ -30,6 +30,13 @@
             )
             self.assertLessEqual(1_000 * gateways / found, allowed * 1.001)
 
+    @hypothesis.given(GATEWAYS, strategies.floats(0.1, 400))
+    @hypothesis.settings(derandomize=True)
+    def test_appends_leave_half_of_the_topic_free(self, gateways, append_ms):
+        limits = domain.StoreLimits(100_000, append_ms=append_ms)
+        found = origin_writes.write_interval_ms(gateways, limits)
+        self.assertLessEqual(gateways * append_ms / found, 0.501)
+
     def test_rows_are_repeated_before_the_store_forgets_them(self):
         limits = domain.StoreLimits(keep_ms=20_000)
         self.assertEqual(origin_writes.repeat_after_ms(limits), 10_000)
