Keep in the store what a stream that is taken up is bound to

What callers saw: after all or most gateways had restarted, streams that they took up went on at another software version than the one that began them, or were refused though engines of their version served.

Cause: the origins of streams and the versions that had left were kept in the memory of gateways only. One that has just started took the only version in the records for the only one that there had been, on the word of peers that had started as lately.

Change: the versions that each service has or had lately are recorded in the store, read at each start, and written when one comes and when one has been gone for as long as its streams may last. Answers of peers count as evidence only if they know what there was in all of that time. Origins are appended to a log in the store, many in a record, once a service has several versions; a gateway whose peers don't know a stream reads what was added. Neither a first event nor readiness waits for it.

Ruled out: versions alone (unknown streams would be refused although their version serves), and times in the record (clocks jump).

--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -64,6 +64,11 @@
             self._current_since = read_at
         self._fleet_read_at = read_at
 
+    @property
+    def current_since(self):
+        """Return since when the endpoints have been read without a gap."""
+        return self._current_since
+
     @property
     def current_ms(self):
         """Return for how long the endpoints have been read without a gap."""
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -35,6 +35,8 @@
 from clementinewall.http1 import stream as tcp
 from clementinewall import lifecycle
 from clementinewall import logs
+from clementinewall.origins import origin_log
+from clementinewall.origins import version_record
 
 _log = logs.PartLog("gateway")
 
@@ -89,12 +91,19 @@
             ticker.time_of_day_seconds(),
         )
         self._relays.table = self._peers.table
+        self._version_record = version_record.VersionRecord(
+            settings, self._fleet_view, self._peers.table.group_rank, now
+        )
+        self._origin_log = origin_log.OriginLog(
+            settings, self._known_count, now, self._add_origin
+        )
         self._origins = stream_origins.StreamOrigins(
-            settings.ip,
             self._fleet_view,
             self._peers.table,
             self._peers.send_to,
             now,
+            self._version_record,
+            self._origin_log,
         )
         self._peers.listeners.append(self._origins.take)
         self._endpoints.request_limits.share_with(
@@ -177,6 +186,13 @@
             settings, self._peers, self.is_ready
         )
 
+    def _known_count(self):
+        """Return how many gateways may call the store, unheard ones too."""
+        return 1 + len(self._peers.table.ips)
+
+    def _add_origin(self, attempt, service, version, lifetime_ms):
+        self._origins.add(attempt, service, version, lifetime_ms)
+
     def _limit_group(self, endpoint):
         return self._cell_membership.limit_group(
             endpoint, self._peers.table.ips
@@ -213,6 +229,8 @@
         start(self._peers.run)
         start(self._stage_manager.run)
         start(self._cache_sync.run)
+        start(self._version_record.run)
+        start(self._origin_log.run)
         start(self._sweep)
         if self._duties is not None:
             self._duties.start(self._group)
--- a/clementinewall/gateway/software_versions.py
+++ b/clementinewall/gateway/software_versions.py
@@ -22,6 +22,8 @@
         self._left_at_by_service = collections.defaultdict(dict)
         # Versions that left before are not known; ``None`` before any read.
         self._observed_since = None
+        self._is_complete = False
+        self.retention_ms = RETENTION_MS
 
     def record_read(self, at):
         """Record that the endpoints' records were read as of ``at``."""
@@ -31,9 +33,49 @@
     @property
     def known_ms(self):
         """Return for how long back all versions are known, in ms."""
+        if self._is_complete or self.is_observed_long:
+            return self.retention_ms
         if self._observed_since is None:
             return 0
-        return min(RETENTION_MS, self._now() - self._observed_since)
+        return self._now() - self._observed_since
+
+    @property
+    def is_observed_long(self):
+        """Return whether what left before the first read matters no more."""
+        since = self._observed_since
+        return since is not None and self._now() - since >= self.retention_ms
+
+    def add_served(self, versions_by_service):
+        """Add versions that served before the endpoints were read.
+
+        Those that don't serve now, nor are known, count as having left now.
+        """
+        now = self._now()
+        for service, versions in versions_by_service.items():
+            for version in versions:
+                self._left_at_by_service[service].setdefault(version, now)
+
+    def record_complete(self):
+        """Record that what served before the first read has been added."""
+        self._is_complete = True
+
+    def serving_by_service(self):
+        """Return the sets of versions that have endpoints now."""
+        return {
+            service: frozenset(
+                version
+                for version, left_at in left_at_by_version.items()
+                if left_at == math.inf
+            )
+            for service, left_at_by_version in self._left_at_by_service.items()
+        }
+
+    def recent_by_service(self):
+        """Return the sets of versions that serve or served lately."""
+        return {
+            service: self.recent(service)
+            for service in self._left_at_by_service
+        }
 
     def apply(self, before, after):
         """Apply that an endpoint's record ``before`` became ``after``.
@@ -53,7 +95,7 @@
     def recent(self, service):
         """Return the versions of a service that serve or served lately."""
         left_at_by_version = self._left_at_by_service.get(service, {})
-        since = self._now() - RETENTION_MS
+        since = self._now() - self.retention_ms
         return frozenset(
             version
             for version, left_at in left_at_by_version.items()
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -3,9 +3,10 @@
 A stream may go on only at the version that made its first event, and its
 caller may take it up at any gateway.  The gateway that passes the first event
 on tells a few owners (:mod:`clementinewall.policy.stream_owners`), before the
-caller gets it and without waiting for them.  A gateway that doesn't know a
-stream asks its owners.  While a service has one version nothing is told; what
-began before a second one came is told when it comes.
+caller gets it and without waiting for them, and soon after it the platform's
+store.  A gateway that doesn't know a stream asks its owners, then the store.
+While a service has one version nothing is told; what began before a second
+one came is told when it comes.
 """
 
 import collections
@@ -30,8 +31,11 @@
 # Owners that don't answer are asked again after each of these times; after
 # the last, the stream counts as unknown.
 ASK_INTERVALS_MS = (50, 80, 120)
-# While all know of one version only, so many answers are enough.
+# While all know of one version only, so many answers of gateways that know all
+# recent versions are enough.
 SUFFICIENT_ANSWERS = 2
+# A caller whose stream isn't known waits for the store so long.
+STORE_LIMIT_MS = 1_000
 
 
 class Origin(typing.NamedTuple):
@@ -50,8 +54,10 @@
         self.unanswered = set(ips)
         self.answers = 0
         self.versions = set()
-        # The longest time for which one that answered knows the versions.
+        # The longest time for which one that answered knows the versions, and
+        # how many know all that matter.
         self.known_ms = 0
+        self.informed_answers = 0
         self.origin = None
         # The gateway that knew the origin.
         self.known_by = None
@@ -61,12 +67,15 @@
 class StreamOrigins:
     """The origins of the streams that this gateway began or owns."""
 
-    def __init__(self, own_ip, fleet_view, table, send, now):
-        """Share origins with the gateways in ``table``.
+    def __init__(
+        self, fleet_view, table, send, now, version_record, origin_log
+    ):
+        """Share origins with the gateways in ``table`` and the store.
 
         ``send(raw, ips)`` sends a datagram; ``now`` returns the time in ms.
         """
-        self._own_ip = own_ip
+        self._version_record = version_record
+        self._log = origin_log
         self._fleet_view = fleet_view
         self._table = table
         self._send = send
@@ -74,6 +83,7 @@
         self._origin_by_attempt = collections.OrderedDict()
         self._untold_by_service = collections.defaultdict(dict)
         self._query_by_attempt = {}
+        self._is_log_read = False
 
     def record(self, attempt, service, version, lifetime_ms):
         """Record at which version the stream of an attempt has an event.
@@ -91,6 +101,12 @@
         else:
             self._untold_by_service[service][attempt] = origin
 
+    def record_end(self, attempt):
+        """Record that the stream of an attempt has ended whole."""
+        for untold in self._untold_by_service.values():
+            untold.pop(attempt, None)
+        self._log.discard(attempt)
+
     def sweep(self):
         """Drop what has expired; tell what must be known by now."""
         now = self._now()
@@ -117,8 +133,15 @@
         return origin
 
     def _tell(self, origin_by_attempt):
-        """Tell the owners of some streams where these began."""
+        """Tell owners and the store where some streams began."""
         now = self._now()
+        for attempt, origin in origin_by_attempt.items():
+            self._log.add(
+                attempt,
+                origin.service,
+                origin.version,
+                origin.expires_at - now,
+            )
         ready = [peer.ip for peer in self._table.live() if peer.ready]
         rows_by_ip = collections.defaultdict(list)
         for attempt, origin in origin_by_attempt.items():
@@ -154,8 +177,11 @@
         if origin is None:
             query = await self._ask(attempt, service)
             origin, how = query.origin, "owner"
-            if origin is None:
-                origin, how = self._only_version(query), "only version"
+        if origin is None:
+            await self._read_store(attempt, query)
+            origin, how = attempt and self._known(attempt), "store"
+        if origin is None:
+            origin, how = self._only_version(query), "only version"
         metrics.count("streams_taken_up", known=how if origin else "no")
         _log.info(
             "stream is taken up" if origin else "origin of stream not known",
@@ -170,14 +196,37 @@
         )
         return origin
 
+    async def _read_store(self, attempt, query):
+        """Read what the store has of a stream and of earlier versions.
+
+        A gateway that has seen one version only for long needs neither.
+        """
+        end = self._now() + STORE_LIMIT_MS
+        if not self._is_informed(query):
+            await self._version_record.wait_until_read(STORE_LIMIT_MS)
+        versions = self._fleet_view.versions
+        is_log_known = self._is_log_read or versions.is_observed_long
+        if attempt is not None and (
+            len(self._versions(query)) > 1 or not is_log_known
+        ):
+            if await self._log.read(end - self._now()):
+                self._is_log_read = True
+
+    def _is_informed(self, query):
+        """Tell whether somebody knows all versions that may have begun it."""
+        versions = self._fleet_view.versions
+        known_ms = max(versions.known_ms, query.known_ms)
+        return known_ms >= versions.retention_ms
+
     def _only_version(self, query):
         """Return the origin if only one version can have begun the stream.
 
-        A gateway that hears neither peers nor the store may not know of
-        another version.
+        A gateway that has just started doesn't know what left before, and
+        one that hears neither peers nor the store may not know of another
+        version.
         """
         versions = self._versions(query)
-        if len(versions) != 1:
+        if len(versions) != 1 or not self._is_informed(query):
             return None
         if not query.answers and not self._fleet_view.is_current:
             return None
@@ -220,7 +269,7 @@
         if part is None:
             return
         for row in part.get("began", ()):
-            self._take_origin(*row)
+            self.add(*row)
         asked = part.get("asked", ())[:ROWS_PER_MESSAGE]
         if asked:
             rows = [self._answer(*row) for row in asked]
@@ -230,10 +279,12 @@
         for row in part.get("known", ()):
             self._take_answer(ip, known_ms, *row)
 
-    def _take_origin(self, attempt, service, version, left_ms):
+    def add(self, attempt, service, version, left_ms):
+        """Add an origin that a peer or the store knows."""
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
         origin = Origin(str(service), str(version), self._now() + left_ms)
         self._put(str(attempt)[: domain.MAX_TEXT], origin)
+        self._fleet_view.versions.add_served({origin.service: [version]})
 
     def _answer(self, attempt, service):
         """Return what is known of a stream, as plain data."""
@@ -252,9 +303,11 @@
         query.unanswered.discard(ip)
         query.answers += 1
         query.known_ms = max(query.known_ms, known_ms)
+        if known_ms >= self._fleet_view.versions.retention_ms:
+            query.informed_answers += 1
         query.versions.update(str(version) for version in versions)
         if row is not None:
-            self._take_origin(attempt, *row)
+            self.add(attempt, *row)
             query.origin = self._known(attempt)
             query.known_by = ip
         if self._is_settled(query):
@@ -263,5 +316,5 @@
     def _is_settled(self, query):
         if query.origin is not None or not query.unanswered:
             return True
-        is_sufficient = query.answers >= SUFFICIENT_ANSWERS
+        is_sufficient = query.informed_answers >= SUFFICIENT_ANSWERS
         return is_sufficient and len(self._versions(query)) <= 1
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -92,6 +92,7 @@
             if exchange.first_event_ms is None:
                 self._crash_guard.record_answer(exchange)
             else:
+                self._origins.record_end(_stream_name(exchange.call))
                 self._crash_guard.record_stream(exchange)
                 self._drain.record_stream(exchange, exchange.first_event_ms)
             return
@@ -124,7 +125,7 @@
         call = exchange.call
         exchange.version = engine.endpoint.version
         self._origins.record(
-            call.resumes or call.attempt,
+            _stream_name(call),
             engine.endpoint.service,
             engine.endpoint.version,
             exchange.route.timeout_ms or exchanges.DEFAULT_TIMEOUT_MS,
@@ -382,6 +383,11 @@
         return self._now() - exchange.run_began_at
 
 
+def _stream_name(call):
+    """Return the attempt that began the stream of a call."""
+    return call.resumes or call.attempt
+
+
 def prefill_timeout_ms(option):
     """Return after which silence a prefill is done on another engine."""
     expected_ms = option.wait_ms + option.prefill_ms
--- a/clementinewall/origins/__init__.py
+++ b/clementinewall/origins/__init__.py
@@ -1,1 +1,1 @@
-"""The origins of streams, kept in the platform's store."""
+"""What is known of streams, kept in the platform's store."""
--- a/clementinewall/origins/origin_log.py
+++ b/clementinewall/origins/origin_log.py
@@ -17,7 +17,7 @@
     """Writes the origins that this gateway knows, and reads those of all."""
 
     def __init__(self, settings, live_count, ticker_now, on_origin):
-        """Share the store with the ``live_count()`` gateways that are alive.
+        """Share the store with the ``live_count()`` gateways that may be alive.
 
         ``on_origin(attempt, service, version, lifetime_ms)`` is called for
         each row that is read, also for own ones.
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -17,6 +17,7 @@
 GATEWAYS_TOPIC = "keyed.gateways"
 LEASES_TOPIC = "keyed.leases"
 DUTIES_TOPIC = "keyed.duties"
+VERSIONS_TOPIC = "keyed.versions"
 # Without the prefix, records expire.
 STREAM_ORIGINS_TOPIC = "stream-origins"
 _KNOWN_STATES = ("ready", "draining")
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -16,19 +16,71 @@
 SERVICE = "model"
 LIFETIME_MS = 5_000
 STREAMS = 40
+LONG_MS = 90_000
+
+
+class Store:
+    """What the gateways have written, and whether it can be read."""
+
+    def __init__(self):
+        """Start empty and readable."""
+        self.row_by_attempt = {}
+        self.versions_by_service = {}
+        self.is_readable = True
+
+
+class Access:
+    """A gateway's access to the store: its record and its log."""
+
+    def __init__(self, store, view):
+        """Complete the versions of ``view``."""
+        self._store = store
+        self._view = view
+        self.add_origin = None
+
+    def add(self, attempt, service, version, lifetime_ms):
+        """Write the origin of a stream."""
+        end = self._view.now() + lifetime_ms
+        self._store.row_by_attempt[attempt] = service, version, end
+
+    def discard(self, attempt):
+        """Drop the origin of a stream."""
+        self._store.row_by_attempt.pop(attempt, None)
+
+    async def read(self, _limit_ms):
+        """Read all origins; return whether they were read."""
+        if self._store.is_readable:
+            for attempt, row in self._store.row_by_attempt.items():
+                service, version, end = row
+                left_ms = end - self._view.now()
+                self.add_origin(attempt, service, version, left_ms)
+        return self._store.is_readable
+
+    async def wait_until_read(self, _limit_ms):
+        """Read which versions served before."""
+        if self._store.is_readable:
+            found = self._store.versions_by_service
+            self._view.versions.add_served(found)
+            self._view.versions.record_complete()
 
 
 class Network:
-    """Gateways whose messages arrive at once, unless a gateway is down."""
+    """Gateways whose messages arrive at once, unless a gateway is down.
+
+    They have run for long, until :meth:`restart`.
+    """
 
     def __init__(self, size, versions):
         """Create gateways that know each other and engines of ``versions``."""
         self.ticker = clock.ManualClock(100_000)
         self.down = set()
         self.sent = []
+        self.store = Store()
         self.ips = [f"10.0.0.{n}" for n in range(1, size + 1)]
         self.view_by_ip = {}
         self.origins_by_ip = {ip: self._gateway(ip) for ip in self.ips}
+        for view in self.view_by_ip.values():
+            view.versions.record_read(self.ticker.now() - LONG_MS)
         for version in versions:
             self.add_version(version)
 
@@ -40,15 +92,22 @@
                 peer_messages.Heartbeat(other, f"{other}:1", "a", True, now())
             )
         view = types.SimpleNamespace(
-            versions=software_versions.SoftwareVersions(now), is_current=True
+            versions=software_versions.SoftwareVersions(now),
+            is_current=True,
+            now=now,
         )
         self.view_by_ip[ip] = view
+        access = Access(self.store, view)
 
         def send(raw, ips):
             for other in ips:
                 self._deliver(raw, ip, other)
 
-        return stream_origins.StreamOrigins(ip, view, table, send, now)
+        origins = stream_origins.StreamOrigins(
+            view, table, send, now, access, access
+        )
+        access.add_origin = origins.add
+        return origins
 
     def _deliver(self, raw, sender, ip):
         self.sent.append((sender, ip))
@@ -61,6 +120,14 @@
         for ip in ips or self.ips:
             self.view_by_ip[ip].versions.apply(None, engine)
 
+    def restart(self, ips, *versions):
+        """Let gateways start anew, beside engines of ``versions``."""
+        for ip in ips:
+            self.origins_by_ip[ip] = self._gateway(ip)
+            self.view_by_ip[ip].versions.record_read(self.ticker.now())
+        for version in versions:
+            self.add_version(version, ips)
+
     def begin(self, ip, attempt, version):
         """Record the first event of a stream at a gateway."""
         self.origins_by_ip[ip].record(attempt, SERVICE, version, LIFETIME_MS)
@@ -135,6 +202,59 @@
         network.view_by_ip[network.ips[1]].is_current = False
         self.assertIsNone(network.find(network.ips[1], "a"))
 
+    def test_streams_are_found_in_the_store_after_all_have_restarted(self):
+        # Guards against origins that end with the processes that know them.
+        network = Network(7, ("v0", "v1"))
+        for number in range(STREAMS):
+            network.begin(network.ips[0], f"a{number}", f"v{number % 2}")
+        network.restart(network.ips, "v1")
+        for number in range(STREAMS):
+            found = network.find(network.ips[number % 7], f"a{number}")
+            self.assertEqual(found, f"v{number % 2}")
+
+    def test_a_version_that_left_before_all_restarted_counts(self):
+        # Guards against the only version that gateways see as they start.
+        network = Network(7, ("v0", "v1"))
+        network.store.versions_by_service = {SERVICE: {"v0", "v1"}}
+        network.restart(network.ips, "v1")
+        self.assertIsNone(network.find(network.ips[1], "a"))
+
+    def test_gateways_that_know_nothing_of_before_do_not_guess(self):
+        # Guards against taking the silence of newcomers for knowledge.
+        network = Network(7, ("v1",))
+        network.restart(network.ips, "v1")
+        network.store.is_readable = False
+        self.assertIsNone(network.find(network.ips[1], "a"))
+
+    def test_one_that_has_run_for_long_is_enough(self):
+        # Guards against refusals while the store is away.
+        network = Network(3, ("v1",))
+        network.restart(network.ips[1:], "v1")
+        network.store.is_readable = False
+        self.assertEqual(network.find(network.ips[1], "a"), "v1")
+
+    def test_newcomers_do_not_outvote_one_that_knows(self):
+        # Guards against quick answers of gateways that have just started.
+        network = Network(5, ("v0", "v1"))
+        network.store.is_readable = False
+        [*others, last] = network.ips
+        network.begin(last, "a", "v0")
+        network.restart(others, "v1")
+        network.origins_by_ip[last].add("a", SERVICE, "v0", LIFETIME_MS)
+        self.assertEqual(network.find(others[0], "a"), "v0")
+
+    def test_a_stream_that_has_ended_is_not_kept_in_the_store(self):
+        network = Network(7, ("v0", "v1"))
+        network.begin(network.ips[0], "a", "v0")
+        network.origins_by_ip[network.ips[0]].record_end("a")
+        self.assertEqual(network.store.row_by_attempt, {})
+
+    def test_nothing_is_written_while_one_version_serves(self):
+        network = Network(7, ("v0",))
+        network.begin(network.ips[0], "a", "v0")
+        network.origins_by_ip[network.ips[0]].sweep()
+        self.assertEqual(network.store.row_by_attempt, {})
+
     def test_a_stream_without_a_name_goes_on_at_the_only_version(self):
         network = Network(7, ("v0",))
         self.assertEqual(network.find(network.ips[1], None), "v0")
--- a/tests/origins/__init__.py
+++ b/tests/origins/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of ``clementinewall.origins``."""
+"""Tests of what is known of streams in the store."""
