Name the number of gateways that share the calls of the log of origins

It counts those that aren't heard too, since they may call the store, so it was misnamed as the number of live ones. Names only; its tests pass.

--- a/clementinewall/origins/log_reader.py
+++ b/clementinewall/origins/log_reader.py
@@ -23,10 +23,10 @@
 class LogReader:
     """Reads what was appended since its last read, for all who wait."""
 
-    def __init__(self, settings, live_count, now, on_origin):
+    def __init__(self, settings, gateway_count, now, on_origin):
         """Call ``on_origin(attempt, service, version, lifetime_ms)``."""
         self._settings = settings
-        self._live_count = live_count
+        self._gateway_count = gateway_count
         self._now = now
         self._on_origin = on_origin
         self._store = None
@@ -82,7 +82,7 @@
         if self._last_read_at is None:
             return 0
         interval_ms = origin_writes.read_interval_ms(
-            self._live_count(), self._settings.store_limits
+            self._gateway_count(), self._settings.store_limits
         )
         return max(0, self._last_read_at + interval_ms - self._now())
 
--- a/clementinewall/origins/log_writer.py
+++ b/clementinewall/origins/log_writer.py
@@ -21,10 +21,10 @@
 class LogWriter:
     """Appends rows in batches, with a connection of its own."""
 
-    def __init__(self, settings, live_count, now):
-        """Share the store's writes with ``live_count()`` gateways."""
+    def __init__(self, settings, gateway_count, now):
+        """Share the store's writes with ``gateway_count()`` gateways."""
         self._settings = settings
-        self._live_count = live_count
+        self._gateway_count = gateway_count
         self._now = now
         self._store = None
         self._last_append_at = None
@@ -67,7 +67,7 @@
         if self._last_append_at is None:
             return FIRST_DELAY_MS
         interval_ms = origin_writes.write_interval_ms(
-            self._live_count(), self._settings.store_limits
+            self._gateway_count(), self._settings.store_limits
         )
         left_ms = self._last_append_at + interval_ms - self._now()
         return max(FIRST_DELAY_MS, left_ms)
