Keep a version that left for as long as its answers may last

A version counted as gone after 60 s, while routes may allow answers of ten minutes and origins are kept for those. A caller who takes up such a stream later would have got another version, if only one serves by then. Versions are kept for the longest answer of any route now, 60 s at least.

--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -135,6 +135,7 @@
         if known is not None:
             self._replaced_limits.append((self._now(), known.limits))
         self.configuration = found
+        self.versions.set_longest_answer(_longest_answer_ms(found))
         _log.info(
             "configuration active",
             version=found.version,
@@ -246,3 +247,14 @@
         for name, end in list(self._lapse_end_by_id.items()):
             if now >= end:
                 self._forget(name, "missing after the store recovered", None)
+
+
+def _longest_answer_ms(configuration):
+    return max(
+        (
+            route.timeout_ms or 0
+            for routes in configuration.routes_by_host.values()
+            for route in routes
+        ),
+        default=0,
+    )
--- a/clementinewall/gateway/software_versions.py
+++ b/clementinewall/gateway/software_versions.py
@@ -7,8 +7,10 @@
 import collections
 import math
 
-# A stream may be taken up for this time after its version has left.
-RETENTION_MS = 60_000
+# A stream may be taken up for this time after its version has left, and as
+# long as the longest answer may last.
+MIN_RETENTION_MS = 60_000
+MAX_RETENTION_MS = 600_000
 
 
 class SoftwareVersions:
@@ -23,7 +25,13 @@
         # Versions that left before are not known; ``None`` before any read.
         self._observed_since = None
         self._is_complete = False
-        self.retention_ms = RETENTION_MS
+        self.retention_ms = MIN_RETENTION_MS
+
+    def set_longest_answer(self, longest_ms):
+        """Keep versions for as long as the longest answer may last."""
+        self.retention_ms = min(
+            MAX_RETENTION_MS, max(MIN_RETENTION_MS, longest_ms)
+        )
 
     def record_read(self, at):
         """Record that the endpoints' records were read as of ``at``."""
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -17,6 +17,7 @@
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall.gateway import peer_messages
+from clementinewall.gateway import software_versions
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import stream_owners
@@ -25,7 +26,7 @@
 
 # An origin is kept for the longest answer of its route, and at least so long.
 MIN_LIFETIME_MS = 30_000
-MAX_LIFETIME_MS = 600_000
+MAX_LIFETIME_MS = software_versions.MAX_RETENTION_MS
 MAX_ORIGINS = 20_000
 ROWS_PER_MESSAGE = 200
 # Owners that don't answer are asked again after each of these times; after
