--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -59,10 +59,16 @@
     def record_fleet_read(self, age_ms):
         """Record that the endpoints are those of the store ``age_ms`` ago."""
         read_at = self._now() - age_ms
+        self.versions.record_read(read_at)
         if not self.is_current:
             self._current_since = read_at
         self._fleet_read_at = read_at
 
+    @property
+    def current_since(self):
+        """Return since when the endpoints have been read without a gap."""
+        return self._current_since
+
     @property
     def current_ms(self):
         """Return for how long the endpoints have been read without a gap."""
@@ -129,6 +135,7 @@
         if known is not None:
             self._replaced_limits.append((self._now(), known.limits))
         self.configuration = found
+        self.versions.set_longest_answer(_longest_answer_ms(found))
         _log.info(
             "configuration active",
             version=found.version,
@@ -240,3 +247,14 @@
         for name, end in list(self._lapse_end_by_id.items()):
             if now >= end:
                 self._forget(name, "missing after the store recovered", None)
+
+
+def _longest_answer_ms(configuration):
+    return max(
+        (
+            route.timeout_ms or 0
+            for routes in configuration.routes_by_host.values()
+            for route in routes
+        ),
+        default=0,
+    )
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -3,9 +3,10 @@
 A stream may go on only at the version that made its first event, and its
 caller may take it up at any gateway.  The gateway that passes the first event
 on tells a few owners (:mod:`clementinewall.policy.stream_owners`), before the
-caller gets it and without waiting for them.  A gateway that doesn't know a
-stream asks its owners.  While a service has one version nothing is told; what
-began before a second one came is told when it comes.
+caller gets it and without waiting for them, and soon after it the platform's
+store.  A gateway that doesn't know a stream asks its owners, then the store.
+While a service has one version nothing is told; what began before a second
+one came is told when it comes.
 """
 
 import collections
@@ -16,6 +17,7 @@
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall.gateway import peer_messages
+from clementinewall.gateway import software_versions
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import stream_owners
@@ -24,14 +26,17 @@
 
 # An origin is kept for the longest answer of its route, and at least so long.
 MIN_LIFETIME_MS = 30_000
-MAX_LIFETIME_MS = 600_000
+MAX_LIFETIME_MS = software_versions.MAX_RETENTION_MS
 MAX_ORIGINS = 20_000
 ROWS_PER_MESSAGE = 200
 # Owners that don't answer are asked again after each of these times; after
 # the last, the stream counts as unknown.
 ASK_INTERVALS_MS = (50, 80, 120)
-# While all know of one version only, so many answers are enough.
+# While all know of one version only, so many answers of gateways that know all
+# recent versions are enough.
 SUFFICIENT_ANSWERS = 2
+# A caller whose stream isn't known waits for the store so long.
+STORE_LIMIT_MS = 1_000
 
 
 class Origin(typing.NamedTuple):
@@ -50,19 +55,28 @@
         self.unanswered = set(ips)
         self.answers = 0
         self.versions = set()
+        # The longest time for which one that answered knows the versions, and
+        # how many know all that matter.
+        self.known_ms = 0
+        self.informed_answers = 0
         self.origin = None
+        # The gateway that knew the origin.
+        self.known_by = None
         self.settled = anyio.Event()
 
 
 class StreamOrigins:
     """The origins of the streams that this gateway began or owns."""
 
-    def __init__(self, own_ip, fleet_view, table, send, now):
-        """Share origins with the gateways in ``table``.
+    def __init__(
+        self, fleet_view, table, send, now, version_record, origin_log
+    ):
+        """Share origins with the gateways in ``table`` and the store.
 
         ``send(raw, ips)`` sends a datagram; ``now`` returns the time in ms.
         """
-        self._own_ip = own_ip
+        self._version_record = version_record
+        self._log = origin_log
         self._fleet_view = fleet_view
         self._table = table
         self._send = send
@@ -70,6 +84,7 @@
         self._origin_by_attempt = collections.OrderedDict()
         self._untold_by_service = collections.defaultdict(dict)
         self._query_by_attempt = {}
+        self._is_log_read = False
 
     def record(self, attempt, service, version, lifetime_ms):
         """Record at which version the stream of an attempt has an event.
@@ -87,6 +102,12 @@
         else:
             self._untold_by_service[service][attempt] = origin
 
+    def record_end(self, attempt):
+        """Record that the stream of an attempt has ended whole."""
+        for untold in self._untold_by_service.values():
+            untold.pop(attempt, None)
+        self._log.discard(attempt)
+
     def sweep(self):
         """Drop what has expired; tell what must be known by now."""
         now = self._now()
@@ -113,8 +134,15 @@
         return origin
 
     def _tell(self, origin_by_attempt):
-        """Tell the owners of some streams where these began."""
+        """Tell owners and the store where some streams began."""
         now = self._now()
+        for attempt, origin in origin_by_attempt.items():
+            self._log.add(
+                attempt,
+                origin.service,
+                origin.version,
+                origin.expires_at - now,
+            )
         ready = [peer.ip for peer in self._table.live() if peer.ready]
         rows_by_ip = collections.defaultdict(list)
         for attempt, origin in origin_by_attempt.items():
@@ -131,8 +159,9 @@
                 part = rows[start : start + ROWS_PER_MESSAGE]
                 self._send_part("began", part, [ip])
 
-    def _send_part(self, name, rows, ips):
-        self._send(peer_messages.dump({"origins": {name: rows}}), ips)
+    def _send_part(self, name, rows, ips, **more):
+        part = {name: rows, **more}
+        self._send(peer_messages.dump({"origins": part}), ips)
 
     async def find(self, attempt, service):
         """Return the :class:`Origin` of the stream that an attempt began.
@@ -145,12 +174,15 @@
             attempt = None
         origin = None if attempt is None else self._known(attempt)
         how = "own"
-        answers = 0
+        query = _Query(service, ())
         if origin is None:
             query = await self._ask(attempt, service)
-            origin, answers, how = query.origin, query.answers, "owner"
-            if origin is None:
-                origin, how = self._only_version(query), "only version"
+            origin, how = query.origin, "owner"
+        if origin is None:
+            await self._read_store(attempt, query)
+            origin, how = attempt and self._known(attempt), "store"
+        if origin is None:
+            origin, how = self._only_version(query), "only version"
         metrics.count("streams_taken_up", known=how if origin else "no")
         _log.info(
             "stream is taken up" if origin else "origin of stream not known",
@@ -158,18 +190,44 @@
             service=origin.service if origin else service,
             version=origin.version if origin else None,
             known=how if origin else None,
-            answers=answers,
+            known_by=query.known_by,
+            answers=query.answers,
+            own_known_ms=self._fleet_view.versions.known_ms,
+            peers_known_ms=query.known_ms,
         )
         return origin
 
+    async def _read_store(self, attempt, query):
+        """Read what the store has of a stream and of earlier versions.
+
+        A gateway that has seen one version only for long needs neither.
+        """
+        end = self._now() + STORE_LIMIT_MS
+        if not self._is_informed(query):
+            await self._version_record.wait_until_read(STORE_LIMIT_MS)
+        versions = self._fleet_view.versions
+        is_log_known = self._is_log_read or versions.is_observed_long
+        if attempt is not None and (
+            len(self._versions(query)) > 1 or not is_log_known
+        ):
+            if await self._log.read(end - self._now()):
+                self._is_log_read = True
+
+    def _is_informed(self, query):
+        """Tell whether somebody knows all versions that may have begun it."""
+        versions = self._fleet_view.versions
+        known_ms = max(versions.known_ms, query.known_ms)
+        return known_ms >= versions.retention_ms
+
     def _only_version(self, query):
         """Return the origin if only one version can have begun the stream.
 
-        A gateway that hears neither peers nor the store may not know of
-        another version.
+        A gateway that has just started doesn't know what left before, and
+        one that hears neither peers nor the store may not know of another
+        version.
         """
         versions = self._versions(query)
-        if len(versions) != 1:
+        if len(versions) != 1 or not self._is_informed(query):
             return None
         if not query.answers and not self._fleet_view.is_current:
             return None
@@ -212,19 +270,22 @@
         if part is None:
             return
         for row in part.get("began", ()):
-            self._take_origin(*row)
+            self.add(*row)
         asked = part.get("asked", ())[:ROWS_PER_MESSAGE]
         if asked:
-            self._send_part(
-                "known", [self._answer(*row) for row in asked], [ip]
-            )
+            rows = [self._answer(*row) for row in asked]
+            known_ms = self._fleet_view.versions.known_ms
+            self._send_part("known", rows, [ip], known_ms=known_ms)
+        known_ms = int(part.get("known_ms", 0))
         for row in part.get("known", ()):
-            self._take_answer(ip, *row)
+            self._take_answer(ip, known_ms, *row)
 
-    def _take_origin(self, attempt, service, version, left_ms):
+    def add(self, attempt, service, version, left_ms):
+        """Add an origin that a peer or the store knows."""
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
         origin = Origin(str(service), str(version), self._now() + left_ms)
         self._put(str(attempt)[: domain.MAX_TEXT], origin)
+        self._fleet_view.versions.add_served({origin.service: [version]})
 
     def _answer(self, attempt, service):
         """Return what is known of a stream, as plain data."""
@@ -236,21 +297,25 @@
             row = [origin.service, origin.version, left_ms]
         return [attempt, row, sorted(recent)]
 
-    def _take_answer(self, ip, attempt, row, versions):
+    def _take_answer(self, ip, known_ms, attempt, row, versions):
         query = self._query_by_attempt.get(attempt)
         if query is None or ip not in query.unanswered:
             return
         query.unanswered.discard(ip)
         query.answers += 1
+        query.known_ms = max(query.known_ms, known_ms)
+        if known_ms >= self._fleet_view.versions.retention_ms:
+            query.informed_answers += 1
         query.versions.update(str(version) for version in versions)
         if row is not None:
-            self._take_origin(attempt, *row)
+            self.add(attempt, *row)
             query.origin = self._known(attempt)
+            query.known_by = ip
         if self._is_settled(query):
             query.settled.set()
 
     def _is_settled(self, query):
         if query.origin is not None or not query.unanswered:
             return True
-        is_sufficient = query.answers >= SUFFICIENT_ANSWERS
+        is_sufficient = query.informed_answers >= SUFFICIENT_ANSWERS
         return is_sufficient and len(self._versions(query)) <= 1
--- /dev/null
+++ b/tests/origins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of streams in the store."""
