Let each gateway in line record versions if those before it don't

Callers saw nothing yet; a version that came and left while the four first in line were cut from the store was in no record. After a loss of all, its streams would have counted as begun by the only version that is recorded.

Only ranks 0 to 3 wrote. Ranks go by address, so these are often of one data centre, and gateways of the previous build hold ranks but write no record. A gateway far in line pays one read for each change of the record.

The test that ranks from 4 on never write is replaced: it held the fault. The delays of all ranks have to be distinct and rising, and a test counts the reads and writes of a gateway far in line.

--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -75,8 +75,6 @@
         if self._outdated_since is None:
             self._outdated_since = self._now()
         delay_ms = served_versions.write_delay_ms(self._rank())
-        if delay_ms is None:
-            return
         if self._now() - self._outdated_since >= delay_ms:
             await self._update()
 
--- a/clementinewall/policy/served_versions.py
+++ b/clementinewall/policy/served_versions.py
@@ -4,18 +4,17 @@
 remove some, and several may try at once.
 """
 
-# Gateways that write if those before them in line don't.
-WRITERS = 4
-# Delay of each further gateway in line.
+# Delay of each further gateway in line.  Each writes if those before it don't:
+# these may all be cut from the store, or of a build that knows no record.
 WRITE_STEP_MS = 700
 
 
 def write_delay_ms(rank):
     """Return after which time a gateway updates a record that is out of date.
 
-    It is ``None`` for a gateway that leaves it to those before it.
+    One that was updated meanwhile costs a read.
     """
-    return rank * WRITE_STEP_MS if rank < WRITERS else None
+    return rank * WRITE_STEP_MS
 
 
 def updated(recorded, serving, recent):
--- a/tests/origins/test_version_record.py
+++ b/tests/origins/test_version_record.py
@@ -156,6 +156,23 @@
         self.run_for(10 * STEP_MS, *gateways)
         self.assertEqual(len(self.topic.values), 1)
 
+    def test_one_writes_although_the_first_of_the_line_do_not(self):
+        # Guards against a version that nobody records while the machines of
+        # the first in line, with their neighbours, are cut from the store.
+        gateways = [self.gateway("v1", rank=rank) for rank in (5, 6, 40)]
+        self.run_for(12 * STEP_MS, *gateways)
+        self.assertEqual(len(self.topic.values), 1)
+
+    def test_those_far_in_line_read_once_for_a_new_version(self):
+        first, far = self.gateway("v1"), self.gateway("v1", rank=20)
+        self.run_for(STEP_MS, first, far)
+        for gateway in (first, far):
+            gateway.add("v2")
+        reads = self.topic.reads
+        self.run_for(60 * STEP_MS, first, far)
+        self.assertEqual(self.topic.reads, reads + 2)
+        self.assertEqual(len(self.topic.values), 2)
+
     def test_a_store_that_was_away_gets_the_record_later(self):
         gateway = self.gateway("v1")
         self.topic.is_away = True
--- a/tests/policy/test_served_versions.py
+++ b/tests/policy/test_served_versions.py
@@ -38,8 +38,7 @@
             found = updated(*case)
             self.assertEqual(updated(found, serving, recent), found)
 
-    def test_only_a_few_gateways_write_one_after_the_other(self):
+    def test_gateways_write_one_after_the_other(self):
         delays = [served_versions.write_delay_ms(rank) for rank in range(9)]
-        writers = delays[: served_versions.WRITERS]
-        self.assertEqual(writers, sorted(set(writers)))
-        self.assertEqual(set(delays[served_versions.WRITERS :]), {None})
+        self.assertEqual(delays[0], 0)
+        self.assertEqual(delays, sorted(set(delays)))
