Keep a version that may have come back while a gateway was cut off

Callers whose stream a version began could get a 503, or the events of another version after a further loss of all: a gateway that had seen the version leave before it was cut off removed it from the record, though the version had come back and left again meanwhile. That takes a gateway cut from the store, or stopped, for longer than the store keeps records.

What the record names was added after the gap only if it wasn't known, so it kept the time of the earlier departure. The new test fails without the change. A gap now keeps a recorded version for as long again, in that gateway.

--- a/clementinewall/gateway/software_versions.py
+++ b/clementinewall/gateway/software_versions.py
@@ -53,15 +53,19 @@
         since = self._observed_since
         return since is not None and self._now() - since >= self.retention_ms
 
-    def add_served(self, versions_by_service):
+    def add_served(self, versions_by_service, is_after_gap=False):
         """Add versions that served before the endpoints were read.
 
-        Those that don't serve now, nor are known, count as having left now.
+        Those that don't serve now, nor are known, count as having left now;
+        after a gap in what was read, known ones too.
         """
         now = self._now()
         for service, versions in versions_by_service.items():
+            left_at_by_version = self._left_at_by_service[service]
             for version in versions:
-                self._left_at_by_service[service].setdefault(version, now)
+                left_at = left_at_by_version.setdefault(version, now)
+                if is_after_gap and left_at != math.inf:
+                    left_at_by_version[version] = now
 
     def record_complete(self):
         """Record that what served before the first read has been added."""
--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -67,7 +67,7 @@
             # Versions may have come and gone unseen.
             since = view.current_since
             self._recorded = {}
-            await self._load()
+            await self._load(is_after_gap=True)
             self._current_since = since
         if self._updated() == self._recorded:
             self._outdated_since = None
@@ -86,8 +86,12 @@
             versions.recent_by_service(),
         )
 
-    async def _load(self):
-        """Read the record; return where its topic ends."""
+    async def _load(self, is_after_gap=False):
+        """Read the record; return where its topic ends.
+
+        After a gap, recorded versions that don't serve may have come back
+        unseen, and left only now.
+        """
         batch = await self._store.newest(records.VERSIONS_TOPIC)
         found = {}
         for record in batch.records:
@@ -97,7 +101,8 @@
             {
                 service: versions - self._recorded.get(service, frozenset())
                 for service, versions in found.items()
-            }
+            },
+            is_after_gap,
         )
         self._recorded = found
         if not self._read.is_set():
--- a/tests/origins/test_version_record.py
+++ b/tests/origins/test_version_record.py
@@ -191,6 +191,19 @@
         self.run_for(STEP_MS, gateway)
         self.assertEqual(gateway.recent, {"v1", "v2"})
 
+    def test_what_came_back_while_cut_off_is_kept_as_long_again(self):
+        # Guards against a removal by one that saw a version leave earlier.
+        gateway = self.gateway("v1", "v2")
+        self.run_for(STEP_MS, gateway)
+        gateway.remove("v2")
+        retention_ms = gateway.versions.retention_ms
+        self.run_for(retention_ms - 20 * STEP_MS, gateway)
+        gateway.view.current_since = self.ticker.now()
+        self.run_for(retention_ms - 2 * STEP_MS, gateway)
+        self.assertEqual(gateway.recent, {"v1", "v2"})
+        self.run_for(6 * STEP_MS, gateway)
+        self.assertEqual(gateway.recent, {"v1"})
+
     def test_a_record_of_another_build_is_passed_over(self):
         self.topic.values.append(b"[3]")
         gateway = self.gateway("v1")
