--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -54,8 +54,8 @@
         while True:
             try:
                 await self._poll()
-            except errors.LogUnavailable as exc:
-                _log.info("versions not recorded yet", why=exc.message)
+            except (errors.LogUnavailable, store.HistoryExpired) as exc:
+                _log.info("versions not recorded yet", why=str(exc))
                 await anyio.sleep(clock.seconds(RETRY_MS))
             await anyio.sleep(clock.seconds(POLL_INTERVAL_MS))
 
@@ -67,7 +67,7 @@
             # Versions may have come and gone unseen.
             since = view.current_since
             self._recorded = {}
-            await self._load()
+            await self._load(is_after_gap=True)
             self._current_since = since
         if self._updated() == self._recorded:
             self._outdated_since = None
@@ -75,8 +75,6 @@
         if self._outdated_since is None:
             self._outdated_since = self._now()
         delay_ms = served_versions.write_delay_ms(self._rank())
-        if delay_ms is None:
-            return
         if self._now() - self._outdated_since >= delay_ms:
             await self._update()
 
@@ -88,8 +86,12 @@
             versions.recent_by_service(),
         )
 
-    async def _load(self):
-        """Read the record; return where its topic ends."""
+    async def _load(self, is_after_gap=False):
+        """Read the record; return where its topic ends.
+
+        After a gap, recorded versions that don't serve may have come back
+        unseen, and left only now.
+        """
         batch = await self._store.newest(records.VERSIONS_TOPIC)
         found = {}
         for record in batch.records:
@@ -99,7 +101,8 @@
             {
                 service: versions - self._recorded.get(service, frozenset())
                 for service, versions in found.items()
-            }
+            },
+            is_after_gap,
         )
         self._recorded = found
         if not self._read.is_set():
--- a/tests/origins/test_version_record.py
+++ b/tests/origins/test_version_record.py
@@ -156,6 +156,23 @@
         self.run_for(10 * STEP_MS, *gateways)
         self.assertEqual(len(self.topic.values), 1)
 
+    def test_one_writes_although_the_first_of_the_line_do_not(self):
+        # Guards against a version that nobody records while the machines of
+        # the first in line, with their neighbours, are cut from the store.
+        gateways = [self.gateway("v1", rank=rank) for rank in (5, 6, 40)]
+        self.run_for(12 * STEP_MS, *gateways)
+        self.assertEqual(len(self.topic.values), 1)
+
+    def test_those_far_in_line_read_once_for_a_new_version(self):
+        first, far = self.gateway("v1"), self.gateway("v1", rank=20)
+        self.run_for(STEP_MS, first, far)
+        for gateway in (first, far):
+            gateway.add("v2")
+        reads = self.topic.reads
+        self.run_for(60 * STEP_MS, first, far)
+        self.assertEqual(self.topic.reads, reads + 2)
+        self.assertEqual(len(self.topic.values), 2)
+
     def test_a_store_that_was_away_gets_the_record_later(self):
         gateway = self.gateway("v1")
         self.topic.is_away = True
@@ -174,9 +191,38 @@
         self.run_for(STEP_MS, gateway)
         self.assertEqual(gateway.recent, {"v1", "v2"})
 
+    def test_what_came_back_while_cut_off_is_kept_as_long_again(self):
+        # Guards against a removal by one that saw a version leave earlier.
+        gateway = self.gateway("v1", "v2")
+        self.run_for(STEP_MS, gateway)
+        gateway.remove("v2")
+        retention_ms = gateway.versions.retention_ms
+        self.run_for(retention_ms - 20 * STEP_MS, gateway)
+        gateway.view.current_since = self.ticker.now()
+        self.run_for(retention_ms - 2 * STEP_MS, gateway)
+        self.assertEqual(gateway.recent, {"v1", "v2"})
+        self.run_for(6 * STEP_MS, gateway)
+        self.assertEqual(gateway.recent, {"v1"})
+
     def test_a_record_of_another_build_is_passed_over(self):
         self.topic.values.append(b"[3]")
         gateway = self.gateway("v1")
         self.run_for(STEP_MS, gateway)
         self.assertEqual(gateway.recent, {"v1"})
         self.assertEqual(len(self.topic.values), 2)
+
+    def test_an_answer_of_expired_records_does_not_end_the_task(self):
+        # Guards against the end of the process, which runs all in one group.
+        gateway = self.gateway("v1")
+
+        async def newest(_topic):
+            raise store.HistoryExpired("expired")
+
+        gateway.record._store = types.SimpleNamespace(newest=newest)
+
+        async def run():
+            with anyio.move_on_after(0.1) as scope:
+                await gateway.record.run()
+            return scope.cancelled_caught
+
+        self.assertTrue(anyio.run(run))
