Let origins read of the store displace none that a gateway knows

At a large site a caller could get a 503 for a stream whose version serves: a read of the log of origins takes in the rows of all gateways, up to 24,000 in 20 s at 350 (docs/design/origins-figures.md), and a gateway kept 20,000 origins of any kind. The rows pushed out what it had begun or owned, and the oldest of themselves, which are not read again.

In the test of the bound on known origins the store can't be read: what the store has is found there now.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -191,7 +191,7 @@
         return 1 + len(self._peers.table.ips)
 
     def _add_origin(self, attempt, service, version, lifetime_ms):
-        self._origins.add(attempt, service, version, lifetime_ms)
+        self._origins.add_logged(attempt, service, version, lifetime_ms)
 
     def _limit_group(self, endpoint):
         return self._cell_membership.limit_group(
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -28,6 +28,8 @@
 MIN_LIFETIME_MS = 30_000
 MAX_LIFETIME_MS = software_versions.MAX_RETENTION_MS
 MAX_ORIGINS = 20_000
+# The store has those of all gateways: of 350, 24,000 rows (worked out).
+MAX_LOGGED_ORIGINS = 60_000
 ROWS_PER_MESSAGE = 200
 # Owners that don't answer are asked again after each of these times; after
 # the last, the stream counts as unknown.
@@ -82,6 +84,8 @@
         self._send = send
         self._now = now
         self._origin_by_attempt = collections.OrderedDict()
+        # Read from the store, of any gateway.
+        self._logged_by_attempt = collections.OrderedDict()
         self._untold_by_service = collections.defaultdict(dict)
         self._query_by_attempt = {}
         self._is_log_read = False
@@ -112,8 +116,9 @@
         """Drop what has expired; tell what must be known by now."""
         now = self._now()
         origins = self._origin_by_attempt
-        while origins and next(iter(origins.values())).expires_at <= now:
-            origins.popitem(last=False)
+        for found in (origins, self._logged_by_attempt):
+            while found and next(iter(found.values())).expires_at <= now:
+                found.popitem(last=False)
         for service, untold in self._untold_by_service.items():
             if self._fleet_view.versions.are_several(service):
                 self._tell(untold)
@@ -122,16 +127,14 @@
                 del untold[attempt]
 
     def _put(self, attempt, origin):
-        self._origin_by_attempt[attempt] = origin
-        self._origin_by_attempt.move_to_end(attempt)
-        while len(self._origin_by_attempt) > MAX_ORIGINS:
-            self._origin_by_attempt.popitem(last=False)
+        _put_last(self._origin_by_attempt, attempt, origin, MAX_ORIGINS)
 
     def _known(self, attempt):
-        origin = self._origin_by_attempt.get(attempt)
-        if origin is None or origin.expires_at <= self._now():
-            return None
-        return origin
+        for found in (self._origin_by_attempt, self._logged_by_attempt):
+            origin = found.get(attempt)
+            if origin is not None and origin.expires_at > self._now():
+                return origin
+        return None
 
     def _tell(self, origin_by_attempt):
         """Tell owners and the store where some streams began."""
@@ -281,11 +284,20 @@
             self._take_answer(ip, known_ms, *row)
 
     def add(self, attempt, service, version, left_ms):
-        """Add an origin that a peer or the store knows."""
+        """Add an origin that a peer knows."""
+        self._put(*self._told(attempt, service, version, left_ms))
+
+    def add_logged(self, attempt, service, version, left_ms):
+        """Add an origin that the store has, at the expense of no other."""
+        name, origin = self._told(attempt, service, version, left_ms)
+        logged = self._logged_by_attempt
+        _put_last(logged, name, origin, MAX_LOGGED_ORIGINS)
+
+    def _told(self, attempt, service, version, left_ms):
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
         origin = Origin(str(service), str(version), self._now() + left_ms)
-        self._put(str(attempt)[: domain.MAX_TEXT], origin)
         self._fleet_view.versions.add_served({origin.service: [version]})
+        return str(attempt)[: domain.MAX_TEXT], origin
 
     def _answer(self, attempt, service):
         """Return what is known of a stream, as plain data."""
@@ -319,3 +331,10 @@
             return True
         is_sufficient = query.informed_answers >= SUFFICIENT_ANSWERS
         return is_sufficient and len(self._versions(query)) <= 1
+
+
+def _put_last(origin_by_attempt, attempt, origin, max_origins):
+    origin_by_attempt[attempt] = origin
+    origin_by_attempt.move_to_end(attempt)
+    while len(origin_by_attempt) > max_origins:
+        origin_by_attempt.popitem(last=False)
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -106,7 +106,7 @@
         origins = stream_origins.StreamOrigins(
             view, table, send, now, access, access
         )
-        access.add_origin = origins.add
+        access.add_origin = origins.add_logged
         return origins
 
     def _deliver(self, raw, sender, ip):
@@ -269,12 +269,27 @@
 
     def test_origins_are_bounded(self):
         network = Network(1, ("v0", "v1"))
+        network.store.is_readable = False
         [ip] = network.ips
         for number in range(stream_origins.MAX_ORIGINS + 1):
             network.begin(ip, f"a{number}", "v0")
         self.assertIsNone(network.find(ip, "a0"))
         self.assertEqual(network.find(ip, "a1"), "v0")
 
+    def test_what_is_read_of_the_store_is_bounded_and_displaces_nothing(self):
+        # Guards against a large site, whose streams of some seconds displaced
+        # those that a gateway had begun, and each other as they were read.
+        network = Network(1, ("v0", "v1"))
+        [ip] = network.ips
+        network.begin(ip, "own", "v0")
+        rows = network.store.row_by_attempt
+        row = rows.pop("own")
+        for number in range(stream_origins.MAX_LOGGED_ORIGINS + 1):
+            rows[f"a{number}"] = row
+        self.assertIsNone(network.find(ip, "a0"))
+        self.assertEqual(network.find(ip, "a1"), "v0")
+        self.assertEqual(network.find(ip, "own"), "v0")
+
     def test_an_attempt_of_any_length_makes_no_long_message(self):
         # Guards against datagrams whose size a caller decides.
         network = Network(7, ("v0", "v1"))
