Take no knowledge from unreadable records, stale peers and old rows

What callers would see: a stream that goes on at another version if the record of versions can't be read (another build wrote it), or if the gateways that answer are cut off from the store together with the one that asks; a refusal if the log has rows of a version that left long ago.

Cause, each found by a review and shown there: a record that can't be read counted as an empty one and was overwritten; answers counted whatever their senders can know while they don't read the store; each row read brought its version back for a minute.

Change: such a record is no knowledge, and stays until it matters no more; a gateway that doesn't read the store needs the answers of all that it asks; rows count as evidence of a version only without a record. A stream that was read from the store earlier is logged as known by it.

--- a/clementinewall/gateway/software_versions.py
+++ b/clementinewall/gateway/software_versions.py
@@ -24,7 +24,8 @@
         self._left_at_by_service = collections.defaultdict(dict)
         # Versions that left before are not known; ``None`` before any read.
         self._observed_since = None
-        self._is_complete = False
+        # Whether what served before the first read has been added.
+        self.is_complete = False
         self.retention_ms = MIN_RETENTION_MS
 
     def set_longest_answer(self, longest_ms):
@@ -41,7 +42,7 @@
     @property
     def known_ms(self):
         """Return for how long back all versions are known, in ms."""
-        if self._is_complete or self.is_observed_long:
+        if self.is_complete or self.is_observed_long:
             return self.retention_ms
         if self._observed_since is None:
             return 0
@@ -69,7 +70,7 @@
 
     def record_complete(self):
         """Record that what served before the first read has been added."""
-        self._is_complete = True
+        self.is_complete = True
 
     def serving_by_service(self):
         """Return the sets of versions that have endpoints now."""
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -176,7 +176,7 @@
         if attempt is not None and len(attempt) > domain.MAX_TEXT:
             attempt = None
         origin = None if attempt is None else self._known(attempt)
-        how = "own"
+        how = "own" if attempt in self._origin_by_attempt else "store"
         query = _Query(service, ())
         if origin is None:
             query = await self._ask(attempt, service)
@@ -226,13 +226,14 @@
         """Return the origin if only one version can have begun the stream.
 
         A gateway that has just started doesn't know what left before, and
-        one that hears neither peers nor the store may not know of another
-        version.
+        one that reads the store no more may not know of another version, nor
+        may those that answer if they are cut off together with it.
         """
         versions = self._versions(query)
         if len(versions) != 1 or not self._is_informed(query):
             return None
-        if not query.answers and not self._fleet_view.is_current:
+        is_all_answered = query.answers and not query.unanswered
+        if not is_all_answered and not self._fleet_view.is_current:
             return None
         return Origin(query.service, *versions, self._now())
 
@@ -285,18 +286,23 @@
 
     def add(self, attempt, service, version, left_ms):
         """Add an origin that a peer knows."""
-        self._put(*self._told(attempt, service, version, left_ms))
+        name, origin = self._told(attempt, service, version, left_ms)
+        self._put(name, origin)
+        served = {origin.service: [origin.version]}
+        self._fleet_view.versions.add_served(served)
 
     def add_logged(self, attempt, service, version, left_ms):
         """Add an origin that the store has, at the expense of no other."""
         name, origin = self._told(attempt, service, version, left_ms)
         logged = self._logged_by_attempt
         _put_last(logged, name, origin, MAX_LOGGED_ORIGINS)
+        versions = self._fleet_view.versions
+        if not versions.is_complete:
+            versions.add_served({origin.service: [origin.version]})
 
     def _told(self, attempt, service, version, left_ms):
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
         origin = Origin(str(service), str(version), self._now() + left_ms)
-        self._fleet_view.versions.add_served({origin.service: [version]})
         return str(attempt)[: domain.MAX_TEXT], origin
 
     def _answer(self, attempt, service):
@@ -329,7 +335,10 @@
     def _is_settled(self, query):
         if query.origin is not None or not query.unanswered:
             return True
-        is_sufficient = query.informed_answers >= SUFFICIENT_ANSWERS
+        is_sufficient = (
+            self._fleet_view.is_current
+            and query.informed_answers >= SUFFICIENT_ANSWERS
+        )
         return is_sufficient and len(self._versions(query)) <= 1
 
 
--- a/clementinewall/origins/origin_log.py
+++ b/clementinewall/origins/origin_log.py
@@ -16,17 +16,15 @@
 class OriginLog:
     """Writes the origins that this gateway knows, and reads those of all."""
 
-    def __init__(self, settings, gateway_count, ticker_now, on_origin):
+    def __init__(self, settings, gateway_count, now, on_origin):
         """Share the store's calls with ``gateway_count()`` gateways in all.
 
         ``on_origin(attempt, service, version, lifetime_ms)`` is called for
         each row that is read, also for own ones.
         """
-        self._writer = log_writer.LogWriter(
-            settings, gateway_count, ticker_now
-        )
+        self._writer = log_writer.LogWriter(settings, gateway_count, now)
         self._reader = log_reader.LogReader(
-            settings, gateway_count, ticker_now, on_origin
+            settings, gateway_count, now, on_origin
         )
         self._used = anyio.Event()
 
--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -38,6 +38,7 @@
         self._rank = rank
         self._now = now
         self._read = anyio.Event()
+        self._is_readable = False
         # What was recorded when last read, and since when the endpoints have
         # been read without a gap.
         self._recorded = {}
@@ -69,7 +70,7 @@
             self._recorded = {}
             await self._load(is_after_gap=True)
             self._current_since = since
-        if self._updated() == self._recorded:
+        if not self._may_write() or self._updated() == self._recorded:
             self._outdated_since = None
             return
         if self._outdated_since is None:
@@ -94,9 +95,10 @@
         """
         batch = await self._store.newest(records.VERSIONS_TOPIC)
         found = {}
+        self._is_readable = True
         for record in batch.records:
             if record.key == KEY and record.value is not None:
-                found = _decode(record)
+                found = self._decode(record)
         self._fleet_view.versions.add_served(
             {
                 service: versions - self._recorded.get(service, frozenset())
@@ -105,17 +107,41 @@
             is_after_gap,
         )
         self._recorded = found
-        if not self._read.is_set():
+        if self._is_readable and not self._read.is_set():
             self._fleet_view.versions.record_complete()
             self._read.set()
             _log.info("recorded versions read", versions=_plain(found))
         return batch.end
 
+    def _decode(self, record):
+        """Return sets of versions by service, none if it can't be read."""
+        try:
+            return {
+                str(service): frozenset(str(version) for version in versions)
+                for service, versions in json.loads(record.value).items()
+            }
+        except (AttributeError, TypeError, ValueError) as exc:
+            self._is_readable = False
+            _log.warning(
+                "unreadable record of versions",
+                offset=record.offset,
+                why=repr(exc),
+            )
+            return {}
+
+    def _may_write(self):
+        """Tell whether a record may be replaced.
+
+        One that can't be read may have versions that matter.
+        """
+        versions = self._fleet_view.versions
+        return self._is_readable or versions.is_observed_long
+
     async def _update(self):
         """Write the record, unless another gateway has."""
         end = await self._load()
         found = self._updated()
-        if found == self._recorded:
+        if not self._may_write() or found == self._recorded:
             return
         value = json.dumps(_plain(found), separators=(",", ":")).encode()
         offset = await self._store.append(
@@ -133,19 +159,3 @@
         service: sorted(versions)
         for service, versions in sorted(versions_by_service.items())
     }
-
-
-def _decode(record):
-    """Return sets of versions by service; none of a record unknown here."""
-    try:
-        return {
-            str(service): frozenset(str(version) for version in versions)
-            for service, versions in json.loads(record.value).items()
-        }
-    except (AttributeError, TypeError, ValueError) as exc:
-        _log.warning(
-            "unreadable record of versions",
-            offset=record.offset,
-            why=repr(exc),
-        )
-        return {}
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -255,6 +255,30 @@
         network.origins_by_ip[network.ips[0]].sweep()
         self.assertEqual(network.store.row_by_attempt, {})
 
+    def test_gateways_that_are_cut_off_together_do_not_guess(self):
+        # Guards against a version that none of those that answer can know.
+        network = Network(5, ("v0",))
+        network.store.is_readable = False
+        together = network.ips[:3]
+        for ip in together:
+            network.view_by_ip[ip].is_current = False
+        network.down.update(network.ips[3:])
+        self.assertIsNone(network.find(network.ips[0], "a"))
+
+    def test_a_store_that_is_away_for_all_stops_no_stream(self):
+        network = Network(5, ("v0",))
+        for view in network.view_by_ip.values():
+            view.is_current = False
+        self.assertEqual(network.find(network.ips[0], "a"), "v0")
+
+    def test_old_rows_of_the_store_bring_no_version_back(self):
+        # Guards against refusals because of streams of long ago.
+        network = Network(3, ("v1",))
+        network.store.row_by_attempt["old"] = SERVICE, "v0", 10**9
+        network.store.versions_by_service = {SERVICE: {"v1"}}
+        network.restart(network.ips, "v1")
+        self.assertEqual(network.find(network.ips[1], "a"), "v1")
+
     def test_a_stream_without_a_name_goes_on_at_the_only_version(self):
         network = Network(7, ("v0",))
         self.assertEqual(network.find(network.ips[1], None), "v0")
