Keep engines that come before a new holder knows the load

What operators saw: a gateway that took over the orders of engines gave up those that its predecessor had ordered as soon as they served, each billed from its order on, and callers lost them while a load rose.

Cause: the size that a new holder keeps until it has known the load was that of its first look. Engines that start then have no record yet; as they came, each of them was one too many.

Change: until the load is known the fleet keeps the most engines that were there since the gateway acts.

The test failed before.

Not covered: a number that the predecessor ordered is written nowhere, so a new holder that wants fewer than were ordered, and more than are there, orders its own number, which may take back engines that start.

--- a/clementinewall/scaling/scaler.py
+++ b/clementinewall/scaling/scaler.py
@@ -48,7 +48,8 @@
         self._missing_until = {}
         self._fallen_at = {}
         self._logged_plan_by_service = {}
-        # The number of engines when this gateway began to act.
+        # The most engines since this gateway began to act, while it doesn't
+        # know the load.
         self._size_by_service = {}
 
     async def run(self):
@@ -106,10 +107,12 @@
         wanted = fleet_size.needed(loads, slots, range_, now)
         is_load_known = fleet_size.may_fall(loads, now)
         if not is_load_known:
-            # Until then the fleet keeps the size that it was found with.
-            found = self._size_by_service.setdefault(
-                service.name, len(engines)
+            # Until then all engines are kept, also those that an earlier
+            # holder ordered and that come later.
+            found = max(
+                self._size_by_service.get(service.name, 0), len(engines)
             )
+            self._size_by_service[service.name] = found
             wanted = max(found, wanted or 0)
         missing = {
             kind
--- a/tests/scaling/test_scaler.py
+++ b/tests/scaling/test_scaler.py
@@ -257,6 +257,17 @@
         for row in self.poll(6):
             self.assertGreaterEqual(row["desired"], 8)
 
+    def test_a_new_holder_keeps_engines_that_come_later(self):
+        # Guards against a holder that gives up what the one before ordered.
+        self.streams = 1
+        self.poll(scaler.MIN_SAMPLES_MS // scaler.POLL_INTERVAL_MS + 1)
+        self.set_engines(a=8, b=8)
+        self.client.on_accepted = self.carry_out
+        for row in self.poll(6):
+            self.assertGreaterEqual(row["desired"], 8)
+        self.poll(LONG_POLLS)
+        self.assertLess(sum(self.count_by_centre.values()), 16)
+
     def test_orders_of_another_holder_are_not_taken_for_own_ones(self):
         # Guards against a holder that goes by its orders of some time ago.
         self.settle()
