Wait for a booking whose process isn't heard yet

What callers saw: a copy of a booking that came through an entry which had just started got 409 "in doubt", and was told not to come back, while another entry ran it and answered the first copy with 200.

Cause: the process of an open intent counted as gone if no live member had its boot id. An entry that has just started knows no members yet.

Change: for its first dead_after_ms an entry takes no process for gone. Copies wait for the outcome, at most until their deadline. After a loss of all entries they are told in doubt up to dead_after_ms later than before.

--- a/clementinewall/entry/calls.py
+++ b/clementinewall/entry/calls.py
@@ -206,8 +206,9 @@
             if booking.state == "ran":
                 return _recorded_answer(booking.outcome)
             remaining_ms = deadline - self._node.clock.now()
-            is_orphaned = booking.state == "open" and not self._is_live(
-                booking.by
+            is_orphaned = (
+                booking.state == "open"
+                and not self._node.members.may_run(booking.by)
             )
             if booking.state == "in_doubt" or is_orphaned or remaining_ms <= 0:
                 raise errors.BookingInDoubt(
@@ -330,9 +331,6 @@
         order = members.rendezvous(f"bookings-{number}", list(rows))
         return [rows[name] for name in order[:MAX_OWNERS_TRIED]]
 
-    def _is_live(self, boot):
-        return any(row.boot == boot for row in self._node.members.live())
-
     def _partition(self, number):
         known = self._partition_by_number.get(number)
         if known is None:
--- a/clementinewall/membership/members.py
+++ b/clementinewall/membership/members.py
@@ -62,6 +62,7 @@
         self.own = own
         self._settings = settings
         self._now = now
+        self._started_at = now()
         self._member_by_id = {}
         self._advanced_at_by_id = {}
 
@@ -141,6 +142,15 @@
             return False
         return self._now() - advanced_at <= self._settings.dead_after_ms
 
+    def may_run(self, boot):
+        """Tell whether the process ``boot`` is not known to have ended.
+
+        A process that has just started has not heard all others yet.
+        """
+        if self._now() - self._started_at <= self._settings.dead_after_ms:
+            return True
+        return any(row.boot == boot for row in self.live())
+
     def message_rows(self):
         """Return the rows for a peer.
 
