--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -1,8 +1,6 @@
 """What this gateway knows of one endpoint: connections, work, cache."""
 
-import anyio
-
-from clementinewall import clock
+from clementinewall.endpoints import process_check
 from clementinewall import errors
 from clementinewall.gateway import cache_view
 from clementinewall.gateway import endpoint_path
@@ -12,6 +10,7 @@
 from clementinewall import metrics
 from clementinewall.platform import calls
 from clementinewall.policy import endpoint_health
+from clementinewall.policy import incarnation
 from clementinewall.policy import prefill_queue
 from clementinewall.policy import silence
 from clementinewall import verdicts
@@ -26,9 +25,6 @@
 RESPONSE_TIMEOUT_MS = 1_000
 # After such a silence it is checked whether the endpoint can be reached.
 SILENCE_CHECK_MS = 400
-# Reports are answered at once, whatever work waits.
-VERIFY_TIMEOUT_MS = 300
-MAX_REPORT_BYTES = 1_000_000
 
 
 class Withheld(client.LinkBroken):
@@ -81,10 +77,14 @@
         self.unavailable_until = 0
         # When its record was found missing, ``None`` while it is there.
         self.missing_since = None
-        # Whether a request failed since the process there was last verified.
-        self.has_failed = False
-        # Tells whether another process may answer at the address by now.
-        self.is_doubtful = lambda: False
+        self.process = process_check.ProcessCheck(
+            endpoint,
+            now,
+            lambda: limits.use_again(self.endpoint),
+            self.apply_answer,
+        )
+        # Returns which connections may lead to another process by now.
+        self.find_doubt = lambda: incarnation.Doubt.NONE
         self.cache = cache_view.CacheView()
 
     @property
@@ -163,51 +163,24 @@
         :raises LinkBroken: the connection could not be established, or leads
             to another process than that of the record.
         """
-        link = await self._connect(self._pool.acquire)
-        if self.is_doubtful() and link.is_new:
-            link = await self._verified(link)
-        return link
-
-    async def _verified(self, link):
-        """Return a new link to the process whose record is known.
-
-        :raises LinkBroken: another process answered, or none.
-        """
-        self.use_share()
         try:
-            with anyio.fail_after(clock.seconds(VERIFY_TIMEOUT_MS)):
-                await link.send(calls.report_request())
-                head = await link.read_head()
-                self.apply_answer(head)
-                body = await link.read_rest(MAX_REPORT_BYTES)
-        except (client.LinkBroken, TimeoutError) as exc:
-            self._pool.discard(link)
-            raise client.LinkBroken(
-                verdicts.Progress.NEVER_CONNECTED,
-                "the engine did not report which process it is",
-            ) from exc
+            link = await self._connect(self._pool.acquire)
+        except client.LinkBroken as exc:
+            if exc.absent:
+                self.process.record_refusal()
+            raise
+        try:
+            is_usable = await self.process.confirm(link, self.find_doubt)
+            self._check_rest()
         except BaseException:
             self._pool.discard(link)
             raise
-        born = calls.decode_incarnation(head, body)
-        if born not in (None, self.endpoint.incarnation):
-            self._pool.discard(link)
-            _log.info(
-                "another process answers at the address",
-                endpoint=self.endpoint.id,
-                born=born,
-                expected=self.endpoint.incarnation,
-            )
-            raise client.LinkBroken(
-                verdicts.Progress.NEVER_CONNECTED,
-                "another process answers at the engine's address",
-                absent=True,
-            )
-        self.has_failed = False
-        if link.prepare_reuse(self._now()):
+        if is_usable:
             return link
         self._pool.discard(link)
-        return await self._connect(self._pool.connect)
+        link = await self._connect(self._pool.connect)
+        self.process.trust(link)
+        return link
 
     async def _connect(self, connect):
         self._check_rest()
@@ -220,10 +193,12 @@
 
     def release_link(self, link):
         """Return a connection whose answer was read to its end."""
+        self.process.observe()
         self._pool.release(link)
 
     def discard_link(self, link):
         """Close a connection that cannot be used again."""
+        self.process.observe()
         self._pool.discard(link)
 
     async def send_request(
@@ -261,6 +236,7 @@
 
     def prune_links(self):
         """Close the idle connections whose keep-alive time is over."""
+        self.process.observe()
         self._pool.prune()
 
     def close_links(self):
@@ -330,7 +306,7 @@
 
         An endpoint that asked for rest has said itself when to try again.
         """
-        self.has_failed = True
+        self.process.has_failed = True
         if self._has_new_way():
             return
         if absent or not self.span_ms:
