--- a/clementinewall/domain.py
+++ b/clementinewall/domain.py
@@ -208,16 +208,6 @@
                 return route
         return None
 
-    def may_resume(self, service):
-        """Tell whether streams of a service may be taken up again."""
-        return any(
-            route.kind == STREAM
-            and route.resumable
-            and route.leads_to(service)
-            for routes in self.routes_by_host.values()
-            for route in routes
-        )
-
 
 class Endpoint(typing.NamedTuple):
     """One endpoint as it registered itself.
--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -1,6 +1,8 @@
 """What this gateway knows of one endpoint: connections, work, cache."""
 
-from clementinewall.endpoints import process_check
+import anyio
+
+from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import cache_view
 from clementinewall.gateway import endpoint_path
@@ -10,7 +12,6 @@
 from clementinewall import metrics
 from clementinewall.platform import calls
 from clementinewall.policy import endpoint_health
-from clementinewall.policy import incarnation
 from clementinewall.policy import prefill_queue
 from clementinewall.policy import silence
 from clementinewall import verdicts
@@ -25,6 +26,9 @@
 RESPONSE_TIMEOUT_MS = 1_000
 # After such a silence it is checked whether the endpoint can be reached.
 SILENCE_CHECK_MS = 400
+# Reports are answered at once, whatever work waits.
+VERIFY_TIMEOUT_MS = 300
+MAX_REPORT_BYTES = 1_000_000
 
 
 class Withheld(client.LinkBroken):
@@ -77,14 +81,10 @@
         self.unavailable_until = 0
         # When its record was found missing, ``None`` while it is there.
         self.missing_since = None
-        self.process = process_check.ProcessCheck(
-            endpoint,
-            now,
-            lambda: limits.use_again(self.endpoint),
-            self.apply_answer,
-        )
-        # Returns which connections may lead to another process by now.
-        self.find_doubt = lambda: incarnation.Doubt.NONE
+        # Whether a request failed since the process there was last verified.
+        self.has_failed = False
+        # Tells whether another process may answer at the address by now.
+        self.is_doubtful = lambda: False
         self.cache = cache_view.CacheView()
 
     @property
@@ -163,24 +163,51 @@
         :raises LinkBroken: the connection could not be established, or leads
             to another process than that of the record.
         """
+        link = await self._connect(self._pool.acquire)
+        if self.is_doubtful() and link.is_new:
+            link = await self._verified(link)
+        return link
+
+    async def _verified(self, link):
+        """Return a new link to the process whose record is known.
+
+        :raises LinkBroken: another process answered, or none.
+        """
+        self.use_share()
         try:
-            link = await self._connect(self._pool.acquire)
-        except client.LinkBroken as exc:
-            if exc.absent:
-                self.process.record_refusal()
-            raise
-        try:
-            is_usable = await self.process.confirm(link, self.find_doubt)
-            self._check_rest()
+            with anyio.fail_after(clock.seconds(VERIFY_TIMEOUT_MS)):
+                await link.send(calls.report_request())
+                head = await link.read_head()
+                self.apply_answer(head)
+                body = await link.read_rest(MAX_REPORT_BYTES)
+        except (client.LinkBroken, TimeoutError) as exc:
+            self._pool.discard(link)
+            raise client.LinkBroken(
+                verdicts.Progress.NEVER_CONNECTED,
+                "the engine did not report which process it is",
+            ) from exc
         except BaseException:
             self._pool.discard(link)
             raise
-        if is_usable:
+        born = calls.decode_incarnation(head, body)
+        if born not in (None, self.endpoint.incarnation):
+            self._pool.discard(link)
+            _log.info(
+                "another process answers at the address",
+                endpoint=self.endpoint.id,
+                born=born,
+                expected=self.endpoint.incarnation,
+            )
+            raise client.LinkBroken(
+                verdicts.Progress.NEVER_CONNECTED,
+                "another process answers at the engine's address",
+                absent=True,
+            )
+        self.has_failed = False
+        if link.prepare_reuse(self._now()):
             return link
         self._pool.discard(link)
-        link = await self._connect(self._pool.connect)
-        self.process.trust(link)
-        return link
+        return await self._connect(self._pool.connect)
 
     async def _connect(self, connect):
         self._check_rest()
@@ -193,12 +220,10 @@
 
     def release_link(self, link):
         """Return a connection whose answer was read to its end."""
-        self.process.observe()
         self._pool.release(link)
 
     def discard_link(self, link):
         """Close a connection that cannot be used again."""
-        self.process.observe()
         self._pool.discard(link)
 
     async def send_request(
@@ -236,7 +261,6 @@
 
     def prune_links(self):
         """Close the idle connections whose keep-alive time is over."""
-        self.process.observe()
         self._pool.prune()
 
     def close_links(self):
@@ -306,7 +330,7 @@
 
         An endpoint that asked for rest has said itself when to try again.
         """
-        self.process.has_failed = True
+        self.has_failed = True
         if self._has_new_way():
             return
         if absent or not self.span_ms:
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -12,7 +12,6 @@
 from clementinewall.gateway import request_limits
 from clementinewall import logs
 from clementinewall.policy import endpoint_health
-from clementinewall.policy import incarnation
 from clementinewall.policy import prefill_scale
 
 _log = logs.PartLog("endpoint")
@@ -54,7 +53,7 @@
             state = endpoint_state.EndpointState(
                 endpoint, self._now, self.request_limits, self._relays
             )
-            state.find_doubt = lambda: self._find_doubt(state)
+            state.is_doubtful = lambda: self._is_doubtful(state)
             self._state_by_incarnation[endpoint.incarnation_key] = state
         if state.endpoint.stage != endpoint.stage:
             # Failures in its previous stage do not apply to the new one.
@@ -62,25 +61,17 @@
         state.endpoint = endpoint
         return state
 
-    def _find_doubt(self, state):
-        """Return which connections to a model engine are in doubt.
+    def _is_doubtful(self, state):
+        """Tell whether another process may answer at a model engine.
 
         An engine may start again under its id with other software, before
         its new record is known here.
         """
         if not is_engine(state):
-            return incarnation.Doubt.NONE
-        view = self._fleet_view
-        service = state.endpoint.service
-        if view.versions.are_several(service):
-            return incarnation.Doubt.EACH_CONNECTION
-        if state.process.has_failed and not view.is_current:
-            return incarnation.Doubt.EACH_CONNECTION
-        # Only what writes events binds a stream to a version.
-        is_writing = state.endpoint.stage == domain.DECODE
-        if is_writing and view.configuration.may_resume(service):
-            return incarnation.Doubt.RESTARTED
-        return incarnation.Doubt.NONE
+            return False
+        if self._fleet_view.versions.are_several(state.endpoint.service):
+            return True
+        return state.has_failed and not self._fleet_view.is_current
 
     async def reaches_another(self, state):
         """Tell whether a new connection to another endpoint is accepted.
@@ -294,8 +285,8 @@
             endpoint.incarnation_key
             for endpoint in self._fleet_view.endpoint_by_id.values()
         }
-        for key, state in list(self._state_by_incarnation.items()):
-            if key in current:
+        for incarnation, state in list(self._state_by_incarnation.items()):
+            if incarnation in current:
                 state.missing_since = None
                 state.prune_links()
                 state.check_path_if_silent()
@@ -304,7 +295,7 @@
             if state.missing_since is None:
                 state.missing_since = self._now()
             if self._is_forgotten(state):
-                del self._state_by_incarnation[key]
+                del self._state_by_incarnation[incarnation]
                 service = state.endpoint.service
                 self._prompt_ms_of_removed[service] += state.prompt_ms
                 _log.info("endpoint state removed", endpoint=state.endpoint.id)
--- a/clementinewall/gateway/request_limits.py
+++ b/clementinewall/gateway/request_limits.py
@@ -51,8 +51,6 @@
         self.stated_at = now
         # When this gateway used its share last.
         self.used_at = now
-        # How many more requests were sent with that one.
-        self.extra_uses = 0
         # The time between two uses, ``None`` until the share is known.
         self.interval_ms = None
         self.may_grow_at = now
@@ -97,8 +95,7 @@
         interval_ms = limit.interval_ms
         if interval_ms is None:
             interval_ms = request_limit.EXCLUDED_INTERVAL_MS
-        wait_ms = interval_ms * (1 + limit.extra_uses)
-        return max(0, limit.used_at + wait_ms - self._now())
+        return max(0, limit.used_at + interval_ms - self._now())
 
     def message(self):
         """Return the latest statements as plain data, for peers."""
@@ -141,13 +138,6 @@
         limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
         if limit is not None:
             limit.used_at = self._now()
-            limit.extra_uses = 0
-
-    def use_again(self, endpoint):
-        """Count a further request that goes with the one counted last."""
-        limit = self._limit_by_incarnation.get(endpoint.incarnation_key)
-        if limit is not None:
-            limit.extra_uses += 1
 
     def sweep(self, endpoint_by_id):
         """Forget old statements and update the shares of known endpoints."""
@@ -175,7 +165,6 @@
             return
         if limit.per_second is None:
             limit.used_at = self._now()
-            limit.extra_uses = 0
         limit.per_second = per_second
         limit.interval_ms = None
         limit.group = None
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -58,7 +58,7 @@
         self._closes_after_answer = False
         self.progress = verdicts.Progress.NOTHING_SENT
         self.idle_until = now
-        self.is_closed = False
+        self.is_new = True
 
     async def send(self, request, limit_ms=None):
         """Send a complete request.
@@ -203,13 +203,9 @@
         self._h11.start_next_cycle()
         self.progress = verdicts.Progress.NOTHING_SENT
         self.idle_until = now + self._idle_ms
+        self.is_new = False
         return self._idle_ms > 0
 
-    @property
-    def is_disconnected(self):
-        """Tell whether either side has closed the connection."""
-        return self.is_closed or self.stream.has_ended
-
     def is_idle(self):
         """Tell whether nothing was received since the last complete answer."""
         if not self.stream.is_idle:
@@ -225,7 +221,6 @@
         Unsent bytes of a request or an order must not reach the peer after
         the request was abandoned.
         """
-        self.is_closed = True
         self.stream.abort()
 
 
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -131,11 +131,6 @@
         """Tell whether there is neither unread data nor the peer's end."""
         return not self._chunks and not self._at_end
 
-    @property
-    def has_ended(self):
-        """Tell whether the peer sends no more, or the connection is lost."""
-        return self._at_end
-
     @property
     def has_bytes(self):
         """Tell whether there are unread bytes."""
--- a/clementinewall/http1/tunnel.py
+++ b/clementinewall/http1/tunnel.py
@@ -52,11 +52,6 @@
         """Tell whether there is neither unread data nor an end."""
         return self._stream.is_idle and not self._buffer
 
-    @property
-    def has_ended(self):
-        """Tell whether the tunnel has ended, from either end of it."""
-        return self._stream.has_ended
-
     @property
     def raw_socket(self):
         """Return the socket, to set its options and poll it."""
--- a/tests/gateway/test_endpoint_state.py
+++ b/tests/gateway/test_endpoint_state.py
@@ -216,6 +216,109 @@
         known.endpoint_by_id = {"e1": test_endpoints.ENGINE}
 
 
+class Doubtful(unittest.TestCase):
+    """An endpoint that may have started again with other software."""
+
+    def setUp(self):
+        """Doubt which process answers."""
+        self.state = new_state(clock.ManualClock(100_000))
+        self.state.is_doubtful = lambda: True
+
+    def acquire(self, *reports, is_new=True):
+        """Return a link; each new one gets the next of some reports."""
+        self.pool = ReportingPool(reports, is_new)
+        self.state._pool = self.pool
+        return anyio.run(self.state.acquire_link)
+
+    def test_the_process_of_the_record_is_verified(self):
+        link = self.acquire(b'{"born": 1}')
+        self.assertEqual(self.pool.links, [link])
+        self.assertEqual(self.pool.discarded, 0)
+
+    def test_another_process_counts_as_absent(self):
+        # Guards against a stream that begins at another version.
+        with self.assertRaises(client.LinkBroken) as raised:
+            self.acquire(b'{"born": 2}')
+        self.assertTrue(raised.exception.absent)
+        self.assertIs(
+            raised.exception.progress, verdicts.Progress.NEVER_CONNECTED
+        )
+        self.assertEqual(self.pool.discarded, 1)
+
+    def test_a_report_that_names_no_process_proves_nothing(self):
+        for report in (b"{}", b"x", b"[]", b'{"born": true}'):
+            self.acquire(report)
+            self.assertEqual(self.pool.discarded, 0)
+
+    def test_a_link_that_was_used_before_is_not_verified(self):
+        link = self.acquire(is_new=False)
+        self.assertEqual(link.requests, 0)
+
+    def test_a_link_that_breaks_before_its_report_has_sent_nothing(self):
+        with self.assertRaises(client.LinkBroken) as raised:
+            self.acquire(None)
+        self.assertIs(
+            raised.exception.progress, verdicts.Progress.NEVER_CONNECTED
+        )
+        self.assertEqual(self.pool.discarded, 1)
+
+    def test_a_link_that_closes_after_its_report_is_replaced(self):
+        link = self.acquire(b'{"born": 1} ', None)
+        self.assertIs(link, self.pool.links[1])
+        self.assertEqual(self.pool.discarded, 1)
+
+
+class ReportingPool:
+    """New connections whose engine reports which process it is."""
+
+    def __init__(self, reports, is_new):
+        """Answer each connection's report with the next of ``reports``."""
+        self._reports = list(reports)
+        self._is_new = is_new
+        self.links = []
+        self.discarded = 0
+
+    async def acquire(self):
+        """Return a connection."""
+        report = self._reports.pop(0) if self._reports else None
+        self.links.append(ReportingLink(report, self._is_new))
+        return self.links[-1]
+
+    connect = acquire
+
+    def discard(self, _link):
+        """Count a connection that was closed."""
+        self.discarded += 1
+
+
+class ReportingLink:
+    """A connection that answers one report, or breaks without one."""
+
+    def __init__(self, report, is_new):
+        """Answer with ``report``; one that ends in a space closes it."""
+        self._report = report
+        self.is_new = is_new
+        self.requests = 0
+
+    async def send(self, _request):
+        """Count the request."""
+        self.requests += 1
+
+    async def read_head(self):
+        """Return the head of the report."""
+        if self._report is None:
+            raise client.LinkBroken(verdicts.Progress.SENT_WHOLE, "cut")
+        return messages.Head(200, b"", ())
+
+    async def read_rest(self, _max_bytes):
+        """Return the report."""
+        return self._report
+
+    def prepare_reuse(self, _now):
+        """Tell whether another request may follow."""
+        return not self._report.endswith(b" ")
+
+
 def refusal(seconds):
     """Return the head of a refusal that asks for rest."""
     return messages.Head(503, b"", ((b"Retry-After", seconds),))
