--- a/tests/integration/test_entry_drain.py
+++ b/tests/integration/test_entry_drain.py
@@ -98,10 +98,15 @@
         self.assertEqual(0, self.dep.wait_end("entry-2", 10))
 
     def test_requests_open_at_the_stop_are_completed(self):
+        before = self.dep.ask("engine-1", "/state")["arrived"]
         asked = base.Background(
             callers.stream, [(self.url(2), "before the stop", 100)]
         )
-        time.sleep(0.3)
+        # A request that comes after the stop may be refused.
+        bringup.wait_until(
+            lambda: self.dep.ask("engine-1", "/state")["arrived"] > before,
+            what="the request at the engine",
+        )
         self.drain()
         rows = asked.join()
         self.assertEqual([], asked.errors)
