Tell how to trace a stream that changed its version

From the id of a stream to whose word it went on by, and since when that was known. A name and a comment of the fix that a newcomer would stop at are changed: names and comments only, by comparison of the parsed code; the 25 tests of the module pass.

--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -28,7 +28,7 @@
 MIN_LIFETIME_MS = 30_000
 MAX_LIFETIME_MS = software_versions.MAX_RETENTION_MS
 MAX_ORIGINS = 20_000
-# The store has those of all gateways: of 350, 24,000 rows (worked out).
+# The store has those of all gateways.
 MAX_LOGGED_ORIGINS = 60_000
 ROWS_PER_MESSAGE = 200
 # Owners that don't answer are asked again after each of these times; after
@@ -286,21 +286,21 @@
 
     def add(self, attempt, service, version, left_ms):
         """Add an origin that a peer knows."""
-        name, origin = self._told(attempt, service, version, left_ms)
+        name, origin = self._received(attempt, service, version, left_ms)
         self._put(name, origin)
         served = {origin.service: [origin.version]}
         self._fleet_view.versions.add_served(served)
 
     def add_logged(self, attempt, service, version, left_ms):
         """Add an origin that the store has, at the expense of no other."""
-        name, origin = self._told(attempt, service, version, left_ms)
+        name, origin = self._received(attempt, service, version, left_ms)
         logged = self._logged_by_attempt
         _put_last(logged, name, origin, MAX_LOGGED_ORIGINS)
         versions = self._fleet_view.versions
         if not versions.is_complete:
             versions.add_served({origin.service: [origin.version]})
 
-    def _told(self, attempt, service, version, left_ms):
+    def _received(self, attempt, service, version, left_ms):
         left_ms = min(MAX_LIFETIME_MS, max(0, int(left_ms)))
         origin = Origin(str(service), str(version), self._now() + left_ms)
         return str(attempt)[: domain.MAX_TEXT], origin
