--- /dev/null
+++ b/bench/restart.py
@@ -0,0 +1,366 @@
+"""Kill all gateways at once on few processors and time their return.
+
+Usage:
+  restart [--gateways=N] [--processors=K] [--engines=E] [--callers=C]
+          [--seconds=S] [--down=S] [--revision=R] [--logs=DIR]
+
+Options:
+  --gateways=N    How many gateways [default: 71].
+  --processors=K  The gateways share so many processors [default: 2].
+  --engines=E     Model engines, beside three plain services [default: 45].
+  --callers=C     Callers that ask for addresses [default: 30].
+  --seconds=S     How long callers call after the return [default: 25].
+  --down=S        Seconds between the kill and the start [default: 1].
+  --revision=R    What git has under this name is run [default: HEAD].
+  --logs=DIR      Keep the gateways' logs in this folder.
+
+The gateways run as operators run them: the command of ``deploy/system.toml``
+in a clean, read-only checkout after its build.  All else (store, endpoints,
+callers, readiness checks) runs on the other processors.
+
+Exit codes: 0 service returned in time, 1 it didn't.
+"""
+
+import collections
+import json
+import os
+import pathlib
+import shlex
+import shutil
+import statistics
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import tomllib
+import typing
+
+import docopt
+import httpx
+
+from bench.slopes_processes import cpu_ticks
+from bench.slopes_processes import TICKS
+from bench.soak import addresses
+from bench.soak import backends
+from bench.soak import bounds
+from bench.soak import callers
+from bench.soak import history as history_module
+from clementinewall.platform import settings as platform_settings
+from standins import bringup
+from tests.integration import gateway_base
+
+SERVICES = 3
+SERVED_BEFORE_SECONDS = 6.0
+RECOVER_SECONDS = 15.0
+READINESS_SECONDS = 1.0
+MILESTONES = ("started", "newest records read", "ready to serve callers")
+
+
+class Checkout:
+    """A clean checkout of a revision after its build, without write bits."""
+
+    def __init__(self, revision, folder):
+        """Clone and build it below ``folder``."""
+        self.folder = folder / "checkout"
+        root = pathlib.Path(__file__).parent.parent
+        _run("git", "clone", "-q", str(root), str(self.folder))
+        _run("git", "checkout", "-q", revision, cwd=self.folder)
+        deploy = tomllib.loads(
+            (self.folder / "deploy/system.toml").read_text()
+        )
+        (role,) = deploy["roles"].values()
+        words = shlex.split(role["run"])
+        self.command = [sys.executable, *words[1:]]
+        # ``python3`` is the interpreter of this program.
+        path = f"{pathlib.Path(sys.executable).parent}:{os.environ['PATH']}"
+        _run("sh", "-c", deploy["build"], cwd=self.folder, PATH=path)
+        _run("chmod", "-R", "a-w", str(self.folder))
+
+    def environment(self):
+        """Return the environment of a role."""
+        kept = ("PATH", "HOME", "LANG")
+        return {
+            **{name: os.environ[name] for name in kept if name in os.environ},
+            "PYTHONPATH": "target/deps",
+            # Write bits don't bind root.
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+
+
+def _run(*words, cwd=None, **variables):
+    subprocess.run(
+        words,
+        cwd=cwd,
+        env={**os.environ, **variables},
+        check=True,
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+
+
+class _Deployment(bringup.Deployment):
+    """Starts gateways from a checkout, on their own processors."""
+
+    def __init__(self, checkout, processors):
+        super().__init__()
+        self._checkout = checkout
+        self._processors = ",".join(map(str, processors))
+
+    def start(self, name, *command):
+        if not name.startswith("gateway-"):
+            super().start(name, *command)
+            return
+        if command:
+            self.command_by_name[name] = command
+        settings = self.command_by_name[name][-1].partition("=")[2]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.process_by_name[name] = subprocess.Popen(
+                ["taskset", "-c", self._processors, *self._checkout.command],
+                cwd=self._checkout.folder,
+                env={
+                    **self._checkout.environment(),
+                    platform_settings.PATH_VARIABLE: settings,
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+
+class _Case(gateway_base.GatewayCase):
+    def runTest(self):
+        """Do nothing: only the set-up of the test case is used."""
+
+
+class Span(typing.NamedTuple):
+    """What was sent and served in a span of time."""
+
+    sent: int
+    served: int
+
+
+class Restart:
+    """A deployment whose gateways are all killed and started again."""
+
+    def __init__(self, checkout, processors, names):
+        """Prepare gateways of these names on these processors."""
+        self.names = names
+        self.history = history_module.History()
+        self.case = _Case()
+        self.case.setUp()
+        own = self.case.dep
+        self.dep = _Deployment(checkout, processors)
+        self.dep.process_by_name.update(own.process_by_name)
+        self.dep.command_by_name.update(own.command_by_name)
+        self.case.addCleanup(self.dep.close)
+        self.case.dep = self.dep
+        self.backends = []
+        self.ready_at_by_name = {}
+        self.cpu_rows = []
+        self.stopping = threading.Event()
+        self.back_at = None
+
+    def bring_up(self, engines):
+        """Start endpoints, then the gateways, and wait until all are ready."""
+        case = self.case
+        route = gateway_base.route
+        case.publish(
+            route("look", "app", "safe"),
+            route("book", "app", "unsafe"),
+            route("slow", "app", "safe", timeout_ms=800),
+            route("wait", "app", "safe"),
+            route("chat", "model", "stream", resumable=True),
+            route("new1", "app", "safe"),
+        )
+        for number in range(SERVICES):
+            self._add(f"app-{number}", "app")
+        for number in range(engines):
+            stage = "prefill" if number % 3 == 0 and engines > 2 else "decode"
+            self._add(f"engine-{number}", "model", stage)
+        for number, name in enumerate(self.names, 1):
+            case.start_without_waiting(
+                name, f"127.0.0.{number}", grace_s=8, config_ms=3_000
+            )
+        for name in self.names:
+            bringup.wait_until(
+                lambda n=name: case.is_ready(n), seconds=120, what=name
+            )
+
+    def _add(self, name, service, stage=None):
+        backend = backends.Backend(
+            name, service, self.history, self._put, stage
+        )
+        backend.register(backend.endpoint.address)
+        self.backends.append(backend)
+
+    def _put(self, name, row):
+        content = b"" if row is None else row
+        try:
+            self.case.put(gateway_base.ENDPOINTS_TOPIC, name, content)
+        except httpx.HTTPError as exc:
+            print(f"record of endpoint {name} not written: {exc!r}")
+
+    def start_clients(self, count):
+        """Start callers."""
+        listen = self.case.listen_by_name
+        for seed in range(count):
+            callers.Caller(
+                seed,
+                self.history,
+                lambda rng: addresses.ResolvedAddresses(rng, listen),
+                self.stopping,
+            ).start()
+
+    def serve_before(self):
+        """Serve callers for a while and measure what that costs."""
+        before = self._cpu_seconds()
+        time.sleep(SERVED_BEFORE_SECONDS)
+        used = self._cpu_seconds() - before
+        self.load_before = used / SERVED_BEFORE_SECONDS
+
+    def lose_all(self, down_seconds):
+        """Kill all gateways and start them again."""
+        self.lost_at = time.monotonic()
+        for name in self.names:
+            self.dep.process_by_name[name].kill()
+        for name in self.names:
+            self.dep.process_by_name[name].wait()
+        time.sleep(down_seconds)
+        self.back_wall = time.time()
+        self.back_at = time.monotonic()
+        for name in self.names:
+            self.dep.start(name)
+
+    def watch(self, seconds):
+        """Ask each gateway once a second whether it is ready."""
+        for name in self.names:
+            threading.Thread(
+                target=self._watch_readiness, args=(name,), daemon=True
+            ).start()
+        end = self.back_at + seconds
+        while time.monotonic() < end:
+            time.sleep(1.0)
+            self.cpu_rows.append(
+                (time.monotonic() - self.back_at, self._cpu_seconds())
+            )
+
+    def _watch_readiness(self, name):
+        while not self.stopping.wait(READINESS_SECONDS):
+            if self.case.is_ready(name):
+                self.ready_at_by_name.setdefault(
+                    name, time.monotonic() - self.back_at
+                )
+
+    def _cpu_seconds(self):
+        ticks = 0
+        for name in self.names:
+            process = self.dep.process_by_name[name]
+            if process.poll() is None:
+                ticks += cpu_ticks(process.pid)
+        return ticks / TICKS
+
+    def close(self):
+        """End everything."""
+        self.stopping.set()
+        for backend in self.backends:
+            backend.end()
+        self.case.doCleanups()
+
+    # What was seen.
+
+    def span(self, start, end):
+        """Return what was sent and served from start to end."""
+        rows = [
+            sent
+            for sent in list(self.history.sent)
+            if start <= sent.at < end and sent.kind in bounds.RESTART_KINDS
+        ]
+        served = sum(row.status == 200 and row.is_correct for row in rows)
+        return Span(len(rows), served)
+
+    def milestones(self):
+        """Return seconds after the return, by milestone; and CPU ms."""
+        found = collections.defaultdict(list)
+        for name in self.names:
+            seen = set()
+            for line in self.dep.log_of(name).splitlines():
+                try:
+                    row = json.loads(line)
+                except ValueError:
+                    continue
+                if row["time"] < self.back_wall:
+                    continue
+                what = row["message"].partition(": ")[2]
+                key = what + (f" {row['topic']}" if "topic" in row else "")
+                if key in seen:
+                    continue
+                seen.add(key)
+                found[key].append(row["time"] - self.back_wall)
+                if "cpu_ms" in row:
+                    found[f"{key}, CPU"].append(row["cpu_ms"] / 1_000)
+        return found
+
+
+def _spread(values):
+    ordered = sorted(values)
+    return (
+        f"{len(ordered):4d} {ordered[0]:7.2f} "
+        f"{statistics.median(ordered):7.2f} {ordered[-1]:7.2f}"
+    )
+
+
+def report(restart, seconds):
+    """Print the timeline; return whether service returned in time."""
+    print("what                                   n   first  median    last")
+    for key, values in sorted(restart.milestones().items()):
+        if len(values) >= len(restart.names) / 4:
+            print(f"{key[:36]:36s}{_spread(values)}")
+    ready = restart.ready_at_by_name.values()
+    if ready:
+        print(f"{'ready, by checks each second':36s}{_spread(ready)}")
+    print("second  sent served  gateways' CPU s")
+    cpu_by_second = {int(at): cpu for at, cpu in restart.cpu_rows}
+    for second in range(int(seconds)):
+        start = restart.back_at + second
+        span = restart.span(start, start + 1)
+        cpu = cpu_by_second.get(second, 0.0)
+        print(f"{second:6d} {span.sent:5d} {span.served:6d} {cpu:8.1f}")
+    print(f"processors busy before the loss: {restart.load_before:.2f}")
+    before = restart.span(
+        restart.lost_at - SERVED_BEFORE_SECONDS, restart.lost_at
+    )
+    after = restart.span(
+        restart.back_at + RECOVER_SECONDS, restart.back_at + seconds - 3
+    )
+    print(f"before: {before}; after {RECOVER_SECONDS} s: {after}")
+    return after.served >= bounds.MIN_RESTART_SHARE * after.sent
+
+
+def main():
+    """Play one loss of all and print what happened when."""
+    options = docopt.docopt(__doc__)
+    processors = sorted(os.sched_getaffinity(0))
+    count = int(options["--processors"])
+    names = [f"gateway-{n + 1}" for n in range(int(options["--gateways"]))]
+    seconds = float(options["--seconds"])
+    with tempfile.TemporaryDirectory() as folder:
+        checkout = Checkout(options["--revision"], pathlib.Path(folder))
+        os.sched_setaffinity(0, processors[count:] or processors)
+        restart = Restart(checkout, processors[:count], names)
+        try:
+            restart.bring_up(int(options["--engines"]))
+            restart.start_clients(int(options["--callers"]))
+            restart.serve_before()
+            restart.lose_all(float(options["--down"]))
+            restart.watch(seconds)
+            is_back = report(restart, seconds)
+        finally:
+            if options["--logs"]:
+                shutil.copytree(restart.dep.folder, options["--logs"])
+            restart.close()
+        _run("chmod", "-R", "u+w", folder)
+    sys.exit(0 if is_back else 1)
+
+
+if __name__ == "__main__":
+    main()
