--- a/bench/restart.py
+++ b/bench/restart.py
@@ -24,113 +24,45 @@
 import collections
 import json
 import os
-import pathlib
-import shlex
 import shutil
 import statistics
-import subprocess
 import sys
 import tempfile
 import threading
 import time
-import tomllib
 import typing
 
 import docopt
 import httpx
 
-from bench.slopes_processes import cpu_ticks
-from bench.slopes_processes import TICKS
+from bench import slopes_processes
 from bench.soak import addresses
 from bench.soak import backends
 from bench.soak import bounds
 from bench.soak import callers
 from bench.soak import history as history_module
-from clementinewall.platform import settings as platform_settings
 from standins import bringup
+from standins import checkout
 from tests.integration import gateway_base
 
 SERVICES = 3
 SERVED_BEFORE_SECONDS = 6.0
 RECOVER_SECONDS = 15.0
 READINESS_SECONDS = 1.0
-MILESTONES = ("started", "newest records read", "ready to serve callers")
 
 
-class Checkout:
-    """A clean checkout of a revision after its build, without write bits."""
-
-    def __init__(self, revision, folder):
-        """Clone and build it below ``folder``."""
-        self.folder = folder / "checkout"
-        root = pathlib.Path(__file__).parent.parent
-        _run("git", "clone", "-q", str(root), str(self.folder))
-        _run("git", "checkout", "-q", revision, cwd=self.folder)
-        deploy = tomllib.loads(
-            (self.folder / "deploy/system.toml").read_text()
-        )
-        (role,) = deploy["roles"].values()
-        words = shlex.split(role["run"])
-        self.command = [sys.executable, *words[1:]]
-        # ``python3`` is the interpreter of this program.
-        path = f"{pathlib.Path(sys.executable).parent}:{os.environ['PATH']}"
-        _run("sh", "-c", deploy["build"], cwd=self.folder, PATH=path)
-        _run("chmod", "-R", "a-w", str(self.folder))
-
-    def environment(self):
-        """Return the environment of a role."""
-        kept = ("PATH", "HOME", "LANG")
-        return {
-            **{name: os.environ[name] for name in kept if name in os.environ},
-            "PYTHONPATH": "target/deps",
-            # Write bits don't bind root.
-            "PYTHONDONTWRITEBYTECODE": "1",
-        }
-
-
-def _run(*words, cwd=None, **variables):
-    subprocess.run(
-        words,
-        cwd=cwd,
-        env={**os.environ, **variables},
-        check=True,
-        stdout=subprocess.DEVNULL,
-        stderr=subprocess.DEVNULL,
-    )
-
-
-class _Deployment(bringup.Deployment):
-    """Starts gateways from a checkout, on their own processors."""
-
-    def __init__(self, checkout, processors):
+class _Case(gateway_base.GatewayCase):
+    def __init__(self, built, processors):
         super().__init__()
-        self._checkout = checkout
-        self._processors = ",".join(map(str, processors))
-
-    def start(self, name, *command):
-        if not name.startswith("gateway-"):
-            super().start(name, *command)
-            return
-        if command:
-            self.command_by_name[name] = command
-        settings = self.command_by_name[name][-1].partition("=")[2]
-        with open(self.folder / f"{name}.log", "ab") as log:
-            self.process_by_name[name] = subprocess.Popen(
-                ["taskset", "-c", self._processors, *self._checkout.command],
-                cwd=self._checkout.folder,
-                env={
-                    **self._checkout.environment(),
-                    platform_settings.PATH_VARIABLE: settings,
-                },
-                stdout=log,
-                stderr=log,
-            )
-
+        self._built = built
+        self._processors = processors
 
-class _Case(gateway_base.GatewayCase):
     def runTest(self):
         """Do nothing: only the set-up of the test case is used."""
 
+    def new_deployment(self):
+        return checkout.CheckoutDeployment(self._built, self._processors)
+
 
 class Span(typing.NamedTuple):
     """What was sent and served in a span of time."""
@@ -142,18 +74,13 @@
 class Restart:
     """A deployment whose gateways are all killed and started again."""
 
-    def __init__(self, checkout, processors, names):
+    def __init__(self, built, processors, names):
         """Prepare gateways of these names on these processors."""
         self.names = names
         self.history = history_module.History()
-        self.case = _Case()
+        self.case = _Case(built, processors)
         self.case.setUp()
-        own = self.case.dep
-        self.dep = _Deployment(checkout, processors)
-        self.dep.process_by_name.update(own.process_by_name)
-        self.dep.command_by_name.update(own.command_by_name)
-        self.case.addCleanup(self.dep.close)
-        self.case.dep = self.dep
+        self.dep = self.case.dep
         self.backends = []
         self.ready_at_by_name = {}
         self.cpu_rows = []
@@ -256,8 +183,8 @@
         for name in self.names:
             process = self.dep.process_by_name[name]
             if process.poll() is None:
-                ticks += cpu_ticks(process.pid)
-        return ticks / TICKS
+                ticks += slopes_processes.cpu_ticks(process.pid)
+        return ticks / slopes_processes.TICKS
 
     def close(self):
         """End everything."""
@@ -344,9 +271,9 @@
     names = [f"gateway-{n + 1}" for n in range(int(options["--gateways"]))]
     seconds = float(options["--seconds"])
     with tempfile.TemporaryDirectory() as folder:
-        checkout = Checkout(options["--revision"], pathlib.Path(folder))
+        built = checkout.Checkout(folder, options["--revision"])
         os.sched_setaffinity(0, processors[count:] or processors)
-        restart = Restart(checkout, processors[:count], names)
+        restart = Restart(built, processors[:count], names)
         try:
             restart.bring_up(int(options["--engines"]))
             restart.start_clients(int(options["--callers"]))
@@ -358,7 +285,7 @@
             if options["--logs"]:
                 shutil.copytree(restart.dep.folder, options["--logs"])
             restart.close()
-        _run("chmod", "-R", "u+w", folder)
+            built.remove()
     sys.exit(0 if is_back else 1)
 
 
--- /dev/null
+++ b/standins/checkout.py
@@ -0,0 +1,97 @@
+"""Gateways as operators run them: from a clean, read-only checkout.
+
+The command and the build are those of ``deploy/system.toml``.  Operators'
+machines keep nothing that a process writes beside its sources.
+"""
+
+import os
+import pathlib
+import shlex
+import subprocess
+import sys
+import tomllib
+
+from clementinewall.platform import settings as platform_settings
+from standins import bringup
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# What a process gets of its caller's environment.
+KEPT_VARIABLES = ("PATH", "HOME", "LANG")
+_BIN = pathlib.Path(sys.executable).parent
+
+
+class Checkout:
+    """A checkout of a revision after its build, without write bits."""
+
+    def __init__(self, folder, revision="HEAD"):
+        """Clone this repository into ``folder`` and build it."""
+        self.folder = pathlib.Path(folder) / "checkout"
+        _run("git", "clone", "-q", str(ROOT), str(self.folder))
+        _run("git", "checkout", "-q", revision, cwd=self.folder)
+        text = (self.folder / "deploy/system.toml").read_text()
+        deploy = tomllib.loads(text)
+        # The interpreter of this program is the one that is installed.
+        path = f"{_BIN}:{os.environ['PATH']}"
+        _run("sh", "-c", deploy["build"], cwd=self.folder, PATH=path)
+        _run("chmod", "-R", "a-w", str(self.folder))
+        (role,) = deploy["roles"].values()
+        self.command = [sys.executable, *shlex.split(role["run"])[1:]]
+
+    def environment(self, settings):
+        """Return the environment of a process with this settings file."""
+        kept = {
+            name: os.environ[name]
+            for name in KEPT_VARIABLES
+            if name in os.environ
+        }
+        return {
+            **kept,
+            platform_settings.PATH_VARIABLE: str(settings),
+            "PYTHONPATH": "target/deps",
+            # Root may write in spite of the missing write bits.
+            "PYTHONDONTWRITEBYTECODE": "1",
+        }
+
+    def remove(self):
+        """Delete the checkout."""
+        _run("chmod", "-R", "u+w", str(self.folder))
+        _run("rm", "-rf", str(self.folder))
+
+
+def _run(*words, cwd=None, **variables):
+    done = subprocess.run(
+        words,
+        cwd=cwd,
+        env={**os.environ, **variables},
+        capture_output=True,
+        text=True,
+    )
+    if done.returncode:
+        raise RuntimeError(f"{words}: {done.returncode} {done.stderr}")
+
+
+class CheckoutDeployment(bringup.Deployment):
+    """Runs gateways from a checkout, all on the same few processors."""
+
+    def __init__(self, checkout, processors):
+        """Run gateways on ``processors``, numbers of those of the machine."""
+        super().__init__()
+        self._checkout = checkout
+        self._processors = ",".join(map(str, processors))
+
+    def start(self, name, *command):
+        """Start a process; gateways by the checkout's command."""
+        if not name.startswith("gateway-"):
+            super().start(name, *command)
+            return
+        if command:
+            self.command_by_name[name] = command
+        settings = self.command_by_name[name][-1].partition("=")[2]
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.process_by_name[name] = subprocess.Popen(
+                ["taskset", "-c", self._processors, *self._checkout.command],
+                cwd=self._checkout.folder,
+                env=self._checkout.environment(settings),
+                stdout=log,
+                stderr=log,
+            )
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -64,7 +64,7 @@
 
     def setUp(self):
         """Start the store."""
-        self.dep = bringup.Deployment()
+        self.dep = self.new_deployment()
         self.addCleanup(self.dep.close)
         self.http = httpx.Client(timeout=10, trust_env=False)
         self.addCleanup(self.http.close)
@@ -75,6 +75,10 @@
         self.version = 0
         self.listen_by_name = {}
 
+    def new_deployment(self):
+        """Return what starts the processes."""
+        return bringup.Deployment()
+
     def _accepts_connections(self, address):
         host, _, port = address.rpartition(":")
         with socket.socket() as probe:
