--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -2,6 +2,8 @@
 
 import gc
 import importlib
+import importlib.util
+import os
 import time
 
 import anyio
@@ -253,8 +255,14 @@
             data_centre=settings.data_centre,
             store=settings.store,
             after_ms=self._now() - self._created_at,
-            cpu_ms=round(1_000 * time.process_time()),
+            cpu_ms=_cpu_ms(),
         )
+        if not _has_bytecode():
+            _log.warning(
+                "modules have no bytecode; each start compiles them, see build"
+                " in deploy/system.toml",
+                module=__file__,
+            )
         self._life.handle_event(lifecycle.Event.STARTED)
         await self._stopping.wait()
         await self._drain(caller_listener, info_listeners)
@@ -288,7 +296,9 @@
             return
         self._is_ready_logged = True
         _log.info(
-            "ready to serve callers", after_ms=self._now() - self._created_at
+            "ready to serve callers",
+            after_ms=self._now() - self._created_at,
+            cpu_ms=_cpu_ms(),
         )
 
     async def _join_peers(self):
@@ -378,6 +388,16 @@
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
 
+def _cpu_ms():
+    """Return the processor time that this process has taken so far."""
+    return round(1_000 * time.process_time())
+
+
+def _has_bytecode():
+    """Return whether the interpreter finds bytecode of this module."""
+    return os.path.exists(importlib.util.cache_from_source(__file__))
+
+
 async def run(log_writer, life):
     """Run a gateway until it is stopped; return the event that ended it."""
     async with anyio.create_task_group() as group:
