--- a/clementinewall/_schema.py
+++ b/clementinewall/_schema.py
@@ -7,7 +7,7 @@
 with a partly decoded message.
 """
 
-import difflib
+import importlib
 import types
 import typing
 
@@ -157,6 +157,8 @@
     for key in data:
         if key in hints:
             continue
+        # Loaded for mistakes only, which most starts don't have.
+        difflib = importlib.import_module("difflib")
         near = difflib.get_close_matches(str(key), list(hints), 1, 0.0)
         where = f"{path}.{key}" if path else str(key)
         nearest = near[0] if near else "no key"
--- a/clementinewall/gateway/main.py
+++ b/clementinewall/gateway/main.py
@@ -18,6 +18,7 @@
 listened on, 3 stopped at once by a second SIGINT.
 """
 
+import gc
 import importlib
 
 import docopt
@@ -28,6 +29,8 @@
 def main():
     """Catch signals, read the command line, load the program and run it."""
     inbox = signals.catch()
+    # What is loaded stays, so that looking for garbage among it is in vain.
+    gc.disable()
     options = docopt.docopt(__doc__)
     # Imported after signals are caught: the import takes a while, and a signal
     # that arrives during it would otherwise kill the process.
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -8,9 +8,7 @@
 
 import anyio
 
-from clementinewall.access import confirmation
 from clementinewall.access import freshness
-from clementinewall.access import peer_clocks
 from clementinewall.admission import controller
 from clementinewall.backpressure import holdings
 from clementinewall import clock
@@ -170,8 +168,7 @@
         )
         self._duties = None
         if settings.duty_service is not None:
-            # Loading it takes a part of the start, which other deployments
-            # don't need.
+            # Other deployments don't need it, and loading it delays the start.
             assembly = importlib.import_module(
                 "clementinewall.duties.assembly"
             )
@@ -277,6 +274,13 @@
         """
         if not self._freshness.is_bounded:
             return None
+        # Other deployments don't need it, and loading it delays the start.
+        confirmation = importlib.import_module(
+            "clementinewall.access.confirmation"
+        )
+        peer_clocks = importlib.import_module(
+            "clementinewall.access.peer_clocks"
+        )
         clocks = peer_clocks.PeerClocks(
             self._settings.ip, self._ticker, self._peers.send_to
         )
@@ -374,6 +378,7 @@
 
     async def _sweep(self):
         gc.freeze()
+        gc.enable()
         while True:
             self._log_writer.flush()
             self._fleet_view.expire()
--- a/clementinewall/logs.py
+++ b/clementinewall/logs.py
@@ -4,15 +4,18 @@
 ``grep '^route:'`` finds all routing decisions of all modules.  Recent lines
 are also kept in a ring buffer, from which ``clementinewall explain`` answers
 what was decided about a request or an endpoint.
+
+Lines go through loguru, except those of a gateway, which writes them itself:
+loading loguru takes a good part of the processor time of a start.
 """
 
 import collections
+import importlib
 import json
 import sys
+import time
 import traceback as traceback_module
 
-import loguru
-
 from clementinewall import _log_writer
 
 MAX_RECENT_LINES = 4_000
@@ -47,8 +50,19 @@
     def _log(self, level, sentence, fields):
         if level != "DEBUG":
             _recent.append((self._prefix, sentence, fields))
-        bound = loguru.logger.bind(prefix=self._prefix, fields=fields)
-        bound.log(level, "{}: {}", self._prefix, sentence)
+        _write(level, self._prefix, sentence, fields)
+
+
+def _loguru():
+    return importlib.import_module("loguru").logger
+
+
+def _write_by_loguru(level, prefix, sentence, fields):
+    bound = _loguru().bind(prefix=prefix, fields=fields)
+    bound.log(level, "{}: {}", prefix, sentence)
+
+
+_write = _write_by_loguru
 
 
 def recent(about, limit=50):
@@ -63,13 +77,14 @@
 
 def configure(logging, instance_id):
     """Send the log to standard error, in the format that the settings give."""
-    loguru.logger.remove()
+    logger = _loguru()
+    logger.remove()
     write = _write_json if logging.json else _write_text
 
     def sink(message):
         write(message.record, instance_id)
 
-    loguru.logger.add(sink, level=logging.level)
+    logger.add(sink, level=logging.level)
 
 
 def _write_text(record, instance_id):
@@ -99,22 +114,23 @@
     Return the writer; the caller must call its ``flush`` several times a
     second.
     """
+    global _write
     writer = _log_writer.Writer(sys.stdout.fileno())
-    loguru.logger.remove()
 
-    def sink(message):
-        record = message.record
+    def write(level, prefix, sentence, fields):
+        if level == "DEBUG":
+            return
         line = {
-            "time": round(record["time"].timestamp(), 3),
-            "level": record["level"].name,
+            "time": round(time.time(), 3),
+            "level": level,
             "instance": instance_id,
-            "message": record["message"],
+            "message": f"{prefix}: {sentence}",
+            **fields,
         }
-        line.update(record["extra"].get("fields", {}))
         text = json.dumps(line, default=str) + "\n"
-        writer.add(text.encode(), record["level"].name in _IMPORTANT)
+        writer.add(text.encode(), level in _IMPORTANT)
 
-    loguru.logger.add(sink, level="INFO", format="{message}")
+    _write = write
     return writer
 
 
--- a/clementinewall/metrics.py
+++ b/clementinewall/metrics.py
@@ -5,8 +5,7 @@
 """
 
 import collections
-
-from hdrh import histogram
+import importlib
 
 MAX_MS = 600_000
 SIGNIFICANT_DIGITS = 2
@@ -41,6 +40,8 @@
     if durations is None:
         if len(_histogram_by_series) >= MAX_SERIES:
             return
+        # Loaded after the start, whose processor time delays readiness.
+        histogram = importlib.import_module("hdrh.histogram")
         durations = histogram.HdrHistogram(1, MAX_MS, SIGNIFICANT_DIGITS)
         _histogram_by_series[series] = durations
     durations.record_value(min(MAX_MS, max(1, int(value))))
--- a/clementinewall/operator/main.py
+++ b/clementinewall/operator/main.py
@@ -41,6 +41,7 @@
 import anyio
 import docopt
 
+from clementinewall import _settings_file
 from clementinewall import errors
 from clementinewall.operator import request_trace
 from clementinewall.operator import session
@@ -63,12 +64,12 @@
 
 
 async def _check(options, _connection):
-    by_key = configuration.flatten(settings.read_toml(options["FILE"]))
+    by_key = configuration.flatten(_settings_file.read_toml(options["FILE"]))
     return {"good": True, "keys": sorted(by_key)}, 0
 
 
 async def _publish(options, connection):
-    document = settings.read_toml(options["FILE"])
+    document = _settings_file.read_toml(options["FILE"])
     configuration.flatten(document)
     if options["--anew"]:
         offset = await connection.publish_initial(document)
@@ -82,7 +83,8 @@
 
 async def _diff(options, connection):
     state = await connection.read_state()
-    differences = session.compare(state, settings.read_toml(options["FILE"]))
+    document = _settings_file.read_toml(options["FILE"])
+    differences = session.compare(state, document)
     return [difference._asdict() for difference in differences], 0
 
 
--- a/clementinewall/platform/settings.py
+++ b/clementinewall/platform/settings.py
@@ -10,9 +10,9 @@
 import typing
 
 from clementinewall import _schema
+from clementinewall import _settings_file
 from clementinewall import domain
 from clementinewall import errors
-from clementinewall import settings as project_settings
 
 PATH_VARIABLE = "CLEMENTINEWALL_SETTINGS"
 MAX_PORT = 65_535
@@ -83,11 +83,11 @@
         raise errors.SettingsError(
             f"environment variable {PATH_VARIABLE} is not set"
         )
-    data = project_settings.read_toml(path)
+    data = _settings_file.read_toml(path)
     known, mistakes = _schema.build(_File, _drop_unknown_keys(_File, data))
     if known is not None:
         mistakes += (*_check_texts(known), *_check_addresses(known))
-    project_settings.raise_mistakes(path, mistakes)
+    _settings_file.raise_mistakes(path, mistakes)
     return _translate(known)
 
 
--- a/clementinewall/settings.py
+++ b/clementinewall/settings.py
@@ -6,11 +6,10 @@
 see ``clementinewall.records.configuration``.
 """
 
-import tomllib
 import typing
 
 from clementinewall import _schema
-from clementinewall import errors
+from clementinewall import _settings_file
 
 Millis = typing.Annotated[int, _schema.Range(1, 86_400_000)]
 Count = typing.Annotated[int, _schema.Range(1, 10_000_000)]
@@ -149,35 +148,11 @@
 
     :raises SettingsError: naming the file, and each mistake in it.
     """
-    value, mistakes = _schema.build(shape, read_toml(path))
-    raise_mistakes(path, list(mistakes) + _cross_checks(value))
+    value, mistakes = _schema.build(shape, _settings_file.read_toml(path))
+    _settings_file.raise_mistakes(path, list(mistakes) + _cross_checks(value))
     return value
 
 
-def read_toml(path):
-    """Return the content of a TOML file.
-
-    :raises SettingsError: it can't be read.
-    """
-    try:
-        with open(path, "rb") as file:
-            return tomllib.load(file)
-    except OSError as exc:
-        raise errors.SettingsError(f"{path}: {exc.strerror}") from exc
-    except (ValueError, RecursionError) as exc:
-        raise errors.SettingsError(f"{path}: not TOML: {exc}") from exc
-
-
-def raise_mistakes(path, mistakes):
-    """Raise an error if there are mistakes in the file at ``path``.
-
-    :raises SettingsError: naming the file, and each of the mistakes.
-    """
-    if mistakes:
-        lines = "\n".join(f"{path}: {mistake}" for mistake in mistakes)
-        raise errors.SettingsError(lines)
-
-
 def _cross_checks(value):
     """Return the mistakes that lie in the relation of two settings."""
     if not isinstance(value, Settings):
