--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -238,12 +238,13 @@
         """Return this gateway's unfinished work at each engine."""
         work = {}
         for state in self._state_by_incarnation.values():
+            if not state.streams and not state.jobs:
+                continue
             own = state.own_work()
             if not self.speeds.is_reporting(state.endpoint.service):
                 # Nobody bounds what such engines hold.
                 own = own._replace(tokens=0)
-            if own.streams or own.jobs:
-                work[state.endpoint.id] = own
+            work[state.endpoint.id] = own
         return work
 
     def prompt_ms(self, service):
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -29,6 +29,9 @@
 _log = logs.PartLog("stage")
 
 POLL_INTERVAL_MS = 250
+# Gateways further back in line look less often, as a change that they have to
+# make is due seconds later.
+MAX_POLL_INTERVAL_MS = 1_000
 # One engine in this number, and at least one, may change at a time: of six
 # engines, a second one out of service costs more than the change gains.
 ENGINES_PER_CONCURRENT_CHANGE = 6
@@ -78,9 +81,16 @@
     async def run(self):
         """Poll until cancelled."""
         while True:
-            await anyio.sleep(clock.seconds(POLL_INTERVAL_MS))
+            await anyio.sleep(clock.seconds(self.poll_interval_ms()))
             await self.poll()
 
+    def poll_interval_ms(self):
+        """Return the ms until the next poll, by the place in line."""
+        if self._lease.has_unreleased_claim:
+            return POLL_INTERVAL_MS
+        places = 1 + self._peers.table.group_rank()
+        return min(MAX_POLL_INTERVAL_MS, places * POLL_INTERVAL_MS)
+
     async def poll(self):
         """Make the change that is needed, if it is this gateway's turn."""
         # A stopping gateway would leave a lease, and the wait for the effect
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -100,6 +100,17 @@
         self.peers.table.group_rank = lambda: 100
         self.assertEqual(self.claims_read(40), 1)
 
+    def test_gateways_back_in_line_plan_less_often(self):
+        # Guards against plans of a whole fleet of which one is carried out.
+        intervals = []
+        self.manager._lease.has_unreleased_claim = False
+        for rank in (0, 1, 100):
+            self.peers.table.group_rank = lambda rank=rank: rank
+            intervals.append(self.manager.poll_interval_ms())
+        self.assertEqual(intervals, [250, 500, 1_000])
+        self.manager._lease.has_unreleased_claim = True
+        self.assertEqual(self.manager.poll_interval_ms(), 250)
+
     def test_an_instance_that_is_new_reads_no_claim_at_its_start(self):
         # Guards against a call to the store by each gateway of a fleet that
         # starts, where eight are enough.
