--- a/bench/restart.py
+++ b/bench/restart.py
@@ -52,16 +52,15 @@
 
 
 class _Case(gateway_base.GatewayCase):
-    def __init__(self, built, processors):
+    def __init__(self, built):
         super().__init__()
         self._built = built
-        self._processors = processors
 
     def runTest(self):
         """Do nothing: only the set-up of the test case is used."""
 
     def new_deployment(self):
-        return checkout.CheckoutDeployment(self._built, self._processors)
+        return checkout.CheckoutDeployment(self._built)
 
 
 class Span(typing.NamedTuple):
@@ -75,12 +74,13 @@
     """A deployment whose gateways are all killed and started again."""
 
     def __init__(self, built, processors, names):
-        """Prepare gateways of these names on these processors."""
+        """Prepare gateways of these names, which share ``processors``."""
         self.names = names
         self.history = history_module.History()
-        self.case = _Case(built, processors)
+        self.case = _Case(built)
         self.case.setUp()
         self.dep = self.case.dep
+        self.dep.share_processors(names, processors)
         self.backends = []
         self.ready_at_by_name = {}
         self.cpu_rows = []
@@ -266,14 +266,14 @@
 def main():
     """Play one loss of all and print what happened when."""
     options = docopt.docopt(__doc__)
-    processors = sorted(os.sched_getaffinity(0))
-    count = int(options["--processors"])
+    shared = bringup.last_processors(int(options["--processors"]))
     names = [f"gateway-{n + 1}" for n in range(int(options["--gateways"]))]
     seconds = float(options["--seconds"])
     with tempfile.TemporaryDirectory() as folder:
         built = checkout.Checkout(folder, options["--revision"])
-        os.sched_setaffinity(0, processors[count:] or processors)
-        restart = Restart(built, processors[:count], names)
+        others = os.sched_getaffinity(0) - {*shared}
+        os.sched_setaffinity(0, others or shared)
+        restart = Restart(built, shared, names)
         try:
             restart.bring_up(int(options["--engines"]))
             restart.start_clients(int(options["--callers"]))
--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -2,13 +2,14 @@
 
 Usage:
   soak [--seed=N] [--minutes=M] [--gateways=G] [--only=KIND]... [--planned]
-       [--versions]
+       [--versions] [--processors=K]
 
 Options:
   --seed=N      Seed of the faults [default: 1].
   --minutes=M   How long to run [default: 1].
   --gateways=G  How many gateways [default: 3].
   --only=KIND   Only faults of this kind.
+  --processors=K  The gateways share so many processors; by default all.
   --versions    Engines of several software versions, whose streams callers
                 take up again.
   --planned     Only planned work: stops, SIGHUP, new configurations and
@@ -37,6 +38,7 @@
         tuple(options["--only"]),
         options["--planned"],
         options["--versions"],
+        int(options["--processors"]) if options["--processors"] else None,
     )
     monitor = lateness.LatenessMonitor()
     monitor.start()
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -41,15 +41,18 @@
         versions=("v1",),
         has_duties=False,
         has_releases=False,
+        processors=None,
     ):
         """Prepare ``gateways`` gateways; :meth:`bring_up` starts them.
 
         With ``has_egress`` they can be cut off from endpoints.  Engines have
         the software ``versions`` in turn.  With ``has_duties`` callers have
         keys, and usage is reported.  With ``has_releases`` newer versions
-        come, and more callers take streams up for longer.
+        come, and more callers take streams up for longer.  With
+        ``processors`` the gateways share so many.
         """
         self._has_duties = has_duties
+        self._processors = processors
         self._versions = itertools.cycle(versions)
         self._returns = callers.AT_ONCE if len(versions) > 1 else None
         if has_releases:
@@ -73,6 +76,10 @@
         """Start all parts and wait until the gateways are ready."""
         case = self.case
         case.setUp()
+        if self._processors is not None:
+            case.dep.share_processors(
+                self.gateways, bringup.last_processors(self._processors)
+            )
         if self._has_duties:
             duties.start(case)
         self.publish()
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -101,12 +101,14 @@
         only=(),
         planned=False,
         has_versions=False,
+        processors=None,
     ):
         """Prepare the run; :meth:`run` executes it.
 
         ``planned`` leaves out all faults but planned work; with
         ``has_versions`` engines have several software versions, and callers
-        take streams up that break off.
+        take streams up that break off.  With ``processors`` the gateways
+        share so many.
         """
         self._seconds = seconds
         self._only = only
@@ -125,6 +127,7 @@
             VERSIONS if has_versions else VERSIONS[:1],
             bool(self._duty_kinds()),
             bool(self._rejoin_kinds()),
+            processors,
         )
         self.history = self._deployment.history
 
--- a/standins/bringup.py
+++ b/standins/bringup.py
@@ -95,6 +95,11 @@
         time.sleep(POLL_SECONDS)
 
 
+def last_processors(count):
+    """Return the numbers of some processors of this process."""
+    return sorted(os.sched_getaffinity(0))[-count:]
+
+
 class Deployment:
     """A set of processes, each known by its name."""
 
@@ -103,6 +108,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cw-"))
         self.process_by_name = {}
         self.command_by_name = {}
+        # Words before the command of a process, such as ``taskset``.
+        self.prefix_by_name = {}
         self.address_by_name = {}
         self.fleet = {"class": {}, "endpoint": {}, "policy": {}}
         self.http = httpx.Client(timeout=10.0, trust_env=False)
@@ -139,11 +146,22 @@
         log = open(self.folder / f"{name}.log", "ab")
         with log:
             self.process_by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", *self.command_by_name[name]],
+                [
+                    *self.prefix_by_name.get(name, ()),
+                    sys.executable,
+                    "-m",
+                    *self.command_by_name[name],
+                ],
                 stdout=log,
                 stderr=log,
             )
 
+    def share_processors(self, names, processors):
+        """Run processes, once started, on the same few processors."""
+        listed = ",".join(map(str, processors))
+        for name in names:
+            self.prefix_by_name[name] = ("taskset", "-c", listed)
+
     def standin(self, name, kind, *options, at=None):
         """Start a stand-in and return its address."""
         where = at or address()
--- a/standins/checkout.py
+++ b/standins/checkout.py
@@ -71,13 +71,12 @@
 
 
 class CheckoutDeployment(bringup.Deployment):
-    """Runs gateways from a checkout, all on the same few processors."""
+    """Runs gateways from a checkout."""
 
-    def __init__(self, checkout, processors):
-        """Run gateways on ``processors``, numbers of those of the machine."""
+    def __init__(self, checkout):
+        """Run gateways from ``checkout``, and all else as usual."""
         super().__init__()
         self._checkout = checkout
-        self._processors = ",".join(map(str, processors))
 
     def start(self, name, *command):
         """Start a process; gateways by the checkout's command."""
@@ -89,7 +88,10 @@
         settings = self.command_by_name[name][-1].partition("=")[2]
         with open(self.folder / f"{name}.log", "ab") as log:
             self.process_by_name[name] = subprocess.Popen(
-                ["taskset", "-c", self._processors, *self._checkout.command],
+                [
+                    *self.prefix_by_name.get(name, ()),
+                    *self._checkout.command,
+                ],
                 cwd=self._checkout.folder,
                 env=self._checkout.environment(settings),
                 stdout=log,
--- a/tests/integration/test_gateway_start_cost.py
+++ b/tests/integration/test_gateway_start_cost.py
@@ -1,6 +1,5 @@
 """What the start of a gateway costs from a clean checkout after its build."""
 
-import os
 import subprocess
 import tempfile
 
@@ -33,8 +32,7 @@
 
     def new_deployment(self):
         """Return what starts gateways from the checkout."""
-        processors = sorted(os.sched_getaffinity(0))[-PROCESSORS:]
-        return checkout.CheckoutDeployment(self.built, processors)
+        return checkout.CheckoutDeployment(self.built)
 
     def setUp(self):
         """Publish a configuration."""
@@ -85,6 +83,7 @@
         # Guards against a fleet whose gateways take each other the time that
         # they have to be back in.
         names = [f"gateway-{number}" for number in range(1, GATEWAYS + 1)]
+        self.dep.share_processors(names, bringup.last_processors(PROCESSORS))
         for number, name in enumerate(names, 1):
             self.start_without_waiting(name, f"127.0.0.{number}")
         self._wait_until_ready(names)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,7 @@
         planned=False,
         seconds=SECONDS,
         has_versions=False,
+        **more,
     ):
         """Run a seed and check that every guarantee was kept."""
         soak = faults.Soak(
@@ -29,6 +30,7 @@
             only=kinds,
             planned=planned,
             has_versions=has_versions,
+            **more,
         )
         self.assertEqual(soak.run(), [])
         self.assertGreater(len(soak.history.sent), 50)
@@ -104,6 +106,13 @@
         history = self.check(534, "lose-all", seconds=2)
         self.assertTrue(history.restarts)
 
+    def test_the_loss_of_all_gateways_while_processors_are_few(self):
+        # Guards against starts that take each other the time to be back in.
+        history = self.check(
+            703, "lose-all", seconds=2, gateways=12, processors=1
+        )
+        self.assertTrue(history.restarts)
+
     def test_duties_beside_faults_of_gateways_store_and_service(self):
         # Guards against two holders at a time and different reports of one
         # window, whatever fails together.
