--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -71,6 +71,7 @@
         self._apply_record = apply_record
         self._cycle = cycle
         self._next = None
+        self._started_at = now()
         # When the newest records began to be asked for.
         self._begun_at = now()
         self._synced_at = None
@@ -162,7 +163,9 @@
         if self._next is None:
             # Updates from peers build on a snapshot, which is missing here.
             return store_polling.first_read_retry_ms()
-        retry_ms = store_polling.retry_ms(self._cycle, self._group_rank())
+        retry_ms = store_polling.retry_ms(
+            self._cycle, self._group_rank(), self._now() - self._started_at
+        )
         if self.confirmation is None:
             return retry_ms
         return min(retry_ms, self.confirmation.max_retry_ms)
--- a/clementinewall/policy/store_polling.py
+++ b/clementinewall/policy/store_polling.py
@@ -10,6 +10,7 @@
 """
 
 import functools
+import math
 import random
 import typing
 import zlib
@@ -29,6 +30,12 @@
 # A gateway that starts retries its first calls after half of this time to all
 # of it: others may have started at once.
 MAX_FIRST_RETRY_MS = 300
+# For so long after its start a gateway that has read a topic leaves a store
+# that refuses calls to others that may have started with it.  Its next call
+# comes after so many cycles, which is less than the deployment's bounds.
+START_MS = 15_000
+START_RETRY_CYCLES = 2
+MAX_START_RETRY_MS = 2_000
 
 
 class PollCycle(typing.NamedTuple):
@@ -78,8 +85,14 @@
     return cycle.cycle_ms * (TIMEOUT_CYCLES + TIMEOUT_STEP_CYCLES * steps)
 
 
-def retry_ms(cycle, rank_in_group):
-    """Return the delay in ms before the next call after a failed one."""
+def retry_ms(cycle, rank_in_group, age_ms=math.inf):
+    """Return the delay in ms before the next call after a failed one.
+
+    ``age_ms`` is for how long the gateway has run.
+    """
+    if age_ms < START_MS:
+        delay_ms = START_RETRY_CYCLES * cycle.cycle_ms
+        return min(MAX_START_RETRY_MS, max(RETRY_MS, delay_ms))
     return min(max(RETRY_MS, cycle.cycle_ms), RETRY_MS * (1 + rank_in_group))
 
 
