--- a/bench/restart.py
+++ b/bench/restart.py
@@ -2,7 +2,8 @@
 
 Usage:
   restart [--gateways=N] [--processors=K] [--engines=E] [--callers=C]
-          [--seconds=S] [--down=S] [--revision=R] [--logs=DIR]
+          [--seconds=S] [--down=S] [--again=S] [--store-calls=N]
+          [--loses-engines] [--revision=R] [--logs=DIR]
 
 Options:
   --gateways=N    How many gateways [default: 71].
@@ -11,6 +12,10 @@
   --callers=C     Callers that ask for addresses [default: 30].
   --seconds=S     How long callers call after the return [default: 25].
   --down=S        Seconds between the kill and the start [default: 1].
+  --again=S       Kill all once more, so many seconds after the start.
+  --store-calls=N  The store works off so many calls a second, in turn, from
+                  the kill on.
+  --loses-engines  All engines crash with the gateways; others come 8 s later.
   --revision=R    What git has under this name is run [default: HEAD].
   --logs=DIR      Keep the gateways' logs in this folder.
 
@@ -47,6 +52,7 @@
 
 SERVICES = 3
 SERVED_BEFORE_SECONDS = 6.0
+ENGINES_AWAY_SECONDS = 8.0
 RECOVER_SECONDS = 15.0
 READINESS_SECONDS = 1.0
 
@@ -145,9 +151,15 @@
         used = self._cpu_seconds() - before
         self.load_before = used / SERVED_BEFORE_SECONDS
 
-    def lose_all(self, down_seconds):
-        """Kill all gateways and start them again."""
+    def lose_all(self, down_seconds, again_seconds=None):
+        """Kill all gateways and start them again, once or twice."""
         self.lost_at = time.monotonic()
+        self._kill_and_start(down_seconds)
+        if again_seconds is not None:
+            time.sleep(again_seconds)
+            self._kill_and_start(down_seconds)
+
+    def _kill_and_start(self, down_seconds):
         for name in self.names:
             self.dep.process_by_name[name].kill()
         for name in self.names:
@@ -158,6 +170,19 @@
         for name in self.names:
             self.dep.start(name)
 
+    def lose_engines(self):
+        """Crash all engines; others come after a while."""
+        lost = [b for b in self.backends if b.service == "model"]
+        for backend in lost:
+            backend.end(crash=True)
+
+        def replace():
+            for backend in lost:
+                self._put(backend.name, None)
+                self._add(f"{backend.name}~", "model", backend.stage)
+
+        threading.Timer(ENGINES_AWAY_SECONDS, replace).start()
+
     def watch(self, seconds):
         """Ask each gateway once a second whether it is ready."""
         for name in self.names:
@@ -278,7 +303,15 @@
             restart.bring_up(int(options["--engines"]))
             restart.start_clients(int(options["--callers"]))
             restart.serve_before()
-            restart.lose_all(float(options["--down"]))
+            if options["--store-calls"]:
+                per_second = int(options["--store-calls"])
+                restart.case.set_store_mode("ok", queued_per_second=per_second)
+            if options["--loses-engines"]:
+                restart.lose_engines()
+            again = options["--again"]
+            restart.lose_all(
+                float(options["--down"]), float(again) if again else None
+            )
             restart.watch(seconds)
             is_back = report(restart, seconds)
         finally:
