--- a/standins/checkout.py
+++ b/standins/checkout.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # What a process gets of its caller's environment.
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
+METRICS_OPTION = "--metrics-port="
 _BIN = pathlib.Path(sys.executable).parent
 
 
@@ -35,7 +36,14 @@
         _run("sh", "-c", deploy["build"], cwd=self.folder, PATH=path)
         _run("chmod", "-R", "a-w", str(self.folder))
         (role,) = deploy["roles"].values()
-        self.command = [sys.executable, *shlex.split(role["run"])[1:]]
+        words = shlex.split(role["run"])[1:]
+        # Two suites that run side by side use the same addresses.
+        metrics_port = f"{METRICS_OPTION}{bringup.free_port()}"
+        self.command = [
+            sys.executable,
+            *(word for word in words if not word.startswith(METRICS_OPTION)),
+            metrics_port,
+        ]
 
     def environment(self, settings):
         """Return the environment of a process with this settings file."""
