--- a/clementinewall/http1/repeated_call.py
+++ b/clementinewall/http1/repeated_call.py
@@ -110,11 +110,9 @@
         :raises Exception: the failure of a call if no other one is open.
         """
         first_at = self._now()
-        longest_ms = self._max_repeat_ms
-        overdue_ms = min(self._times.overdue_ms(), longest_ms)
-        repeat_ms = min(max(REPEAT_INTERVAL_MS, overdue_ms), longest_ms)
-        is_first = not self._times.is_known
-        limit_ms = FIRST_LIMIT_MS if is_first else LIMIT_MS
+        overdue_ms = min(self._times.overdue_ms(), self._max_repeat_ms)
+        intervals_ms = self._intervals_ms(overdue_ms)
+        limit_ms = LIMIT_MS if self._times.is_known else FIRST_LIMIT_MS
         async with anyio.create_task_group() as group:
             self._begin(group, self._wait_ms)
             if not await self._is_ended_after(self._wait_ms + overdue_ms):
@@ -122,13 +120,7 @@
             end = first_at + self._wait_ms + limit_ms
             while not self._ended.is_set() and self._now() < end:
                 self._begin(group, 0)
-                if not is_first:
-                    await self._is_ended_after(repeat_ms)
-                    continue
-                jitter = random.uniform(1 - FIRST_JITTER, 1)
-                await self._is_ended_after(jitter * repeat_ms)
-                doubled_ms = min(2 * repeat_ms, MAX_FIRST_INTERVAL_MS)
-                repeat_ms = min(max(doubled_ms, overdue_ms), longest_ms)
+                await self._is_ended_after(next(intervals_ms))
             has_ended = self._ended.is_set()
             group.cancel_scope.cancel()
         if not has_ended:
@@ -137,6 +129,17 @@
             raise self._failure
         return self._answer
 
+    def _intervals_ms(self, overdue_ms):
+        """Yield the time from each repeat to the next."""
+        longest_ms = self._max_repeat_ms
+        repeat_ms = min(max(REPEAT_INTERVAL_MS, overdue_ms), longest_ms)
+        while self._times.is_known:
+            yield repeat_ms
+        while True:
+            yield random.uniform(1 - FIRST_JITTER, 1) * repeat_ms
+            doubled_ms = min(2 * repeat_ms, MAX_FIRST_INTERVAL_MS)
+            repeat_ms = min(max(doubled_ms, overdue_ms), longest_ms)
+
     async def _is_ended_after(self, ms):
         with anyio.move_on_after(clock.seconds(ms)):
             await self._ended.wait()
