--- a/tests/integration/test_gateway_short_answers.py
+++ b/tests/integration/test_gateway_short_answers.py
@@ -70,6 +70,7 @@
         taken = []
         headers = streams.MODEL_HEADERS if path == "/chat/x" else {}
         calls = 0
+        self.cut_calls = 0
         for kind in kinds:
             for size in sizes:
                 for end in range(len(ENDS)):
@@ -124,6 +125,8 @@
         for path in ("/look/x", "/chat/x"):
             sizes = self.sizes(path)[::3]
             self.check(path, self.fronts[0], sizes, kinds=("plain",))
+        lines = self.dep.log_of(CUT).count("sent through another gateway")
+        self.assertGreater(lines, len(sizes))
 
 
 class ShortHandles(gateway_base.GatewayCase):
