review: case 1 keeps to loopback addresses

The entry's unreadable address is now a scoped IPv6 loopback one instead of a link-local one; it is never connected to, as encoding it fails before.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 from review.standins import scene
 
 # What another writer left: bytes that can't be read where an address is due.
-UNREADABLE_ADDRESS = "fe80::1%\ufffd\ufffd:8080"
+UNREADABLE_ADDRESS = "::1%\ufffd\ufffd:8080"
 # The rule allows three requests.
 ALLOWED = 3
 
