--- a/tests/integration/test_gateway_start_cost.py
+++ b/tests/integration/test_gateway_start_cost.py
@@ -1,5 +1,6 @@
 """What the start of a gateway costs from a clean checkout after its build."""
 
+import json
 import subprocess
 import tempfile
 
@@ -15,6 +16,11 @@
 GATEWAYS = 71
 PROCESSORS = 2
 SITE_RECOVER_SECONDS = 15.0
+# Of so many that start together on one processor, a quarter serves before half
+# of what all their starts take has been spent.
+CROWD = 24
+SERVING_FRACTION = 1 / 4
+SPENT_FRACTION = 1 / 2
 SOURCE_MARK = "# code object from "
 
 
@@ -102,6 +108,32 @@
             self.cpu_seconds(*names), PROCESSORS * SITE_RECOVER_SECONDS
         )
 
+    def test_the_first_of_many_starts_serve_before_the_last(self):
+        # Guards against starts that share a processor so evenly that nobody
+        # serves before all of them have been paid for.
+        names = [f"gateway-{number}" for number in range(1, CROWD + 1)]
+        self.dep.share_processors(names, bringup.last_processors(1))
+        for number, name in enumerate(names, 1):
+            self.start_without_waiting(name, f"127.0.0.{number}")
+        bringup.wait_until(
+            lambda: self._count_ready(names) >= SERVING_FRACTION * CROWD,
+            seconds=240,
+            what="a quarter of the gateways",
+        )
+        spent = self.cpu_seconds(*names)
+        self._wait_until_ready(names)
+        started = [self._start_seconds(name) for name in names]
+        self.assertLessEqual(spent, SPENT_FRACTION * sum(started), started)
+
+    def _count_ready(self, names):
+        return sum("ready to serve" in self.dep.log_of(n) for n in names)
+
+    def _start_seconds(self, name):
+        """Return the processor time that a gateway took until it served."""
+        rows = map(json.loads, self.dep.log_of(name).splitlines())
+        [ready] = [r for r in rows if "ready to serve" in r["message"]]
+        return ready["cpu_ms"] / 1_000
+
     def _wait_until_ready(self, names):
         for name in names:
             bringup.wait_until(
