One odd entry among those of the endpoints costs that entry only

Cause: what passed the decoder and what each use of a field can bear weren't the same, and any exception in a background task ends the process.

The same class elsewhere: handles in answers to prefills (RecursionError, and text that no header can carry), datagrams (any exception is logged).

--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -8,6 +8,8 @@
 
 import collections
 
+from clementinewall import clock
+from clementinewall import containment
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import software_versions
@@ -24,6 +26,8 @@
 # Records may have expired during an outage of at least this length.
 # Endpoints write about every 1,200 ms and expire after three missed writes.
 MIN_OUTAGE_MS = 1_500
+# By how much the time of day of an endpoint may be ahead.
+MAX_AHEAD_MS = 3_600_000
 # Endpoints of which nothing has been read for longer may have changed.
 CURRENT_MS = 2_500
 
@@ -31,9 +35,15 @@
 class FleetView:
     """The active configuration and the endpoints, with their offsets."""
 
-    def __init__(self, now, bounds=domain.Bounds()):
-        """Start empty; ``now`` returns the time in ms."""
+    def __init__(
+        self,
+        now,
+        bounds=domain.Bounds(),
+        time_of_day=clock.Clock().time_of_day,
+    ):
+        """Start empty; ``now`` and ``time_of_day`` return ms."""
         self._now = now
+        self._time_of_day = time_of_day
         self._bounds = bounds
         self.configuration = None
         # Pairs of the time at which limits were replaced, and these limits.
@@ -108,6 +118,13 @@
 
     def apply_configuration(self, record):
         """Apply a record of the operators' topic; return whether it is new."""
+        with containment.contained(
+            _log, "a configuration", offset=record.offset
+        ):
+            return self._apply_configuration(record)
+        return False
+
+    def _apply_configuration(self, record):
         if record.key != records.CONFIGURATION_KEY or record.value is None:
             return False
         if record.offset <= self._configuration_offset:
@@ -150,6 +167,12 @@
         Return whether gateways that know all earlier records need this one;
         a heartbeat that repeats the last record is not needed.
         """
+        with containment.contained(_log, "a record", offset=record.offset):
+            return self._apply_endpoint(record)
+        self._forget(record.key, "unusable", record.offset)
+        return True
+
+    def _apply_endpoint(self, record):
         if record.offset <= self._offset_by_id.get(record.key, -1):
             # Already covered by a later page, which others may not have read.
             return True
@@ -158,11 +181,11 @@
             self._remove(record.key, record.offset)
             return True
         try:
-            found = records.endpoint(record.key, record.value)
+            found = self._decoded(record)
         except errors.BadRecord as exc:
             _log.warning(
                 "invalid endpoint record; endpoint dropped",
-                endpoint=record.key,
+                endpoint=record.key[: domain.MAX_TEXT],
                 offset=record.offset,
                 why=exc.message,
             )
@@ -199,6 +222,17 @@
             )
         return is_update
 
+    def _decoded(self, record):
+        """Return the endpoint that a record describes.
+
+        :raises BadRecord: it can't be used.
+        """
+        found = records.endpoint(record.key, record.value)
+        # Each later record would count as that of an earlier process.
+        if found.incarnation > self._time_of_day() + MAX_AHEAD_MS:
+            raise errors.BadRecord("the endpoint was started in the future")
+        return found
+
     def apply_fleet_snapshot(self, batch):
         """Apply the newest record of each endpoint.
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -287,14 +287,7 @@
     def _receive(self, raw, ip):
         try:
             self._take_datagram(peer_messages.load(raw), raw, ip)
-        except (
-            ValueError,
-            TypeError,
-            KeyError,
-            AttributeError,
-            OverflowError,
-            RecursionError,
-        ) as exc:
+        except Exception as exc:
             # Any host may send to this port.  An uncaught error here would
             # end the process.
             self._log_unreadable(ip, exc)
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -12,6 +12,7 @@
 from clementinewall.admission import controller
 from clementinewall.backpressure import holdings
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.gateway import budgets
 from clementinewall.gateway import cache_sync
 from clementinewall.gateway import callers
@@ -70,7 +71,9 @@
         self._now = now
         self._now_with_suspend = ticker.now_with_suspend
         self._group = group
-        self._fleet_view = fleet_view.FleetView(now, settings.bounds)
+        self._fleet_view = fleet_view.FleetView(
+            now, settings.bounds, ticker.time_of_day
+        )
         self._freshness = freshness.Freshness(settings.bounds, ticker)
         self._relays = relays.Relays(settings, group, now)
         self._endpoints = endpoints.Endpoints(
@@ -386,17 +389,21 @@
         gc.enable()
         while True:
             self._log_writer.flush()
-            self._fleet_view.expire()
-            if self._has_customers():
-                self._freshness.log_if_stale()
-            self._cell_membership.update(self._peers.table.members())
-            self._endpoints.sweep()
-            self._relays.sweep()
-            self._origins.sweep()
-            self._crash_guard.sweep(self._fleet_view)
-            self._holdings.report()
+            with containment.contained(_log, "a sweep"):
+                self._sweep_once()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
+    def _sweep_once(self):
+        self._fleet_view.expire()
+        if self._has_customers():
+            self._freshness.log_if_stale()
+        self._cell_membership.update(self._peers.table.members())
+        self._endpoints.sweep()
+        self._relays.sweep()
+        self._origins.sweep()
+        self._crash_guard.sweep(self._fleet_view)
+        self._holdings.report()
+
 
 def _cpu_ms():
     """Return the processor time that this process has taken so far."""
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -11,6 +11,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import domain
 from clementinewall.duties import lease as lease_module
 from clementinewall import errors
@@ -82,7 +83,8 @@
         """Poll until cancelled."""
         while True:
             await anyio.sleep(clock.seconds(self.poll_interval_ms()))
-            await self.poll()
+            with containment.contained(_log, "a look at the stages"):
+                await self.poll()
 
     def poll_interval_ms(self):
         """Return the ms until the next poll, by the place in line."""
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -63,7 +63,8 @@
     async def send(self, request, limit_ms=None):
         """Send a complete request.
 
-        :raises LinkBroken: the connection was reset.
+        :raises LinkBroken: the connection was reset, or the request has a
+            header that can't be sent.
         :raises TimeoutError: the system did not accept all its bytes within
             ``limit_ms``.
         """
@@ -71,10 +72,13 @@
         if request.body or request.method not in (b"GET", b"DELETE"):
             length = str(len(request.body)).encode()
             headers.append((b"Content-Length", length))
-        self._sent_request = h11.Request(
-            method=request.method, target=request.target, headers=headers
-        )
-        data = self._h11.send(self._sent_request)
+        try:
+            self._sent_request = h11.Request(
+                method=request.method, target=request.target, headers=headers
+            )
+            data = self._h11.send(self._sent_request)
+        except h11.LocalProtocolError as exc:
+            raise self._broken(f"the request can't be encoded: {exc}") from exc
         if request.body:
             data += self._h11.send(h11.Data(data=request.body))
         data += self._h11.send(h11.EndOfMessage()) or b""
--- a/clementinewall/http1/stream.py
+++ b/clementinewall/http1/stream.py
@@ -280,12 +280,15 @@
     """Return a stream to ``address`` (``IP:port``).
 
     :raises TimeoutError: it was not connected within ``limit_ms``.
-    :raises OSError: the connection failed.
+    :raises OSError: the connection failed, or the address can't be used.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     with anyio.fail_after(clock.seconds(limit_ms)):
-        _, stream = await loop.create_connection(Stream, host, int(port))
+        try:
+            _, stream = await loop.create_connection(Stream, host, int(port))
+        except (OverflowError, ValueError) as exc:
+            raise OSError(f"the address can't be used: {exc}") from exc
     return stream
 
 
--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -11,6 +11,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
@@ -53,13 +54,17 @@
     async def run(self):
         """Follow the endpoints until cancelled."""
         while True:
-            try:
-                await self._poll()
-            except (errors.LogUnavailable, store.HistoryExpired) as exc:
-                _log.info("versions not recorded yet", why=str(exc))
-                await anyio.sleep(clock.seconds(RETRY_MS))
+            with containment.contained(_log, "a look at the versions"):
+                await self._poll_or_wait()
             await anyio.sleep(clock.seconds(POLL_INTERVAL_MS))
 
+    async def _poll_or_wait(self):
+        try:
+            await self._poll()
+        except (errors.LogUnavailable, store.HistoryExpired) as exc:
+            _log.info("versions not recorded yet", why=str(exc))
+            await anyio.sleep(clock.seconds(RETRY_MS))
+
     async def _poll(self):
         view = self._fleet_view
         if not view.is_fleet_known or not view.is_current:
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -274,10 +274,11 @@
     """
     try:
         data = json.loads(body)
+        handle = records.identifier(data["cache_handle"])
         return domain.Prefilled(
-            endpoint.address, str(data["cache_handle"]), data["token_count"]
+            endpoint.address, handle, int(data["token_count"])
         )
-    except (KeyError, TypeError, ValueError) as exc:
+    except _DECODE_ERRORS as exc:
         raise errors.BadRecord(
             f"cannot decode a prefill answer: {exc!r}"
         ) from exc
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -1,8 +1,14 @@
-"""Decoding of operators' and endpoints' records in the platform's store."""
+"""Decoding of operators' and endpoints' records in the platform's store.
+
+Others may write among the records of endpoints.  What a record's id and fields
+may be is decided here alone, and is what every use of them can bear: in
+headers, addresses, log lines and datagrams.
+"""
 
 import ipaddress
 import json
 import math
+import re
 
 from clementinewall import domain
 from clementinewall import errors
@@ -23,6 +29,12 @@
 _KNOWN_STATES = ("ready", "draining")
 # Larger numbers can't be combined with floating-point ones.
 MAX_INTEGER = 2**63
+# Numbers up to here are exact in each format.
+MAX_EXACT_INTEGER = 2**53
+MAX_SLOTS = 1_000_000
+MAX_PORT = 65_535
+# What a header can carry without quoting.
+_IDENTIFIER = re.compile(r"[!-~]{1,%d}" % domain.MAX_TEXT)
 # Raised when malformed data is decoded.  Converting an infinite number to an
 # integer raises OverflowError.
 DECODE_ERRORS = (
@@ -69,20 +81,20 @@
         if state not in _KNOWN_STATES:
             raise ValueError(f"unknown state {state!r}")
         return domain.Endpoint(
-            id=endpoint_id,
-            service=_text(data["service"]),
+            id=identifier(endpoint_id),
+            service=_name(data["service"]),
             address=_address(data["address"]),
-            data_centre=_text(data["zone"]),
-            slots=_integer(data.get("slot_count", 1)),
+            data_centre=_name(data["zone"]),
+            slots=_count(data.get("slot_count", 1), MAX_SLOTS),
             draining=state == "draining",
-            stage=data.get("stage"),
-            incarnation=_integer(data.get("born", 0)),
-            version=_optional_text(data.get("version")),
+            stage=_stage(data.get("stage")),
+            incarnation=_count(data.get("born", 0), MAX_EXACT_INTEGER),
+            version=_optional_name(data.get("version")),
             is_spot=data.get("use_spot") is True,
         )
     except DECODE_ERRORS as exc:
         raise errors.BadRecord(
-            f"cannot decode the record of {endpoint_id}: {exc!r}"
+            f"cannot decode the record: {_excerpt(exc)}"
         ) from exc
 
 
@@ -102,8 +114,44 @@
     return value
 
 
-def _optional_text(value):
-    return "" if value is None else _text(value)
+def identifier(value):
+    """Return an id that headers can carry.
+
+    :raises ValueError: it has other characters than visible ASCII ones, or
+        too many.
+    """
+    if not isinstance(value, str) or not _IDENTIFIER.fullmatch(value):
+        raise ValueError("an id is not of visible ASCII characters")
+    return value
+
+
+def _name(value):
+    """Return a name that fits into a line and a datagram."""
+    name = _text(value)
+    if len(name) > domain.MAX_TEXT or not name.isprintable():
+        raise ValueError("a name is too long or can't be printed")
+    return name
+
+
+def _optional_name(value):
+    return "" if value is None or value == "" else _name(value)
+
+
+def _stage(value):
+    if value is not None and value not in domain.STAGES:
+        raise ValueError("unknown stage")
+    return value
+
+
+def _count(value, limit):
+    number = _integer(value)
+    if not 0 <= number <= limit:
+        raise ValueError("a count is out of range")
+    return number
+
+
+def _excerpt(exc):
+    return repr(exc)[: domain.MAX_TEXT]
 
 
 def _integer(value):
@@ -123,10 +171,13 @@
 
 
 def _address(value):
-    host, _, port = _text(value).rpartition(":")
+    host, _, port = identifier(value).rpartition(":")
+    # A scope is the name of an interface of whoever wrote it.
+    if "%" in host:
+        raise ValueError("an address has a scope")
     ipaddress.ip_address(host)
-    if not port.isdigit() or not 0 < int(port) < 65_536:
-        raise ValueError(f"{value!r} is not an address as IP:port")
+    if not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError("not an address as IP:port")
     return value
 
 
