A gateway that is out of step asks the store before it takes up a stream

Cause: if nobody knew a stream and one version was known, that was taken for its own where the endpoints had been read in the last 2.5 s, though no owner answered. An engine that joined since then may have begun it. The same held where all that were heard are cut off together, as their answers were enough.

Now the endpoints are read anew, beside the question to the owners: a read that begins after the request is there has every engine that can have begun the stream. The stand-in network of test_stream_origins answers reads only where its view is current, as that is what the test of a cut gateway stands for.

--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -94,6 +94,9 @@
             ticker.time_of_day_seconds(),
         )
         self._relays.table = self._peers.table
+        self._fleet_follower = topic_followers.fleet_follower(
+            *self._follower_arguments()
+        )
         self._version_record = version_record.VersionRecord(
             settings, self._fleet_view, self._peers.table.group_rank, now
         )
@@ -107,6 +110,7 @@
             now,
             self._version_record,
             self._origin_log,
+            self._fleet_follower.read_anew,
         )
         self._peers.listeners.append(self._origins.take)
         self._endpoints.request_limits.share_with(
@@ -220,10 +224,7 @@
             *self._follower_arguments()
         )
         configuration_follower.confirmation = self._confirmation()
-        needed = (
-            configuration_follower,
-            topic_followers.fleet_follower(*self._follower_arguments()),
-        )
+        needed = configuration_follower, self._fleet_follower
         for follower in needed:
             follower.share_updates(self._peers.updates)
             follower.on_read = self._log_ready
--- a/clementinewall/gateway/stream_origins.py
+++ b/clementinewall/gateway/stream_origins.py
@@ -37,8 +37,10 @@
 # While all know of one version only, so many answers of gateways that know all
 # recent versions are enough.
 SUFFICIENT_ANSWERS = 2
-# A caller whose stream isn't known waits for the store so long.
+# A caller whose stream isn't known waits for the store so long, and so long
+# for which versions it has now.
 STORE_LIMIT_MS = 1_000
+READ_LIMIT_MS = 400
 
 
 class Origin(typing.NamedTuple):
@@ -62,6 +64,8 @@
         self.known_ms = 0
         self.informed_answers = 0
         self.origin = None
+        # Whether the store was asked later which versions there are.
+        self.is_read = False
         # The gateway that knew the origin.
         self.known_by = None
         self.settled = anyio.Event()
@@ -71,12 +75,22 @@
     """The origins of the streams that this gateway began or owns."""
 
     def __init__(
-        self, fleet_view, table, send, now, version_record, origin_log
+        self,
+        fleet_view,
+        table,
+        send,
+        now,
+        version_record,
+        origin_log,
+        read_endpoints,
     ):
         """Share origins with the gateways in ``table`` and the store.
 
         ``send(raw, ips)`` sends a datagram; ``now`` returns the time in ms.
+        ``read_endpoints(limit_ms)`` reads the endpoints in the store anew and
+        returns whether it could.
         """
+        self._read_endpoints = read_endpoints
         self._version_record = version_record
         self._log = origin_log
         self._fleet_view = fleet_view
@@ -179,7 +193,7 @@
         how = "own" if attempt in self._origin_by_attempt else "store"
         query = _Query(service, ())
         if origin is None:
-            query = await self._ask(attempt, service)
+            query = await self._ask_all(attempt, service)
             origin, how = query.origin, "owner"
         if origin is None:
             await self._read_store(attempt, query)
@@ -200,6 +214,21 @@
         )
         return origin
 
+    async def _ask_all(self, attempt, service):
+        """Ask the owners of a stream, and the store which versions it has."""
+        query = self._query(attempt, service)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._read_versions, query)
+            await self._ask(attempt, query)
+            if query.origin is not None:
+                group.cancel_scope.cancel()
+        return query
+
+    async def _read_versions(self, query):
+        if await self._read_endpoints(READ_LIMIT_MS):
+            query.is_read = True
+            self._settle(query)
+
     async def _read_store(self, attempt, query):
         """Read what the store has of a stream and of earlier versions.
 
@@ -225,24 +254,36 @@
     def _only_version(self, query):
         """Return the origin if only one version can have begun the stream.
 
-        A gateway that has just started doesn't know what left before, and
-        one that reads the store no more may not know of another version, nor
-        may those that answer if they are cut off together with it.
+        A gateway that has just started doesn't know what left before.  An
+        engine may have joined since the store was read last, and have begun
+        the stream through a gateway that isn't heard.
         """
         versions = self._versions(query)
         if len(versions) != 1 or not self._is_informed(query):
             return None
-        is_all_answered = query.answers and not query.unanswered
-        if not is_all_answered and not self._fleet_view.is_current:
+        if not query.is_read and not self._is_told_by_most(query):
             return None
         return Origin(query.service, *versions, self._now())
 
+    def _is_told_by_most(self, query):
+        """Tell whether owners among most of all gateways answered.
+
+        Then those that can't be heard are too few to have served a version
+        that nobody else knows, though the store can't be asked.
+        """
+        others = len(self._table.ips)
+        if not others:
+            return True
+        live = len(self._table.live())
+        is_most = 2 * (live + 1) > others + 1
+        return bool(is_most and query.answers and not query.unanswered)
+
     def _versions(self, query):
         recent = self._fleet_view.versions.recent(query.service)
         return query.versions | recent
 
-    async def _ask(self, attempt, service):
-        """Ask the owners of a stream; return their :class:`_Query`."""
+    def _query(self, attempt, service):
+        """Return the :class:`_Query` for a stream, one for all who ask."""
         if attempt is None:
             return _Query(service, ())
         query = self._query_by_attempt.get(attempt)
@@ -251,19 +292,24 @@
             ips = stream_owners.rank(attempt, live, stream_owners.ASKED)
             query = _Query(service, ips)
             self._query_by_attempt[attempt] = query
+        return query
+
+    async def _ask(self, attempt, query):
+        """Ask the owners of a stream until they have told enough."""
         try:
             for interval_ms in ASK_INTERVALS_MS:
                 if query.settled.is_set() or not query.unanswered:
                     break
                 self._send_part(
-                    "asked", [[attempt, service]], sorted(query.unanswered)
+                    "asked",
+                    [[attempt, query.service]],
+                    sorted(query.unanswered),
                 )
                 with anyio.move_on_after(clock.seconds(interval_ms)):
                     await query.settled.wait()
         finally:
             if self._query_by_attempt.get(attempt) is query:
                 del self._query_by_attempt[attempt]
-        return query
 
     def take(self, message, ip):
         """Take in what the gateway at ``ip`` tells, asks or answers.
@@ -329,6 +375,9 @@
             self.add(attempt, *row)
             query.origin = self._known(attempt)
             query.known_by = ip
+        self._settle(query)
+
+    def _settle(self, query):
         if self._is_settled(query):
             query.settled.set()
 
@@ -336,8 +385,7 @@
         if query.origin is not None or not query.unanswered:
             return True
         is_sufficient = (
-            self._fleet_view.is_current
-            and query.informed_answers >= SUFFICIENT_ANSWERS
+            query.is_read and query.informed_answers >= SUFFICIENT_ANSWERS
         )
         return is_sufficient and len(self._versions(query)) <= 1
 
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -90,6 +90,9 @@
         # Called after each read of the store.
         self.on_read = None
         self.first_read = anyio.Event()
+        # From when the last own read is, by its call, and its end.
+        self._read_as_of = -math.inf
+        self._read_ended = anyio.Event()
         # Called when all that the store had is known, also by an update, with
         # its age in ms.
         self.on_synced = None
@@ -101,6 +104,24 @@
         self._synced_at = self._now()
         self._make_due(0)
 
+    async def read_anew(self, limit_ms):
+        """Return whether all that the store has now is known here.
+
+        Updates of other gateways don't tell: they may be out of step as well.
+        """
+        asked_at = self._now()
+        with anyio.move_on_after(clock.seconds(limit_ms)):
+            while self._read_as_of < asked_at:
+                self._make_due(0)
+                await self._read_ended.wait()
+        return self._read_as_of >= asked_at
+
+    def _record_read(self, as_of, is_complete=True):
+        if is_complete:
+            self._read_as_of = as_of
+        self._read_ended.set()
+        self._read_ended = anyio.Event()
+
     def share_updates(self, updates):
         """Send what is read by an :class:`UpdateExchange`, and get theirs."""
         self._updates = updates
@@ -179,6 +200,7 @@
             begun_at = confirmation.begin()
             self._store.max_repeat_ms = confirmation.max_retry_ms
         if self._next is None:
+            called_at = self._now()
             batch = await self._store.newest(self._topic)
             self._record_success()
             self._recent_reads.forget()
@@ -193,21 +215,25 @@
             )
             if confirmation:
                 confirmation.record_read(begun_at)
+            self._record_read(called_at)
             self._notify_read()
             return
         batch = await self._store.read(
             self._topic, self._next, self._wait_ms()
         )
         away_ms = self._record_success()
+        as_of = self._now() - self._store.late_ms
         # A peer's update may have been applied while the read waited.
         start = self._next
         if batch.end < start:
+            self._record_read(as_of)
             return
         fresh = [r for r in batch.records if r.offset >= start]
         if self._newest_first:
             fresh.reverse()
         changed = [record for record in fresh if self._apply_record(record)]
         self._next = batch.end
+        self._record_read(as_of, batch.is_complete)
         asked_at = None
         # An answer that was cut at a size doesn't tell what came after it.
         if confirmation and batch.is_complete:
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -56,6 +56,10 @@
                 self.add_origin(attempt, service, version, left_ms)
         return self._store.is_readable
 
+    async def read_endpoints(self, _limit_ms):
+        """Return whether the endpoints were read anew."""
+        return self._store.is_readable and self._view.is_current
+
     async def wait_until_read(self, _limit_ms):
         """Read which versions served before."""
         if self._store.is_readable:
@@ -78,6 +82,7 @@
         self.store = Store()
         self.ips = [f"10.0.0.{n}" for n in range(1, size + 1)]
         self.view_by_ip = {}
+        self.table_by_ip = {}
         self.origins_by_ip = {ip: self._gateway(ip) for ip in self.ips}
         for view in self.view_by_ip.values():
             view.versions.record_read(self.ticker.now() - LONG_MS)
@@ -86,11 +91,8 @@
 
     def _gateway(self, ip):
         now = self.ticker.now
-        table = peer_table.PeerTable(ip, now)
-        for other in self.ips:
-            table.record_heartbeat(
-                peer_messages.Heartbeat(other, f"{other}:1", "a", True, now())
-            )
+        table = self.table_by_ip[ip] = peer_table.PeerTable(ip, now)
+        self.hear(ip, self.ips)
         view = types.SimpleNamespace(
             versions=software_versions.SoftwareVersions(now),
             is_current=True,
@@ -104,11 +106,23 @@
                 self._deliver(raw, ip, other)
 
         origins = stream_origins.StreamOrigins(
-            view, table, send, now, access, access
+            view, table, send, now, access, access, access.read_endpoints
         )
         access.add_origin = origins.add_logged
         return origins
 
+    def hear(self, ip, others):
+        """Let a gateway hear others now."""
+        now = self.ticker.now()
+        for other in others:
+            beat = peer_messages.Heartbeat(other, f"{other}:1", "a", True, now)
+            self.table_by_ip[ip].record_heartbeat(beat)
+
+    def fall_silent(self, ip, heard):
+        """Let a gateway hear those in ``heard`` only."""
+        self.ticker.advance(2 * peer_table.HEARTBEAT_TIMEOUT_MS)
+        self.hear(ip, heard)
+
     def _deliver(self, raw, sender, ip):
         self.sent.append((sender, ip))
         if not {sender, ip} & self.down:
@@ -195,6 +209,28 @@
         network.add_version("v0", network.ips[2:])
         self.assertIsNone(network.find(network.ips[1], "a"))
 
+    def test_a_gateway_just_cut_off_does_not_trust_its_last_read(self):
+        # Guards against a version that joined after that read, through
+        # gateways that aren't heard any more.
+        network = Network(3, ["v0"])
+        network.down.update({*network.ips} - {network.ips[1]})
+        network.store.is_readable = False
+        self.assertIsNone(network.find(network.ips[1], "a"))
+
+    def test_a_gateway_that_hears_few_does_not_trust_them(self):
+        # Guards against gateways that are cut off together.
+        network = Network(5, ["v0"])
+        network.store.is_readable = False
+        own, heard, *_ = network.ips
+        network.fall_silent(own, {heard})
+        self.assertIsNone(network.find(own, "a"))
+
+    def test_a_gateway_that_hears_nobody_asks_the_store(self):
+        # Guards against refusals where the store tells all that matters.
+        network = Network(3, ["v0"])
+        network.down.update({*network.ips} - {network.ips[1]})
+        self.assertEqual(network.find(network.ips[1], "a"), "v0")
+
     def test_a_gateway_that_is_cut_off_does_not_guess(self):
         # Guards against a version that it has not heard of.
         network = Network(7, ("v0",))
