Bound how unevenly sizes of a kind of request are served, everywhere

Cause: a prompt that would miss its target is refused, and its own time is part of that, so the allowed wait shrinks with size until prompts that can't meet the target at all are exempt. What bounded it was in force only where there are customers or engines tell their pace, counted a service rather than a kind of request, the largest tenth only, and what was admitted.

Now each route counts the largest tenth and the fifth below it, on every deployment, by admissions that led to an event.

--- a/clementinewall/admission/controller.py
+++ b/clementinewall/admission/controller.py
@@ -32,7 +32,7 @@
         self._reported_at = now() - REPORT_INTERVAL_MS
         self._recent = recent.Recent(now)
         self._returns = returns.Returns(now)
-        self._sizes_by_service = collections.defaultdict(sizes.Sizes)
+        self._sizes_by_route = collections.defaultdict(sizes.Sizes)
 
     def admit(self, exchange, options, late_options):
         """Return the placement options by which to serve a request.
@@ -48,7 +48,7 @@
         group = _group(exchange)
         key = _key(exchange, group.owner)
         is_return = self._returns.is_return(key)
-        service_sizes = self._sizes_by_service[group.service]
+        route_sizes = self._sizes_by_route[exchange.route.name]
         tokens = options.demand.tokens
         load = self._recent.load(group.service)
         slack_ms = _slack_ms(options.demand, best) if best else 0.0
@@ -66,7 +66,7 @@
             slack_ms=slack_ms,
             is_return=is_return is True,
             is_repeat=is_return is False,
-            is_large_underserved=service_sizes.is_underserved(tokens),
+            is_large_underserved=route_sizes.is_underserved(tokens),
         )
         decision = room.decide(request, load, self._chance(), self._chance())
         if decision.action != room.REFUSE and is_refused:
@@ -84,7 +84,7 @@
         is_lacking = not is_in_time and (best is None or best.wait_ms > 0)
         self._recent.record(group, is_admitted, is_lacking, is_return is None)
         if not request.is_repeat:
-            service_sizes.record(tokens, is_admitted)
+            route_sizes.record(tokens, is_admitted)
         metrics.count("admissions", reason=decision.reason)
         if is_admitted:
             self._returns.record_admission(key)
@@ -114,6 +114,37 @@
         metrics.count("refused", route=exchange.route.name)
         raise errors.Overloaded(why, retry_after_ms=retry_ms)
 
+    def admit_size(self, exchange, options):
+        """Return the placement options by which to serve a request.
+
+        Where nothing else is shared out, the placement alone decides; but too
+        few prompts of a large size served make one of them served late.
+        """
+        tokens = options.demand.tokens
+        route_sizes = self._sizes_by_route[exchange.route.name]
+        chosen = options.chosen
+        if isinstance(chosen, placement.Refusal):
+            best = chosen.best
+            if best is None:
+                # Refused whatever its size.
+                return options
+            if (
+                route_sizes.is_underserved(tokens)
+                and best.first_ms
+                <= exchange.left_ms * room.LATE_DEADLINE_FRACTION
+            ):
+                metrics.count("admissions", reason="large")
+                options = options._replace(chosen=best)
+        is_admitted = isinstance(options.chosen, placement.Option)
+        route_sizes.record(tokens, is_admitted)
+        return options
+
+    def record_unserved(self, exchange):
+        """Record that an admitted request has had no event."""
+        if exchange.call.prompt is not None:
+            route_sizes = self._sizes_by_route[exchange.route.name]
+            route_sizes.withdraw(exchange.call.prompt.tokens_in)
+
     def message(self):
         """Return what the cell needs, or ``None`` if that is nothing now."""
         now = self._now()
--- a/clementinewall/gateway/placing.py
+++ b/clementinewall/gateway/placing.py
@@ -105,14 +105,8 @@
         options = self._options(exchange, is_probe, may_repeat=True)
         self._record_probe(options.known, options.chosen)
         is_begun = last is not None or exchange.call.takes_up
-        if options.is_shared and not is_begun:
-            options = self._admission.admit(
-                exchange,
-                options,
-                lambda: self._options(
-                    exchange, is_probe, urgency=placement.URGENCY_LATE
-                ),
-            )
+        if not is_begun:
+            options = self._admit(exchange, options, is_probe)
         demand, states, known, chosen, urgency, _ = options
         if isinstance(chosen, placement.Refusal):
             if not is_begun or not _is_worth_serving_late(chosen, exchange):
@@ -150,6 +144,23 @@
             demand.prefill_scale,
         )
 
+    def _admit(self, exchange, options, is_probe):
+        """Return the options by which a new request is served, or refused."""
+        if not options.is_shared:
+            return self._admission.admit_size(exchange, options)
+        return self._admission.admit(
+            exchange,
+            options,
+            lambda: self._options(
+                exchange, is_probe, urgency=placement.URGENCY_LATE
+            ),
+        )
+
+    def record_unserved(self, exchange):
+        """Record that a request that was placed has had no event."""
+        if not exchange.call.takes_up:
+            self._admission.record_unserved(exchange)
+
     def can_place_again(self, exchange, left_id=None):
         """Tell whether responsive engines could take the request over now.
 
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -63,11 +63,22 @@
         :raises ClementinewallError: no engine answered the request.
         """
         await self._find_version(exchange)
+        self._crash_guard.check(exchange)
+        plan = self._placer.place(exchange, None)
+        try:
+            await self._run_placed(exchange, plan)
+        finally:
+            if exchange.first_event_ms is None:
+                self._placer.record_unserved(exchange)
+
+    async def _run_placed(self, exchange, plan):
+        """Answer the request by the plan, or by others if that fails."""
         stream = stream_answer.StreamAnswer(exchange)
         last = None
         while True:
-            self._crash_guard.check(exchange)
-            plan = self._placer.place(exchange, last)
+            if last is not None:
+                self._crash_guard.check(exchange)
+                plan = self._placer.place(exchange, last)
             self._drain.check_stream(exchange, plan.option.first_ms)
             spent = retry_costs.budgeted_sends(exchange, plan)
             if spent and not self._budgets.spend(
--- a/clementinewall/policy/room.py
+++ b/clementinewall/policy/room.py
@@ -21,9 +21,9 @@
 # Each customer is entitled to at least this fraction of an even split; it
 # exceeds the quarter that is promised for the same reason.
 MIN_EVEN_FRACTION = 0.3
-# The largest prompts are admitted late if their rate falls below this
+# Large prompts are admitted late if the rate of their size falls below this
 # fraction of that of all; half is promised.
-MIN_LARGE_RATE_FRACTION = 0.6
+MIN_LARGE_RATE_FRACTION = 0.65
 MIN_LARGE_DEFICIT = 0.5
 # Fewer requests than this don't show that a group is underserved.
 MIN_DEFICIT = 2.0
--- a/tests/admission/test_counts.py
+++ b/tests/admission/test_counts.py
@@ -155,3 +155,24 @@
             found.record(tokens, tokens < 19)
         self.assertTrue(found.is_underserved(20))
         self.assertFalse(found.is_underserved(3))
+
+    def test_the_fifth_below_the_largest_counts_by_itself(self):
+        # Load: the largest tenth is served, the fifth below it isn't.  Guards
+        # against sizes that lie between two rules.
+        found = sizes.Sizes()
+        for number in range(200):
+            tokens = number % 20 + 1
+            found.record(tokens, not 15 <= tokens <= 18)
+        self.assertTrue(found.is_underserved(16))
+        self.assertFalse(found.is_underserved(20))
+        self.assertFalse(found.is_underserved(3))
+
+    def test_prompts_without_an_event_are_not_served(self):
+        # Guards against admissions that count though nothing came of them.
+        found = sizes.Sizes()
+        for number in range(200):
+            tokens = number % 20 + 1
+            found.record(tokens, True)
+            if tokens >= 19:
+                found.withdraw(tokens)
+        self.assertTrue(found.is_underserved(20))
