Spread starts that share a processor, so that the first serve early

Seen by callers: on few processors nobody was served until all gateways of a fleet had started: a start takes 0.2 s of a processor, and processors are shared evenly. 24 starts on one processor had spent 5.3 of their 5.4 s when a quarter of them served.

Now a start first finds out with 8 ms of processor time how much of one is left for it, and waits for a random part of what all starts take if it is one of a crowd; those that still find many wait again. A slow machine, which stays as slow, is waited on once.

Gateways that serve nobody take less: a timer in place of a time limit in the exchange with peers, and a slower look for what a start waits for.

Weighed: longer rounds of heartbeats. 300 ms with two or three targets save a fifth of what 71 gateways take, and find 3,600 to 27,000 in a million running gateways silent (none now).

--- a/clementinewall/gateway/cache_sync.py
+++ b/clementinewall/gateway/cache_sync.py
@@ -13,7 +13,6 @@
 import anyio
 
 from clementinewall import clock
-from clementinewall import containment
 from clementinewall import errors
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import sending
@@ -26,7 +25,7 @@
 _log = logs.PartLog("cache")
 
 # The interval at which a starting gateway checks whether it can ask engines.
-START_POLL_INTERVAL_MS = 20
+START_POLL_INTERVAL_MS = 100
 # The intervals at which engines that were not asked yet are looked up, and at
 # which an engine that this gateway polls is asked for changes.
 SCAN_INTERVAL_MS = 250
@@ -134,9 +133,7 @@
         return self._ip == members.rendezvous(state.endpoint.id, pollers)[0]
 
     async def _ask_contained(self, state, cursor):
-        with containment.contained(
-            _log, "a cache request", engine=state.endpoint.id
-        ):
+        with _log.contained("a cache request", engine=state.endpoint.id):
             await self._ask(state, cursor)
 
     async def _ask(self, state, cursor):
--- a/clementinewall/gateway/main.py
+++ b/clementinewall/gateway/main.py
@@ -21,9 +21,8 @@
 import gc
 import importlib
 
-import docopt
-
 from clementinewall import signals
+from clementinewall import start_pacing
 
 
 def main():
@@ -31,11 +30,12 @@
     inbox = signals.catch()
     # What is loaded stays, so that looking for garbage among it is in vain.
     gc.disable()
-    options = docopt.docopt(__doc__)
+    paced_ms = start_pacing.pace()
+    options = importlib.import_module("docopt").docopt(__doc__)
     # Imported after signals are caught: the import takes a while, and a signal
     # that arrives during it would otherwise kill the process.
     startup = importlib.import_module("clementinewall.gateway.startup")
-    startup.main(options, inbox)
+    startup.main(options, inbox, paced_ms)
 
 
 if __name__ == "__main__":
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -6,6 +6,8 @@
 be lost or late and peers unreachable; no guarantee to callers depends on them.
 """
 
+import asyncio
+
 import anyio
 
 from clementinewall import clock
@@ -149,14 +151,28 @@
         try:
             while True:
                 self._send()
-                await anyio.sleep(clock.seconds(self._gap_ms()))
-                with anyio.move_on_after(clock.seconds(self._idle_wait_ms())):
-                    await self._wake.wait()
-                self._wake = anyio.Event()
+                await self._wait_for_work()
         finally:
             self._datagrams.close()
             self._datagrams = None
 
+    async def _wait_for_work(self):
+        """Wait until there may be something to send, and for the gap."""
+        gap_end = self._now() + self._gap_ms()
+        limit_ms = max(self._gap_ms(), self._idle_wait_ms())
+        # A timer costs less than a time limit, whose end is an exception.
+        timer = asyncio.get_running_loop().call_later(
+            clock.seconds(limit_ms), self._wake.set
+        )
+        try:
+            await self._wake.wait()
+        finally:
+            timer.cancel()
+        gap_left_ms = gap_end - self._now()
+        if gap_left_ms > 0:
+            await anyio.sleep(clock.seconds(gap_left_ms))
+        self._wake = anyio.Event()
+
     def _idle_wait_ms(self):
         """Return how long to wait for new work before the next send."""
         now = self._now()
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -12,7 +12,6 @@
 from clementinewall.admission import controller
 from clementinewall.backpressure import holdings
 from clementinewall import clock
-from clementinewall import containment
 from clementinewall.gateway import budgets
 from clementinewall.gateway import cache_sync
 from clementinewall.gateway import callers
@@ -390,7 +389,7 @@
         gc.enable()
         while True:
             self._log_writer.flush()
-            with containment.contained(_log, "a sweep"):
+            with _log.contained("a sweep"):
                 self._sweep_once()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -11,7 +11,6 @@
 import anyio
 
 from clementinewall import clock
-from clementinewall import containment
 from clementinewall import domain
 from clementinewall.duties import lease as lease_module
 from clementinewall import errors
@@ -83,7 +82,7 @@
         """Poll until cancelled."""
         while True:
             await anyio.sleep(clock.seconds(self.poll_interval_ms()))
-            with containment.contained(_log, "a look at the stages"):
+            with _log.contained("a look at the stages"):
                 await self.poll()
 
     def poll_interval_ms(self):
--- a/clementinewall/gateway/startup.py
+++ b/clementinewall/gateway/startup.py
@@ -10,14 +10,22 @@
 from clementinewall.scaling import limits
 
 
-def main(options, inbox):
-    """Read the settings and run the gateway, or only check the settings."""
+_log = logs.PartLog("gateway")
+
+
+def main(options, inbox, paced_ms=0.0):
+    """Read the settings and run the gateway, or only check the settings.
+
+    ``paced_ms`` is for how long the start waited for others.
+    """
     read = functools.partial(_read_settings, options)
     settings = lifecycle.load(read)
     if options["--check"]:
         print(f"{options['--settings'] or 'settings'}: good")
         return
     log_writer = logs.to_standard_output(settings.instance)
+    if paced_ms:
+        _log.info("start waited for others", paced_ms=round(paced_ms))
     life = lifecycle.Lifecycle(inbox, settings, read)
     lifecycle.run(
         functools.partial(program.run, log_writer), life, log_writer.flush
--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -11,7 +11,6 @@
 import anyio
 
 from clementinewall import clock
-from clementinewall import containment
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
@@ -54,7 +53,7 @@
     async def run(self):
         """Follow the endpoints until cancelled."""
         while True:
-            with containment.contained(_log, "a look at the versions"):
+            with _log.contained("a look at the versions"):
                 await self._poll_or_wait()
             await anyio.sleep(clock.seconds(POLL_INTERVAL_MS))
 
--- /dev/null
+++ b/clementinewall/start_pacing.py
@@ -0,0 +1,73 @@
+"""Spreads starts that share a processor.
+
+Where many processes start at the same moment on few processors, these are
+shared evenly, and nobody is ready before all starts have been paid for.  So a
+process that finds little of a processor left for it waits for a random part of
+the time that all starts take: those that don't wait long are ready early and
+serve, and the work of all is done in the same time.
+
+Loaded before everything else, so it imports next to nothing.
+"""
+
+import math
+import os
+import time
+
+# Processor time that is spent to find out how much of one there is.  It spans
+# several turns of a process among others.
+PROBE_MS = 8
+# With fewer processes that share a processor, waiting gains nothing.
+MIN_SHARERS = 4
+# What a start still takes of a processor after the probe, and by how much the
+# starts are spread further than they take.
+START_MS = 200
+SPREAD = 1.1
+# Those that still find many wait again, unless it wasn't a crowd: a slow
+# machine stays as slow.
+MAX_WAITS = 4
+CROWD_FRACTION = 0.8
+MAX_WAIT_MS = 12_000
+
+
+def wait_ms(sharers, before, part):
+    """Return for how many ms a start waits.
+
+    ``sharers`` is the number of processes that share the processor and
+    ``before`` what it was before the last wait, ``part`` a number from 0 to 1
+    that differs between processes.
+    """
+    if sharers < MIN_SHARERS or sharers > CROWD_FRACTION * before:
+        return 0.0
+    return part * SPREAD * (sharers - 1) * START_MS
+
+
+def count_sharers(
+    monotonic_ns=time.monotonic_ns, process_time_ns=time.process_time_ns
+):
+    """Return how many processes seem to share the processor, 1 or more."""
+    began, used = monotonic_ns(), process_time_ns()
+    spent = 0
+    while spent < PROBE_MS * 1_000_000:
+        spent = process_time_ns() - used
+    return max(1.0, (monotonic_ns() - began) / spent)
+
+
+def pace(sharers=count_sharers, sleep=time.sleep):
+    """Wait while a crowd starts here; return the ms waited."""
+    before = math.inf
+    waited_ms = 0.0
+    for _ in range(MAX_WAITS):
+        found = sharers()
+        left_ms = min(
+            wait_ms(found, before, _random_part()), MAX_WAIT_MS - waited_ms
+        )
+        if left_ms <= 0:
+            break
+        sleep(left_ms / 1_000)
+        waited_ms += left_ms
+        before = found
+    return waited_ms
+
+
+def _random_part():
+    return int.from_bytes(os.urandom(4), "big") / 2**32
--- a/tests/gateway/test_fleet_view.py
+++ b/tests/gateway/test_fleet_view.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -43,6 +44,16 @@
         """Return the ids of the endpoints that are known."""
         return sorted(self.fleet_view.endpoint_by_id)
 
+    def test_a_fault_in_applying_a_record_costs_that_record(self):
+        # Guards against the next entry that passes the decoder and fails.
+        versions = self.fleet_view.versions
+        with mock.patch.object(
+            versions, "apply", autospec=True, side_effect=RuntimeError
+        ):
+            self.fleet_view.apply_endpoint(endpoint(0, "e1"))
+        self.fleet_view.apply_endpoint(endpoint(1, "e2"))
+        self.assertEqual(self.usable(), ["e2"])
+
     @hypothesis.given(strategies.permutations(range(6)))
     @hypothesis.settings(derandomize=True)
     def test_configuration_is_never_reverted(self, order):
--- a/tests/integration/test_gateway_start_cost.py
+++ b/tests/integration/test_gateway_start_cost.py
@@ -121,8 +121,13 @@
             what="a quarter of the gateways",
         )
         spent = self.cpu_seconds(*names)
-        self._wait_until_ready(names)
+        bringup.wait_until(
+            lambda: self._count_ready(names) == CROWD,
+            seconds=240,
+            what="all gateways",
+        )
         started = [self._start_seconds(name) for name in names]
+        print("SPENT", spent, sum(started))
         self.assertLessEqual(spent, SPENT_FRACTION * sum(started), started)
 
     def _count_ready(self, names):
