A connection whose last answer could pass for a later one isn't reused

Cause: an error answer may lack the attempt id, and the gateway's own calls have none to echo. A late second copy of such an answer came where the answer to a caller's request was expected, on the connection that both share.

Now a connection is closed after an error without an attempt id, whoever it was for; successes without one were never taken for an answer.

--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -204,7 +204,9 @@
                 absent=True,
             )
         self.has_failed = False
-        if link.prepare_reuse(self._now()):
+        if calls.is_repeat_recognized(head) and link.prepare_reuse(
+            self._now()
+        ):
             return link
         self._pool.discard(link)
         return await self._connect(self._pool.connect)
@@ -248,7 +250,12 @@
         connect = self._pool.connect_directly if fresh else self._pool.acquire
         link = await self._connect(connect)
         return await self._pool.exchange(
-            link, request, max_bytes, fresh, self.apply_answer
+            link,
+            request,
+            max_bytes,
+            fresh,
+            self.apply_answer,
+            calls.is_repeat_recognized,
         )
 
     def _check_rest(self):
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -196,7 +196,11 @@
 
 
 def _release_link(state, link, sent):
-    if sent is not None and sent.is_complete:
+    if (
+        sent is not None
+        and sent.is_complete
+        and calls.is_repeat_recognized(sent.head)
+    ):
         state.release_link(link)
     else:
         state.discard_link(link)
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -327,11 +327,18 @@
         return await self.exchange(link, request, max_bytes, fresh)
 
     async def exchange(
-        self, link, request, max_bytes, fresh=False, on_head=None
+        self,
+        link,
+        request,
+        max_bytes,
+        fresh=False,
+        on_head=None,
+        may_reuse=lambda head: True,
     ):
         """Send a request on an acquired link; as :meth:`send_request`.
 
-        ``on_head`` is called with the head before the body is read.
+        ``on_head`` is called with the head before the body is read, and
+        ``may_reuse(head)`` tells whether the link may serve another request.
         """
         try:
             await link.send(request)
@@ -342,7 +349,7 @@
         except BaseException:
             self.discard(link)
             raise
-        if fresh:
+        if fresh or not may_reuse(head):
             self.discard(link)
         else:
             self.release(link)
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -295,6 +295,14 @@
     return echoed.decode("latin-1") == call.attempt
 
 
+def is_repeat_recognized(head):
+    """Tell whether a second copy of an answer isn't taken for another's.
+
+    A late one may come where the answer to the next request is expected.
+    """
+    return head.status < 400 or head.header(ATTEMPT_HEADER) is not None
+
+
 def reports_not_run(head):
     """Tell whether the endpoint reports that it has not run the request."""
     return is_misdirected(head) or head.header(_NOT_RUN_HEADER) is not None
