--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -9,6 +9,7 @@
 from bench.soak import duties
 from bench.soak import endpoint_faults
 from bench.soak import harmful_parts
+from bench.soak import odd_entries
 from bench.soak import partitions
 from bench.soak import planned_work
 from bench.soak import rejoins
@@ -65,6 +66,9 @@
 # Requests that crash engines; drawn by a generator of its own, too.
 PART_KINDS = {"harmful-part": harmful_parts.send_series}
 PART_GAP_SECONDS = (4.0, 10.0)
+# Entries of another writer; drawn by a generator of its own, too.
+ENTRY_KINDS = {"odd-entry": odd_entries.write}
+ENTRY_GAP_SECONDS = (1.0, 4.0)
 # The loss of all gateways leaves little undisturbed, so it is drawn only when
 # it is asked for; by a generator of its own, too.
 RESTART_KINDS = {"lose-all": restarts.lose_all}
@@ -83,6 +87,7 @@
     **ENDPOINT_KINDS,
     **PARTITION_KINDS,
     **PART_KINDS,
+    **ENTRY_KINDS,
     **RESTART_KINDS,
     **DUTY_KINDS,
     **REJOIN_KINDS,
@@ -115,6 +120,7 @@
         self._endpoint_rng = random.Random(f"endpoints {seed}")
         self._partition_rng = random.Random(f"partitions {seed}")
         self._part_rng = random.Random(f"parts {seed}")
+        self._entry_rng = random.Random(f"entries {seed}")
         self._restart_rng = random.Random(f"restarts {seed}")
         self._duty_rng = random.Random(f"duties {seed}")
         self._rejoin_rng = random.Random(f"rejoins {seed}")
@@ -142,6 +148,7 @@
                     self._inject_endpoint_faults,
                     self._inject_partitions,
                     self._inject_parts,
+                    self._inject_entries,
                     self._inject_restarts,
                     self._inject_duty_faults,
                     self._inject_rejoins,
@@ -227,6 +234,17 @@
             kinds = [kind for kind in self._only if kind in PART_KINDS]
         self._inject_series(rng, kinds, inject, PART_GAP_SECONDS)
 
+    def _inject_entries(self):
+        rng = self._entry_rng
+
+        def inject(kind):
+            return ENTRY_KINDS[kind](self._deployment, rng)
+
+        kinds = [] if self._planned else sorted(ENTRY_KINDS)
+        if self._only:
+            kinds = [kind for kind in self._only if kind in ENTRY_KINDS]
+        self._inject_series(rng, kinds, inject, ENTRY_GAP_SECONDS)
+
     def _inject_restarts(self):
         rng = self._restart_rng
 
--- a/clementinewall/gateway/main.py
+++ b/clementinewall/gateway/main.py
@@ -30,7 +30,7 @@
     inbox = signals.catch()
     # What is loaded stays, so that looking for garbage among it is in vain.
     gc.disable()
-    paced_ms = start_pacing.pace()
+    paced_ms = start_pacing.pace(inbox.wait)
     options = importlib.import_module("docopt").docopt(__doc__)
     # Imported after signals are caught: the import takes a while, and a signal
     # that arrives during it would otherwise kill the process.
--- a/clementinewall/signals.py
+++ b/clementinewall/signals.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import select
 import signal
 
 _NAMES = (
@@ -43,6 +44,10 @@
         for number in CAUGHT:
             signal.signal(number, _do_nothing)
 
+    def wait(self, seconds):
+        """Wait until a signal has arrived, at most ``seconds``."""
+        select.select([self.descriptor], [], [], seconds)
+
     def read(self):
         """Return the numbers of the signals that arrived, without waiting."""
         try:
--- a/clementinewall/start_pacing.py
+++ b/clementinewall/start_pacing.py
@@ -52,8 +52,11 @@
     return max(1.0, (monotonic_ns() - began) / spent)
 
 
-def pace(sharers=count_sharers, sleep=time.sleep):
-    """Wait while a crowd starts here; return the ms waited."""
+def pace(wait, sharers=count_sharers):
+    """Wait while a crowd starts here; return the ms that were due.
+
+    ``wait(seconds)`` may return early if the process has to stop.
+    """
     before = math.inf
     waited_ms = 0.0
     for _ in range(MAX_WAITS):
@@ -63,7 +66,7 @@
         )
         if left_ms <= 0:
             break
-        sleep(left_ms / 1_000)
+        wait(left_ms / 1_000)
         waited_ms += left_ms
         before = found
     return waited_ms
--- a/tests/integration/test_gateway_odd_entries.py
+++ b/tests/integration/test_gateway_odd_entries.py
@@ -2,59 +2,13 @@
 
 import json
 
+from bench.soak import odd_entries
 from standins import bringup
 from standins import scripted
 from tests.integration import gateway_base
 
 GATEWAYS = 2
 ENGINES = 3
-SOUND = {
-    "service": "model",
-    "address": "127.0.0.1:9",
-    "zone": "a",
-    "version": "v1",
-    "slot_count": 16,
-    "state": "ready",
-    "stage": "prefill",
-    "sequence": 1,
-    "born": 1_000,
-}
-
-
-def _nested(depth):
-    return json.loads("[" * depth + "]" * depth)
-
-
-ODD_FIELDS = (
-    {"address": "127.0.0.1:٩"},
-    {"address": "127.0.0.1:70000"},
-    {"address": "127.0.0.1:0"},
-    {"address": "::1%\ufffd\ufffd:9"},
-    {"address": "fe80::1%" + "x" * 300 + ":9"},
-    {"stage": _nested(900)},
-    {"stage": {"a": _nested(400)}},
-    {"stage": "sideways"},
-    {"other": _nested(900)},
-    {"slot_count": 2**70},
-    {"slot_count": 2**63},
-    {"slot_count": -1},
-    {"born": 2**62},
-    {"born": -(2**62)},
-    {"version": "v" * 200_000},
-    {"version": "v\nv"},
-    {"version": "\ud800"},
-    {"zone": "\ud800"},
-    {"zone": ["a"]},
-    {"service": "model\r\nX: y"},
-)
-ODD_IDS = (
-    "\x00",
-    "!\r\nX: y",
-    " engine",
-    "engine-0\x00\ufffd",
-    "é",
-    "x" * 250,
-)
 
 
 class OddEntries(gateway_base.GatewayCase):
@@ -98,18 +52,18 @@
 
     def test_no_field_ends_a_process(self):
         # Guards against fields that pass the decoder and fail where they act.
-        for number, fields in enumerate(ODD_FIELDS):
+        for number, fields in enumerate(odd_entries.ODD_FIELDS):
             self.put(
                 gateway_base.ENDPOINTS_TOPIC,
                 f"odd-{number}",
-                json.dumps({**SOUND, **fields}).encode(),
+                json.dumps({**odd_entries.SOUND, **fields}).encode(),
             )
         self.check_all_follow()
 
     def test_no_id_ends_a_process(self):
         # Guards against ids that no header can carry.
-        for name in ODD_IDS:
-            row = {**SOUND, "address": self.address}
+        for name in odd_entries.ODD_IDS:
+            row = {**odd_entries.SOUND, "address": self.address}
             self.put(gateway_base.ENDPOINTS_TOPIC, name, row)
         bringup.wait_until(self._is_ordered, seconds=15, what="an order")
         self.check_all_follow()
@@ -123,7 +77,12 @@
         self.put(
             gateway_base.ENDPOINTS_TOPIC,
             "app-1",
-            {**SOUND, "service": "app", "stage": None, "born": 2**52},
+            {
+                **odd_entries.SOUND,
+                "service": "app",
+                "stage": None,
+                "born": 2**52,
+            },
         )
         sound = self.endpoint("app-1", self._answer, born=1_700_000_000_000)
         self.check_all_follow()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -45,6 +45,11 @@
         # kinds of fault showed it first.
         self.check(12, "leave", "crash", "publish")
 
+    def test_odd_entries_beside_kills(self):
+        # Guards against entries of another writer that end gateways.
+        history = self.check(660, "odd-entry", "kill", "publish")
+        self.assertTrue(any("odd entry" in what for _, what in history.faults))
+
     def test_stops_and_cut_connections(self):
         self.check(2, "term", "proxy", "store")
 
--- a/tests/test_start_pacing.py
+++ b/tests/test_start_pacing.py
@@ -1,5 +1,7 @@
 """How starts that share a processor are spread."""
 
+import subprocess
+import sys
 import unittest
 
 from clementinewall import start_pacing
@@ -12,7 +14,7 @@
         """Return the waits of a start that finds so many sharers in turn."""
         waits = []
         sharers = iter(found)
-        waited_ms = start_pacing.pace(lambda: next(sharers), waits.append)
+        waited_ms = start_pacing.pace(waits.append, lambda: next(sharers))
         self.assertAlmostEqual(waited_ms, 1_000 * sum(waits))
         return waits
 
@@ -47,6 +49,19 @@
                 sum(waits), start_pacing.MAX_WAIT_MS / 1_000 + 0.001
             )
 
+    def test_a_signal_ends_the_wait(self):
+        # Guards against a stop that waits for the starts of others.
+        code = (
+            "from clementinewall import signals; inbox = signals.catch();"
+            "print('caught', flush=True); inbox.wait(20)"
+        )
+        with subprocess.Popen(
+            [sys.executable, "-c", code], stdout=subprocess.PIPE
+        ) as waiting:
+            waiting.stdout.readline()
+            waiting.terminate()
+            self.assertEqual(waiting.wait(10), 0)
+
     def test_a_process_alone_finds_few_sharers(self):
         # Guards against a probe that takes its own work for that of others.
         clock = iter(range(0, 10**9, 10**6))
