Spread starts within the time that all of them take

Waiting again after the first wait put the last of 71 starts on two processors off to 14.5 s, and all gateways had taken 30.3 s of a processor by then, where test_a_large_site_returns_on_two_processors allows 30. All waits of a start end now within the time over which the first one was drawn.

--- a/clementinewall/start_pacing.py
+++ b/clementinewall/start_pacing.py
@@ -9,7 +9,6 @@
 Loaded before everything else, so it imports next to nothing.
 """
 
-import math
 import os
 import time
 
@@ -22,23 +21,21 @@
 # starts are spread further than they take.
 START_MS = 200
 SPREAD = 1.1
-# Those that still find many wait again, unless it wasn't a crowd: a slow
-# machine stays as slow.
+# Those that still find many wait again, within the same time, unless it wasn't
+# a crowd: a slow machine stays as slow.
 MAX_WAITS = 4
 CROWD_FRACTION = 0.8
 MAX_WAIT_MS = 12_000
 
 
-def wait_ms(sharers, before, part):
-    """Return for how many ms a start waits.
+def window_ms(sharers):
+    """Return for how many ms the starts of so many processes are spread.
 
-    ``sharers`` is the number of processes that share the processor and
-    ``before`` what it was before the last wait, ``part`` a number from 0 to 1
-    that differs between processes.
+    ``sharers`` is the number of processes that share the processor.
     """
-    if sharers < MIN_SHARERS or sharers > CROWD_FRACTION * before:
+    if sharers < MIN_SHARERS:
         return 0.0
-    return part * SPREAD * (sharers - 1) * START_MS
+    return min(MAX_WAIT_MS, SPREAD * (sharers - 1) * START_MS)
 
 
 def count_sharers(
@@ -57,17 +54,19 @@
 
     ``wait(seconds)`` may return early if the process has to stop.
     """
-    before = math.inf
+    before = sharers()
+    end_ms = window_ms(before)
     waited_ms = 0.0
+    found = before
     for _ in range(MAX_WAITS):
-        found = sharers()
-        left_ms = min(
-            wait_ms(found, before, _random_part()), MAX_WAIT_MS - waited_ms
-        )
+        left_ms = min(window_ms(found) * _random_part(), end_ms - waited_ms)
         if left_ms <= 0:
             break
         wait(left_ms / 1_000)
         waited_ms += left_ms
+        found = sharers()
+        if found > CROWD_FRACTION * before:
+            break
         before = found
     return waited_ms
 
--- a/tests/test_start_pacing.py
+++ b/tests/test_start_pacing.py
@@ -35,7 +35,8 @@
 
     def test_a_crowd_that_dissolves_is_waited_for_again(self):
         # Guards against many that end their first wait together.
-        self.assertEqual(len(self.paced(40.0, 20.0, 10.0, 2.0)), 3)
+        counts = {len(self.paced(40.0, 20.0, 10.0, 2.0)) for _ in range(99)}
+        self.assertEqual(max(counts), 3)
 
     def test_a_slow_machine_is_no_crowd(self):
         # Guards against waits that gain nothing, as nobody else starts.
@@ -44,7 +45,11 @@
     def test_all_waits_together_are_bounded(self):
         # Guards against a start that never comes to its turn.
         for _ in range(50):
-            waits = self.paced(4_000.0, 2_000.0, 900.0, 400.0)
+            waits = self.paced(40.0, 20.0, 10.0, 5.0, 4.0)
+            self.assertLessEqual(
+                sum(waits), start_pacing.window_ms(40.0) / 1_000 + 0.001
+            )
+            waits = self.paced(4_000.0, 2_000.0, 900.0, 400.0, 200.0)
             self.assertLessEqual(
                 sum(waits), start_pacing.MAX_WAIT_MS / 1_000 + 0.001
             )
