A start in the future decides only between two records of an endpoint

A gateway whose own time of day is wrong by more than an hour would have dropped every endpoint. Now the time of day only tells which of two records of one endpoint holds: one of the future gives way to the next one.

--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -180,7 +180,7 @@
             self._remove(record.key, record.offset)
             return True
         try:
-            found = self._decoded(record)
+            found = records.endpoint(record.key, record.value)
         except errors.BadRecord as exc:
             _log.warning(
                 "invalid endpoint record; endpoint dropped",
@@ -192,7 +192,7 @@
             return True
         known = self.endpoint_by_id.get(record.key)
         lapsed = self._lapse_end_by_id.pop(record.key, None)
-        if known is not None and found.incarnation < known.incarnation:
+        if self._is_superseded(found, known):
             _log.warning(
                 "record of an earlier incarnation ignored",
                 endpoint=record.key,
@@ -221,16 +221,15 @@
             )
         return is_update
 
-    def _decoded(self, record):
-        """Return the endpoint that a record describes.
+    def _is_superseded(self, found, known):
+        """Tell whether a record is that of an earlier process.
 
-        :raises BadRecord: it can't be used.
+        A start in the future is another writer's word, and would keep out the
+        records of the process that runs.
         """
-        found = records.endpoint(record.key, record.value)
-        # Each later record would count as that of an earlier process.
-        if found.incarnation > self._time_of_day() + MAX_AHEAD_MS:
-            raise errors.BadRecord("the endpoint was started in the future")
-        return found
+        if known is None or found.incarnation >= known.incarnation:
+            return False
+        return known.incarnation <= self._time_of_day() + MAX_AHEAD_MS
 
     def apply_fleet_snapshot(self, batch):
         """Apply the newest record of each endpoint.
