--- a/clementinewall/start_pacing.py
+++ b/clementinewall/start_pacing.py
@@ -21,9 +21,9 @@
 # With fewer that are left, waiting again gains nothing.
 MIN_SHARERS = 4
 # What a start still takes of a processor after the probe, and by how much the
-# starts are spread further than they take.
+# starts are spread for as long as they take.
 START_MS = 200
-SPREAD = 1.6
+SPREAD = 0.9
 # Those that still find many wait again, within the same time, unless it wasn't
 # a crowd: a slow machine stays as slow.
 MAX_WAITS = 4
