--- a/clementinewall/start_pacing.py
+++ b/clementinewall/start_pacing.py
@@ -20,8 +20,8 @@
 MIN_CROWD = 10
 # With fewer that are left, waiting again gains nothing.
 MIN_SHARERS = 4
-# What a start still takes of a processor after the probe, and by how much the
-# starts are spread for as long as they take.
+# What a start still takes of a processor after the probe, and over which part
+# of what all starts take they are spread.
 START_MS = 200
 SPREAD = 0.9
 # Those that still find many wait again, within the same time, unless it wasn't
