Guard each layer below an odd address by a test of its own

Change: a decoded address can be connected to, for hypothesis' addresses; an address that can't be used is a failed connection. With the decoder's check taken out, a gateway logged a traceback of h11.LocalProtocolError from a tunnel: a request to a relay that can't be written is a failed connection now. A connection that is reset while it is set up is one, too.

Seen failing by hand: without the decoder's check the first; without connect's handler the second in 4 of its 4 cases. Without all three layers gateways end in the tests of real processes.

--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -300,6 +300,10 @@
         self.open_links += 1
         try:
             stream = await open_stream()
+            # Fails if the connection was reset meanwhile.
+            stream.raw_socket.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+            )
         except (OSError, TimeoutError) as exc:
             self.open_links -= 1
             raise LinkBroken(
@@ -310,9 +314,6 @@
         except BaseException:
             self.open_links -= 1
             raise
-        stream.raw_socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-        )
         return Link(stream, self._now())
 
     async def send_request(self, request, max_bytes, fresh=False):
--- a/clementinewall/http1/tunnel.py
+++ b/clementinewall/http1/tunnel.py
@@ -109,7 +109,8 @@
     Both are addresses, as ``IP:port``.
 
     :raises NotConnected: the relay has no connection to the endpoint.
-    :raises OSError, TimeoutError: the relay does not answer.
+    :raises OSError, TimeoutError: the relay does not answer, or the endpoint
+        has an address that can't be sent.
     """
     with anyio.fail_after(clock.seconds(limit_ms)):
         stream = await streams.connect(relay, limit_ms)
@@ -117,13 +118,14 @@
         try:
             status = await _request_tunnel(stream, endpoint)
             is_open = status == 200
-        except (anyio.BrokenResourceError, h11.RemoteProtocolError) as exc:
+        except (anyio.BrokenResourceError, h11.ProtocolError) as exc:
             raise ConnectionResetError(f"no tunnel: {exc!r}") from exc
         finally:
             if not is_open:
                 stream.abort()
     if not is_open:
         raise NotConnected(status)
+    # Fails if the connection was reset meanwhile.
     stream.detect_loss(LOSS_TIMEOUT_MS)
     return TunnelStream(stream, relay.rpartition(":")[0])
 
--- a/tests/http1/test_stream.py
+++ b/tests/http1/test_stream.py
@@ -49,6 +49,17 @@
 
         anyio.run(run)
 
+    def test_an_address_that_cant_be_used_is_a_failed_connection(self):
+        # Guards against errors of a resolver that nobody expects.
+        for address in (
+            "::1%\ufffd\ufffd:8080",
+            "fe80::1%" + "x" * 300 + ":80",
+            "127.0.0.1:70000",
+            "127.0.0.1:",
+        ):
+            with self.subTest(address), self.assertRaises(OSError):
+                anyio.run(streams.connect, address, 1_000)
+
     def test_receive_from_unresponsive_peer_times_out(self):
         """A request would wait until its deadline for a peer that lost power.
 
--- a/tests/http1/test_tunnel.py
+++ b/tests/http1/test_tunnel.py
@@ -43,6 +43,12 @@
             stream = await tunnel.open_tunnel(self.address, ENDPOINT, limit_ms)
         return stream, relay
 
+    async def test_an_address_that_cant_be_sent_is_a_failed_connection(self):
+        # Guards against an error that ends the search for another way.
+        for address in ("::1%\ufffd:80", "fe80::1% x:80", "10.0.0.1\r\n:80"):
+            with self.subTest(address), self.assertRaises(OSError):
+                await tunnel.open_tunnel(self.address, address, 2_000)
+
     async def test_bytes_pass_both_ways(self):
         stream, relay = await self.open()
         self.assertTrue(
--- a/tests/platform/test_others_data.py
+++ b/tests/platform/test_others_data.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 import time
 import unittest
 
@@ -114,6 +115,19 @@
         for text in (found.id, found.service, found.version):
             self.assertLessEqual(len(text), domain.MAX_TEXT)
 
+    @examples(300)
+    @hypothesis.given(ADDRESSES)
+    def test_a_decoded_address_can_be_connected_to(self, address):
+        # Guards against addresses that only a resolver of names refuses.
+        try:
+            found = records.endpoint("engine-1", entry({"address": address}))
+        except errors.BadRecord:
+            return
+        host, _, port = found.address.rpartition(":")
+        is_ipv6 = ":" in host
+        socket.inet_pton(socket.AF_INET6 if is_ipv6 else socket.AF_INET, host)
+        self.assertIn(int(port.encode("ascii")), range(1, 65_536))
+
     @examples(200)
     @hypothesis.given(st.lists(st.tuples(IDS, CHANGED), max_size=4))
     def test_one_entry_never_costs_another(self, rows):
