Read sizes of prompt parts as ASCII digits

Any digit of Unicode passed str.isdigit, and int() then raised or made a size of it. A part whose size can't be read is left out, as before.

--- a/clementinewall/http1/messages.py
+++ b/clementinewall/http1/messages.py
@@ -77,13 +77,13 @@
 
 
 def parse_integer(value, default=None):
-    """Return a header's value as an integer of at most 18 digits.
+    """Return a header's value, bytes or text, as an integer.
 
-    Any other value gives ``default``.
+    Any but 18 ASCII digits at most gives ``default``.
     """
     if value is None:
         return default
     text = value.strip()
-    if not text.isdigit() or len(text) > 18:
+    if not (text.isascii() and text.isdigit()) or len(text) > 18:
         return default
     return int(text)
--- a/clementinewall/platform/calls.py
+++ b/clementinewall/platform/calls.py
@@ -140,8 +140,9 @@
     parts = []
     for entry in value.decode("latin-1").split(","):
         part, _, tokens = entry.strip().partition(":")
-        if part and tokens.isdigit():
-            parts.append(domain.PromptPart(part, int(tokens)))
+        size = messages.parse_integer(tokens)
+        if part and size is not None:
+            parts.append(domain.PromptPart(part, size))
     return tuple(parts)
 
 
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -93,6 +93,18 @@
             self.assertEqual(values(sent, name), [dict(_lower(HEADERS))[name]])
         self.assertEqual((sent.target, sent.body), (b"/chat/x?y=1", b"body"))
 
+    def test_sizes_that_are_no_numbers_name_no_parts(self):
+        # Guards against a caller whose request is closed without an answer.
+        for size in ("²", "٣", "-1", "1e3", "9" * 400, ""):
+            value = f"5c1e:{size},91bd:7".encode("latin-1", "replace")
+            headers = tuple(
+                (name, value if name == b"Prompt-Prefix" else known)
+                for name, known in HEADERS
+            )
+            request = messages.Request(b"POST", b"/chat/x", headers, b"")
+            found = calls.decode(request).prompt.parts
+            self.assertEqual(found, (domain.PromptPart("91bd", 7),))
+
     def test_fetch_source_is_sent_only_if_given(self):
         call = decode()
         holder = engine("keeper")
