--- a/clementinewall/duties/assembly.py
+++ b/clementinewall/duties/assembly.py
@@ -32,7 +32,10 @@
             settings, self._holder, peers.send_to
         )
         peers.listeners.append(self._collection.take)
-        self._tasks = [self._holder.run, self._collection.run]
+        self._task_by_name = {
+            "the lease of the duties": self._holder.run,
+            "the collection": self._collection.run,
+        }
         self.counter = None
         if service.reports_usage:
             self._add_usage(settings, ticker)
@@ -54,7 +57,7 @@
             self._live_ips,
             ticker,
         )
-        self._tasks.append(reporter.run)
+        self._task_by_name["usage reports"] = reporter.run
 
     def _add_scaling(self, settings, fleet_view, endpoints, now):
         def services():
@@ -74,16 +77,16 @@
             now,
             settings.engine_limits_by_service,
         )
-        self._tasks.append(found.run)
+        self._task_by_name["orders of engines"] = found.run
 
     def _live_ips(self):
         """Return the addresses of all gateways that are heard, and the own."""
         return {self._own_ip, *(peer.ip for peer in self._table.live())}
 
-    def start(self, group):
-        """Start the tasks in a task group."""
-        for task in self._tasks:
-            group.start_soon(task)
+    def start(self, start_task):
+        """Start the tasks, each by ``start_task(name, function)``."""
+        for name, task in self._task_by_name.items():
+            start_task(name, task)
 
     def count_begun(self, call):
         """Count a request that an endpoint began to run."""
--- a/clementinewall/duties/collection.py
+++ b/clementinewall/duties/collection.py
@@ -10,6 +10,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.gateway import peer_messages
 from clementinewall import logs
 
@@ -55,8 +56,11 @@
         """Send all candidates what they lack."""
         for ip in self._holder.candidates():
             for name, source in self._source_by_name.items():
-                for data in source.messages(ip):
-                    self._hand_over(ip, name, data)
+                with containment.contained(
+                    _log, "handing over to a candidate", source=name, to=ip
+                ):
+                    for data in source.messages(ip):
+                        self._hand_over(ip, name, data)
 
     def _hand_over(self, ip, name, data):
         if ip != self._own_ip:
--- a/clementinewall/duties/lease.py
+++ b/clementinewall/duties/lease.py
@@ -308,7 +308,7 @@
                 data.get("released") is True,
                 now,
             )
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        except records.DECODE_ERRORS as exc:
             _log.warning(
                 "unreadable claim, waiting until it has expired",
                 offset=record.offset,
--- a/clementinewall/entry/calls.py
+++ b/clementinewall/entry/calls.py
@@ -13,8 +13,10 @@
 import typing
 
 import anyio
+
 from clementinewall import _schema
 from clementinewall import _web
+from clementinewall import containment
 from clementinewall.endpoints import attempt
 from clementinewall.entry import crash_guard
 from clementinewall.entry import partition
@@ -336,7 +338,9 @@
         if known is None:
             known = partition.Partition(number, self._node)
             self._partition_by_number[number] = known
-            self._group.start_soon(known.run)
+            self._group.start_soon(
+                containment.keep_running, _log, "a partition", known.run
+            )
         return known
 
 
--- a/clementinewall/entry/loads.py
+++ b/clementinewall/entry/loads.py
@@ -17,6 +17,7 @@
 
 from clementinewall import _http
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.endpoints import reports
 from clementinewall import errors
 from clementinewall import logs
@@ -68,7 +69,13 @@
                     del self._tracker_by_id[name]
             async with anyio.create_task_group() as group:
                 for name in due_ids:
-                    group.start_soon(self._poll, name)
+                    group.start_soon(
+                        containment.run_once,
+                        _log,
+                        "a load report",
+                        self._poll,
+                        name,
+                    )
             jitter = random.uniform(0.8, 1.2)
             await anyio.sleep(clock.seconds(self._polls.load_ms) * jitter)
 
--- a/clementinewall/entry/partition.py
+++ b/clementinewall/entry/partition.py
@@ -10,6 +10,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall.log import client
 from clementinewall import logs
@@ -47,8 +48,11 @@
     async def run(self):
         """Follow the stream and commit until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._follow)
-            group.start_soon(self._commit)
+            for name, task in (
+                ("a follower of bookings", self._follow),
+                ("a writer of bookings", self._commit),
+            ):
+                group.start_soon(containment.keep_running, _log, name, task)
 
     def booking(self, key):
         """Return the booking of the key, or ``None``."""
--- a/clementinewall/entry/program.py
+++ b/clementinewall/entry/program.py
@@ -7,6 +7,7 @@
 from clementinewall import _schema
 from clementinewall import _web
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.entry import app
 from clementinewall.entry import calls
 from clementinewall.entry import crash_guard
@@ -57,9 +58,12 @@
         closed = self.node.closed
         async with anyio.create_task_group() as group:
             await self.node.run(group)
-            group.start_soon(self.loads.run)
-            group.start_soon(self.calls.run)
-            group.start_soon(self.relay.watch)
+            for name, task in (
+                ("load reports", self.loads.run),
+                ("bookings", self.calls.run),
+                ("the watchdog of streams", self.relay.watch),
+            ):
+                group.start_soon(containment.keep_running, _log, name, task)
             group.start_soon(_web.serve, control, listen.control, closed)
             group.start_soon(
                 _web.serve, self.callers.application(), listen.callers, closed
--- a/clementinewall/gateway/cache_sync.py
+++ b/clementinewall/gateway/cache_sync.py
@@ -13,6 +13,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall.gateway import endpoints as endpoints_module
 from clementinewall.gateway import sending
@@ -104,7 +105,14 @@
                 continue
             if cursor.next is None or self._is_poller(state, pollers):
                 cursor.is_asking = True
-                self._group.start_soon(self._ask_contained, state, cursor)
+                self._group.start_soon(
+                    containment.run_once,
+                    _log,
+                    "a cache request",
+                    self._ask,
+                    state,
+                    cursor,
+                )
         self._cursor_by_incarnation = cursor_by_incarnation
 
     def _engines(self):
@@ -132,10 +140,6 @@
     def _is_poller(self, state, pollers):
         return self._ip == members.rendezvous(state.endpoint.id, pollers)[0]
 
-    async def _ask_contained(self, state, cursor):
-        with _log.contained("a cache request", engine=state.endpoint.id):
-            await self._ask(state, cursor)
-
     async def _ask(self, state, cursor):
         """Request the changes, or the full list if the position is unknown."""
         cursor.next_request_at = self._now() + POLL_INTERVAL_MS
--- a/clementinewall/gateway/engine_views.py
+++ b/clementinewall/gateway/engine_views.py
@@ -61,7 +61,7 @@
         prefill=is_prefill,
         wait_ms=wait_ms,
         streams=work.streams,
-        slots=max(1, endpoint.slots),
+        slots=endpoint.slots,
         cached=state.cache.cached_prefix_tokens(prompt.parts[:-1]),
         slowness=_slowness(state, usable_stages),
         unreachable=state.is_unavailable(),
--- a/clementinewall/gateway/fleet_view.py
+++ b/clementinewall/gateway/fleet_view.py
@@ -9,6 +9,7 @@
 import collections
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import domain
 from clementinewall import errors
 from clementinewall.gateway import software_versions
@@ -117,7 +118,9 @@
 
     def apply_configuration(self, record):
         """Apply a record of the operators' topic; return whether it is new."""
-        with _log.contained("a configuration", offset=record.offset):
+        with containment.contained(
+            _log, "a configuration", offset=record.offset
+        ):
             return self._apply_configuration(record)
         return False
 
@@ -164,7 +167,7 @@
         Return whether gateways that know all earlier records need this one;
         a heartbeat that repeats the last record is not needed.
         """
-        with _log.contained("a record", offset=record.offset):
+        with containment.contained(_log, "a record", offset=record.offset):
             return self._apply_endpoint(record)
         # What is known of it otherwise may be what failed.
         self._lapse_end_by_id.pop(record.key, None)
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -12,6 +12,7 @@
 from clementinewall.admission import controller
 from clementinewall.backpressure import holdings
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.gateway import budgets
 from clementinewall.gateway import cache_sync
 from clementinewall.gateway import callers
@@ -218,7 +219,7 @@
     async def run(self):
         """Serve until SIGTERM; return the event that ended the draining."""
         settings = self._settings
-        start = self._group.start_soon
+        start = self._start
         configuration_follower = topic_followers.configuration_follower(
             *self._follower_arguments()
         )
@@ -227,16 +228,19 @@
         for follower in needed:
             follower.share_updates(self._peers.updates)
             follower.on_read = self._log_ready
-            start(follower.run)
-        start(self._join_peers, needed)
-        start(self._peers.run)
-        start(self._stage_manager.run)
-        start(self._cache_sync.run)
-        start(self._version_record.run)
-        start(self._origin_log.run)
-        start(self._sweep)
+        gc.freeze()
+        gc.enable()
+        start("the configuration's follower", configuration_follower.run)
+        start("the endpoints' follower", self._fleet_follower.run)
+        start("registration", lambda: self._join_peers(needed))
+        start("the exchange with peers", self._peers.run)
+        start("the stage manager", self._stage_manager.run)
+        start("the synchronisation of caches", self._cache_sync.run)
+        start("the record of versions", self._version_record.run)
+        start("the log of origins", self._origin_log.run)
+        start("sweeps", self._sweep)
         if self._duties is not None:
-            self._duties.start(self._group)
+            self._duties.start(start)
         caller_listener = await self._open(
             tcp.listen, settings.callers, self._callers.serve
         )
@@ -271,6 +275,10 @@
             return lifecycle.Event.OUT_OF_TIME
         return lifecycle.Event.DRAINED
 
+    def _start(self, name, function):
+        """Start a background task, which an unexpected fault doesn't end."""
+        self._group.start_soon(containment.keep_running, _log, name, function)
+
     def _confirmation(self):
         """Return what confirms the configuration, ``None`` if none needs it.
 
@@ -331,7 +339,7 @@
         # A store that is late with the registration delays no other gateway.
         follower.start_from(found.known)
         await registrar.register(found)
-        await follower.run()
+        self._start("the gateways' follower", follower.run)
 
     def _record_peers_read(self):
         """Record that all gateways that registered before are known."""
@@ -386,24 +394,31 @@
             await anyio.sleep(clock.seconds(POLL_MS))
 
     async def _sweep(self):
-        gc.freeze()
-        gc.enable()
         while True:
             self._log_writer.flush()
-            with _log.contained("a sweep"):
-                self._sweep_once()
+            for sweep in (
+                self._fleet_view.expire,
+                self._report_staleness,
+                self._update_cell,
+                self._endpoints.sweep,
+                self._relays.sweep,
+                self._origins.sweep,
+                self._sweep_crash_guard,
+                self._holdings.report,
+            ):
+                with containment.contained(_log, sweep.__qualname__):
+                    sweep()
             await anyio.sleep(clock.seconds(SWEEP_MS))
 
-    def _sweep_once(self):
-        self._fleet_view.expire()
+    def _report_staleness(self):
         if self._has_customers():
             self._freshness.log_if_stale()
+
+    def _update_cell(self):
         self._cell_membership.update(self._peers.table.members())
-        self._endpoints.sweep()
-        self._relays.sweep()
-        self._origins.sweep()
+
+    def _sweep_crash_guard(self):
         self._crash_guard.sweep(self._fleet_view)
-        self._holdings.report()
 
 
 def _cpu_ms():
--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -5,6 +5,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.http1 import tunnel
 from clementinewall import logs
 from clementinewall import metrics
@@ -54,11 +55,8 @@
         self._answer_by_address_and_ip = {}
 
     def start(self, function):
-        """Run a coroutine function in the background.
-
-        An exception would end the process; it is logged instead.
-        """
-        self._group.start_soon(_run_logged, function)
+        """Run a coroutine function in the background, contained."""
+        self._group.start_soon(containment.run_once, _log, "a check", function)
 
     def is_available(self, ip, address):
         """Return whether the gateway at ``ip`` may carry on tunnels.
@@ -112,14 +110,6 @@
                 del self._answer_by_address_and_ip[key]
 
 
-async def _run_logged(function):
-    try:
-        await function()
-    except Exception as exc:
-        _log.error("unexpected exception of a check", why=repr(exc))
-        logs.traceback(_log)
-
-
 class _Search:
     """Asks gateways, one shortly after the other, until one is connected."""
 
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -11,6 +11,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import domain
 from clementinewall.duties import lease as lease_module
 from clementinewall import errors
@@ -82,7 +83,7 @@
         """Poll until cancelled."""
         while True:
             await anyio.sleep(clock.seconds(self.poll_interval_ms()))
-            with _log.contained("a look at the stages"):
+            with containment.contained(_log, "a look at the stages"):
                 await self.poll()
 
     def poll_interval_ms(self):
@@ -207,16 +208,24 @@
                 for state in self._endpoints.of_service(service.name)
                 if endpoints_module.is_engine(state)
             ]
-            change = stages.plan(
-                [self._engine(state, peer_streams) for state in states]
-            )
-            if change is None:
-                continue
-            if self._is_blocked(service, states, change):
-                continue
-            return service, change
+            change = None
+            with containment.contained(
+                _log, "a plan of stages", service=service.name
+            ):
+                change = self._unblocked_change(service, states, peer_streams)
+            if change is not None:
+                return service, change
         return None
 
+    def _unblocked_change(self, service, states, peer_streams):
+        """Return the change that a service needs and that may be made."""
+        change = stages.plan(
+            [self._engine(state, peer_streams) for state in states]
+        )
+        if change is None or self._is_blocked(service, states, change):
+            return None
+        return change
+
     def _is_blocked(self, service, states, change):
         """Return whether too many engines are in cooldown for a change."""
         cooldown_by_id = {}
@@ -271,7 +280,7 @@
             state.endpoint.id,
             stage == domain.PREFILL,
             streams,
-            max(1, state.endpoint.slots),
+            state.endpoint.slots,
             is_unresponsive,
             state.endpoint.version,
         )
@@ -318,6 +327,11 @@
                 status = await self._send(state, change, report.orders)
         except (client.LinkBroken, TimeoutError, errors.BadRecord) as exc:
             self._handle_failure(state, exc, is_sent)
+        except Exception as exc:
+            # Without a cooldown this engine would be chosen again each time,
+            # and no other one would be changed.
+            containment.record(_log, "an order", exc, engine=change.id)
+            self._handle_failure(state, exc, is_sent)
         else:
             self._handle_response(service, state, change, status)
         if is_sent:
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -1,9 +1,11 @@
 """Relays model requests: placement, prefill, streaming and resumption."""
 
+import importlib
+
 from clementinewall.backpressure import engine_memory
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
-from clementinewall.gateway import prefill_handles
 from clementinewall.gateway import retry_costs
 from clementinewall.gateway import sending
 from clementinewall.gateway import silence_watch
@@ -154,9 +156,7 @@
             # It started to leave or asked for rest during the prefill on
             # another engine.
             if prefilled is not None:
-                self._group.start_soon(
-                    prefill_handles.free, plan.prefill_engine, prefilled
-                )
+                self._free(plan, prefilled)
             raise exchanges.AttemptFailed(
                 verdicts.Verdict.NOT_RUN,
                 "the engine takes no new work",
@@ -214,11 +214,24 @@
             if job is not None and not stream.has_first_event:
                 decode_engine.end_prompt(job, False)
             if prefilled is not None and not is_accepted:
-                self._group.start_soon(
-                    prefill_handles.free, plan.prefill_engine, prefilled
-                )
+                self._free(plan, prefilled)
         decode_engine.health.record_success()
 
+    def _free(self, plan, prefilled):
+        """Free the handle of a prefill in the background."""
+        # Few prefills are in vain, and loading it delays the start.
+        prefill_handles = importlib.import_module(
+            "clementinewall.gateway.prefill_handles"
+        )
+        self._group.start_soon(
+            containment.run_once,
+            _log,
+            "freeing a handle",
+            prefill_handles.free,
+            plan.prefill_engine,
+            prefilled,
+        )
+
     def _check_after_prefill(self, exchange, plan, prefilled):
         """Refuse a request that must not be run any more.
 
@@ -231,9 +244,7 @@
             self._drain.check_stream(exchange, 0)
             self._crash_guard.check(exchange)
         except (errors.Draining, errors.HarmfulRequest):
-            self._group.start_soon(
-                prefill_handles.free, plan.prefill_engine, prefilled
-            )
+            self._free(plan, prefilled)
             raise
 
     def _can_replace(self, exchange):
--- a/clementinewall/gateway/topic_followers.py
+++ b/clementinewall/gateway/topic_followers.py
@@ -12,6 +12,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall.gateway import topic_updates
 from clementinewall import logs
@@ -52,14 +53,15 @@
         settings,
         now,
         topic,
-        apply_snapshot,
         apply_record,
         cycle,
+        apply_snapshot=None,
         newest_first=False,
     ):
         """Apply what is read with the two callbacks.
 
-        ``apply_snapshot`` gets the newest records of all keys in a batch.
+        ``apply_snapshot`` gets the newest records of all keys in a batch; by
+        default ``apply_record`` gets each of them.
         ``apply_record`` gets one later record and returns whether peers must
         receive it.  With ``newest_first`` it gets the records of each read in
         that order, for topics where the newest record replaces all others.
@@ -67,8 +69,8 @@
         self._store = store.Store(settings.store, now, self._record_failure)
         self._now = now
         self._topic = topic
-        self._apply_snapshot = apply_snapshot
-        self._apply_record = apply_record
+        self._apply_snapshot = apply_snapshot or self._apply_each
+        self._apply_record_unchecked = apply_record
         self._cycle = cycle
         self._next = None
         self._started_at = now()
@@ -104,6 +106,21 @@
         self._synced_at = self._now()
         self._make_due(0)
 
+    def _apply_record(self, record):
+        """Apply a record; return whether peers must receive it.
+
+        One that can't be applied costs none of those after it.
+        """
+        with containment.contained(
+            _log, "a record of a topic", topic=self._topic, at=record.offset
+        ):
+            return self._apply_record_unchecked(record)
+        return True
+
+    def _apply_each(self, batch):
+        for record in batch.records:
+            self._apply_record(record)
+
     async def read_anew(self, limit_ms):
         """Return whether all that the store has now is known here.
 
@@ -243,18 +260,25 @@
         if self._updates is not None:
             update = self._recent_reads.add(start, batch.end, changed, away_ms)
             update = update._replace(asked_at=asked_at)
-            self._updates.send_update(update)
-            if changed and not update.whole:
-                self._updates.relay_update(
-                    topic_updates.TopicUpdate(
-                        self._topic,
-                        start,
-                        batch.end,
-                        tuple(changed),
-                        away_ms,
-                        asked_at=asked_at,
-                    )
+            with containment.contained(
+                _log, "an update of peers", topic=self._topic, at=start
+            ):
+                self._send(update, start, changed, away_ms)
+
+    def _send(self, update, start, changed, away_ms):
+        """Send peers an update, and relay what is too large for it."""
+        self._updates.send_update(update)
+        if changed and not update.whole:
+            self._updates.relay_update(
+                topic_updates.TopicUpdate(
+                    self._topic,
+                    start,
+                    update.end,
+                    tuple(changed),
+                    away_ms,
+                    asked_at=update.asked_at,
                 )
+            )
 
     def _notify_read(self):
         self.first_read.set()
@@ -281,7 +305,7 @@
         if missed_ms and self.on_store_recovered is not None:
             self.on_store_recovered(missed_ms)
         for record in update.records:
-            if record.offset >= self._next:
+            if self._next <= record.offset < update.end:
                 self._apply_record(record)
         self._next = update.end
         self._recent_reads.forget()
@@ -338,15 +362,10 @@
         fleet_view.apply_configuration(record)
         return record.key == records.CONFIGURATION_KEY
 
-    def apply_snapshot(batch):
-        for record in batch.records:
-            apply_record(record)
-
     return Follower(
         settings,
         now,
         records.CONFIGURATION_TOPIC,
-        apply_snapshot,
         apply_record,
         store_polling.PollCycle(
             int(
@@ -365,11 +384,11 @@
         settings,
         now,
         records.ENDPOINTS_TOPIC,
-        fleet_view.apply_fleet_snapshot,
         fleet_view.apply_endpoint,
         store_polling.PollCycle(
             0, int(settings.bounds.draining_ms * FLEET_GAP_FRACTION)
         ),
+        fleet_view.apply_fleet_snapshot,
     )
     follower.on_store_recovered = fleet_view.record_store_recovery
     follower.on_synced = fleet_view.record_fleet_read
@@ -381,16 +400,10 @@
 
     ``apply_record`` gets each record, also those of snapshots.
     """
-
-    def apply_snapshot(batch):
-        for record in batch.records:
-            apply_record(record)
-
     return Follower(
         settings,
         now,
         records.GATEWAYS_TOPIC,
-        apply_snapshot,
         apply_record,
         store_polling.PollCycle(0, PEERS_GAP_MS),
     )
--- a/clementinewall/logs.py
+++ b/clementinewall/logs.py
@@ -10,7 +10,6 @@
 """
 
 import collections
-import contextlib
 import importlib
 import json
 import sys
@@ -48,20 +47,6 @@
         """Log a failure."""
         self._log("ERROR", sentence, fields)
 
-    @contextlib.contextmanager
-    def contained(self, step, **fields):
-        """Log an unexpected exception of a step, and go on without it.
-
-        All tasks of a gateway share a task group, so an exception that leaves
-        one of them ends the process; and what others write is read by every
-        gateway, so one record would end them all.
-        """
-        try:
-            yield
-        except Exception as exc:
-            self.error(f"{step} failed unexpectedly", why=repr(exc), **fields)
-            traceback(self)
-
     def _log(self, level, sentence, fields):
         if level != "DEBUG":
             _recent.append((self._prefix, sentence, fields))
--- a/clementinewall/node.py
+++ b/clementinewall/node.py
@@ -15,6 +15,7 @@
 from clementinewall import _schema
 from clementinewall import _web
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall import lifecycle
 from clementinewall.log import client
@@ -26,6 +27,8 @@
 from clementinewall import metrics
 from clementinewall import settings as settings_module
 
+_log = logs.PartLog("node")
+
 BOOT_ID_BYTES = 6
 
 
@@ -97,8 +100,14 @@
 
     async def run(self, group):
         """Start the node's tasks in the task group ``group``."""
-        group.start_soon(self.tail.run)
-        group.start_soon(self.gossip.run, self.active_version)
+        for name, task in (
+            ("the control stream", self.tail.run),
+            (
+                "gossip",
+                functools.partial(self.gossip.run, self.active_version),
+            ),
+        ):
+            group.start_soon(containment.keep_running, _log, name, task)
 
     async def announce_draining(self):
         """Announce to the peers that this process is draining."""
--- a/clementinewall/origins/log_reader.py
+++ b/clementinewall/origins/log_reader.py
@@ -3,6 +3,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
@@ -118,7 +119,10 @@
                 self._next = exc.first
                 continue
             for record in batch.records:
-                self._take(record)
+                with containment.contained(
+                    _log, "a record of origins", at=record.offset
+                ):
+                    self._take(record)
                 self._next = record.offset + 1
                 # Let others run between two records.
                 await anyio.sleep(0)
--- a/clementinewall/origins/origin_log.py
+++ b/clementinewall/origins/origin_log.py
@@ -7,11 +7,15 @@
 
 import anyio
 
+from clementinewall import containment
 from clementinewall import domain
+from clementinewall import logs
 from clementinewall.origins import log_reader
 from clementinewall.origins import log_writer
 from clementinewall.origins import origin_records
 
+_log = logs.PartLog("origin")
+
 
 class OriginLog:
     """Writes the origins that this gateway knows, and reads those of all."""
@@ -55,5 +59,8 @@
         """Write, and read for those who wait, until cancelled."""
         await self._used.wait()
         async with anyio.create_task_group() as group:
-            group.start_soon(self._writer.run)
-            group.start_soon(self._reader.run)
+            for name, run in (
+                ("the writing of origins", self._writer.run),
+                ("the reading of origins", self._reader.run),
+            ):
+                group.start_soon(containment.keep_running, _log, name, run)
--- a/clementinewall/origins/version_record.py
+++ b/clementinewall/origins/version_record.py
@@ -11,6 +11,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
@@ -53,7 +54,7 @@
     async def run(self):
         """Follow the endpoints until cancelled."""
         while True:
-            with _log.contained("a look at the versions"):
+            with containment.contained(_log, "a look at the versions"):
                 await self._poll_or_wait()
             await anyio.sleep(clock.seconds(POLL_INTERVAL_MS))
 
@@ -124,7 +125,7 @@
                 str(service): frozenset(str(version) for version in versions)
                 for service, versions in json.loads(record.value).items()
             }
-        except (AttributeError, TypeError, ValueError) as exc:
+        except records.DECODE_ERRORS as exc:
             self._is_readable = False
             _log.warning(
                 "unreadable record of versions",
--- a/clementinewall/platform/records.py
+++ b/clementinewall/platform/records.py
@@ -85,7 +85,7 @@
             service=_name(data["service"]),
             address=_address(data["address"]),
             data_centre=_name(data["zone"]),
-            slots=_count(data.get("slot_count", 1), MAX_SLOTS),
+            slots=max(1, _count(data.get("slot_count", 1), MAX_SLOTS)),
             draining=state == "draining",
             stage=_stage(data.get("stage")),
             incarnation=_count(data.get("born", 0), MAX_EXACT_INTEGER),
--- a/clementinewall/scaling/scaler.py
+++ b/clementinewall/scaling/scaler.py
@@ -3,6 +3,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import duty_calls
@@ -84,8 +85,11 @@
         if not self._fleet_view.is_current:
             return
         for service in scaled:
-            if self._is_known(service, now):
-                await self._adjust(service, now)
+            with containment.contained(
+                _log, "an order of engines", service=service.name
+            ):
+                if self._is_known(service, now):
+                    await self._adjust(service, now)
 
     def _is_known(self, service, now):
         """Return whether enough is known of the load."""
@@ -132,7 +136,7 @@
             fleet_size.Engine(
                 endpoint.data_centre,
                 endpoint.is_spot,
-                max(1, endpoint.slots),
+                endpoint.slots,
             )
             for endpoint in self._fleet_view.endpoint_by_id.values()
             if endpoint.service == service.name and not endpoint.draining
--- a/clementinewall/steward/fleet.py
+++ b/clementinewall/steward/fleet.py
@@ -9,6 +9,7 @@
 
 from clementinewall import _http
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.endpoints import reports
 from clementinewall import errors
 from clementinewall import logs
@@ -38,7 +39,14 @@
             async with anyio.create_task_group() as group:
                 for name, endpoint in self._held_endpoints():
                     if endpoint.kind == "engine":
-                        group.start_soon(self._reconcile, name, endpoint)
+                        group.start_soon(
+                            containment.run_once,
+                            _log,
+                            "an engine's state",
+                            self._reconcile,
+                            name,
+                            endpoint,
+                        )
             await anyio.sleep(
                 clock.seconds(self._node.settings.polls.fleet_ms)
             )
--- a/clementinewall/steward/planner.py
+++ b/clementinewall/steward/planner.py
@@ -15,6 +15,7 @@
 from clementinewall import _http
 from clementinewall import _schema
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall.endpoints import reports
 from clementinewall import errors
 from clementinewall import logs
@@ -71,7 +72,14 @@
         report_by_id = {}
         async with anyio.create_task_group() as group:
             for name in names:
-                group.start_soon(self._fetch, name, report_by_id)
+                group.start_soon(
+                    containment.run_once,
+                    _log,
+                    "a report",
+                    self._fetch,
+                    name,
+                    report_by_id,
+                )
         now = self._node.clock.now()
         elapsed = (
             0 if self._last_round_at is None else now - self._last_round_at
@@ -79,7 +87,8 @@
         self._last_round_at = now
         outcomes = await self._new_outcomes()
         for model in self._models(names):
-            await self._plan(model, report_by_id, elapsed, outcomes)
+            with containment.contained(_log, "a plan", model=model):
+                await self._plan(model, report_by_id, elapsed, outcomes)
         self._last_report_by_id = report_by_id
 
     async def _new_outcomes(self):
@@ -92,7 +101,14 @@
         counts = {}
         async with anyio.create_task_group() as group:
             for row in rows:
-                group.start_soon(self._fetch_outcomes, row, counts)
+                group.start_soon(
+                    containment.run_once,
+                    _log,
+                    "counts of an entry",
+                    self._fetch_outcomes,
+                    row,
+                    counts,
+                )
         total = {}
         for boot, by_model in counts.items():
             previous_counts = self._counts_by_boot.get(boot, {})
--- a/clementinewall/steward/program.py
+++ b/clementinewall/steward/program.py
@@ -4,6 +4,7 @@
 
 from clementinewall import _web
 from clementinewall import clock
+from clementinewall import containment
 from clementinewall import lifecycle
 from clementinewall import logs
 from clementinewall import node
@@ -44,11 +45,14 @@
         async with anyio.create_task_group() as group:
             await self.node.run(group)
             group.start_soon(_web.serve, control, address, self.node.closed)
-            group.start_soon(self._update_scopes)
-            group.start_soon(self.lease_manager.run)
-            group.start_soon(self.fleet.run)
-            group.start_soon(self.planner.run)
-            group.start_soon(self.snapshots.run)
+            for name, task in (
+                ("the scopes", self._update_scopes),
+                ("the leases", self.lease_manager.run),
+                ("the fleet", self.fleet.run),
+                ("the planner", self.planner.run),
+                ("snapshots", self.snapshots.run),
+            ):
+                group.start_soon(containment.keep_running, _log, name, task)
             _log.info("started", control=address, boot=self.node.boot)
             self.node.lifecycle.handle_event(lifecycle.Event.STARTED)
             await self.node.stopping.wait()
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -100,6 +100,23 @@
         self.peers.table.group_rank = lambda: 100
         self.assertEqual(self.claims_read(40), 1)
 
+    def test_an_engine_whose_order_fails_blocks_no_other(self):
+        # Guards against one engine that is chosen again at each look.
+        for number in range(6):
+            self.engine(f"e{number}", domain.PREFILL)
+
+        async def fail(state, _request, **_kwargs):
+            asked.append(state.endpoint.id)
+            raise UnicodeError("unexpected")
+
+        asked = []
+        self.manager._send_request = fail
+        for _ in range(4):
+            anyio.run(self.manager.poll)
+            self.clock.advance(stage_manager.POLL_INTERVAL_MS)
+        self.assertEqual(len(asked), len({*asked}))
+        self.assertGreater(len(asked), 1)
+
     def test_gateways_back_in_line_plan_less_often(self):
         # Guards against plans of a whole fleet of which one is carried out.
         intervals = []
--- a/tests/gateway/test_topic_followers.py
+++ b/tests/gateway/test_topic_followers.py
@@ -396,6 +396,28 @@
         listener.fleet_view.expire()
         self.assertNotIn("e1", listener.known)
 
+    def test_a_record_that_fails_costs_none_after_it(self):
+        # Guards against a reader that reads one record again without end.
+        for key in KEYS:
+            self.log.write(key, "ready")
+        applied = []
+
+        def apply_record(record):
+            if record.key == "e2":
+                raise UnicodeError("unexpected")
+            applied.append(record.key)
+
+        follower = topic_followers.peers_follower(
+            SETTINGS, self.clock.now, apply_record
+        )
+        follower._store = self.log
+        anyio.run(follower._step)
+        self.assertEqual(applied, ["e1", "e3"])
+        self.log.write("e2", "ready")
+        self.log.write("e1", "ready")
+        anyio.run(follower._step)
+        self.assertEqual(applied, ["e1", "e3", "e1"])
+
     def test_a_store_away_for_one_gateway_only(self):
         # An engine that left gets work for two more seconds from a gateway
         # that the store refused.  Updates from peers kept that gateway
