Let no key and no part of a datagram end or silence a gateway

What callers would see (LOST): with keys of another writer among the gateways' (a NUL, a name that doesn't exist, 0xff, 250 digits), both gateways of a test with real processes ended on within two seconds.

Cause: a key of the gateways' topic became a target of datagrams unchecked. Such a send is looked up as the name of a host, asyncio closes the socket for good, and the next send raises out of the exchange with peers, which shared the process's task group. Which of the four keys does it wasn't separated. Beside it, by reading: a datagram with one unreadable part lost all parts after it, and numbers that aren't finite went into times.

Change: only IPv4 addresses are gateways, each part of a datagram is taken by itself, heartbeats are sent whatever becomes of other messages, and a socket that was closed is opened anew.

--- a/clementinewall/gateway/datagrams.py
+++ b/clementinewall/gateway/datagrams.py
@@ -24,6 +24,8 @@
         self._port = port
         self._take = take
         self._transport = None
+        # Whether the socket is of no more use.
+        self.is_closed = False
 
     def connection_made(self, transport):
         """Store the transport."""
@@ -33,6 +35,10 @@
         """Pass a datagram to the callback."""
         self._take(data, addr[0])
 
+    def connection_lost(self, exc):
+        """Record that nothing is sent or received any more."""
+        self.is_closed = True
+
     def error_received(self, exc):
         """Log a datagram that was not sent; the peer may be unreachable."""
         _log.debug("not sent", why=repr(exc))
--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -181,6 +181,15 @@
     ]
 
 
+def is_address(text):
+    """Return whether a text is the address of a gateway, as it is sent to."""
+    try:
+        _number_of(text)
+    except ValueError:
+        return False
+    return True
+
+
 @functools.lru_cache(maxsize=MAX_ADDRESSES)
 def _number_of(ip):
     return int(ipaddress.IPv4Address(ip))
@@ -216,7 +225,8 @@
     :raises TypeError, ValueError: if the row is malformed.
     """
     ip, callers, data_centre, ready, age = row
-    received_at = now - max(0, age)
+    _number_of(ip)
+    received_at = now - max(0, _finite(age))
     return Heartbeat(
         str(ip), str(callers), str(data_centre), ready is True, received_at
     )
@@ -231,16 +241,18 @@
     work = {
         name: Work(
             tuple(
-                prefill_queue.Job(urgency, cost_ms, now - age)
+                prefill_queue.Job(
+                    _finite(urgency), _finite(cost_ms), now - _finite(age)
+                )
                 for urgency, cost_ms, age in jobs
             ),
-            streams,
-            now - end_age,
-            _checked_tokens(held.get(name, 0)),
+            _checked_count(streams),
+            now - _finite(end_age),
+            _checked_count(held.get(name, 0)),
         )
         for name, (streams, end_age, jobs) in data["work"].items()
     }
-    away = {str(name): ms + 0 for name, ms in data["away"].items()}
+    away = {str(name): _finite(ms) for name, ms in data["away"].items()}
     return GatewayState(
         decode_heartbeat(data["sign"], now),
         work,
@@ -250,9 +262,19 @@
     )
 
 
-def _checked_tokens(number):
+def _checked_count(number):
     if type(number) is not int or not 0 <= number < MAX_NUMBER:
-        raise ValueError(f"tokens at an engine: {number!r}")
+        raise ValueError(f"a count at an engine: {number!r}")
+    return number
+
+
+def _finite(number):
+    """Return a number with which times can be reckoned.
+
+    :raises TypeError, ValueError: it is none, or too large.
+    """
+    if not -MAX_NUMBER < number < MAX_NUMBER:
+        raise ValueError(f"{number!r} is not a finite number")
     return number
 
 
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -7,10 +7,13 @@
 """
 
 import asyncio
+import contextlib
 
 import anyio
 
 from clementinewall import clock
+from clementinewall import containment
+from clementinewall import domain
 from clementinewall.gateway import datagrams
 from clementinewall.gateway import heartbeat_rounds
 from clementinewall.gateway import listening
@@ -85,6 +88,14 @@
             self.send_to,
             self._news,
         )
+        # Takes the parts of a message that are the same from all gateways.
+        self._take_by_key = {
+            "signs": self._take_heartbeats,
+            "marks": crash_guard.merge,
+            "parts": crash_guard.merge_parts,
+            "kept": endpoints.cache_holders.merge,
+            "limits": endpoints.request_limits.merge,
+        }
         # Called as ``take(message, ip)`` with what known gateways send.
         self.listeners = []
         # What else the state message has, by key: each returns plain data, or
@@ -122,8 +133,15 @@
         """Apply a record of the gateways' topic, which all have to know."""
         if record.value is None:
             self.table.remove(record.key)
-        else:
+        elif peer_messages.is_address(record.key):
             self.table.register(record.key)
+        else:
+            # It would be looked up as the name of a host at each send.
+            _log.warning(
+                "registered gateway ignored; its key is no IPv4 address",
+                key=record.key[: domain.MAX_TEXT],
+                offset=record.offset,
+            )
         return True
 
     def send_to(self, raw, ips):
@@ -149,9 +167,10 @@
             self._now,
         )
         try:
-            while True:
+            while not self._datagrams.is_closed:
                 self._send()
                 await self._wait_for_work()
+            raise OSError("the socket of the exchange with peers was closed")
         finally:
             self._datagrams.close()
             self._datagrams = None
@@ -209,6 +228,13 @@
         return lacking
 
     def _send(self):
+        """Send what is due; heartbeats don't depend on all the rest."""
+        with containment.contained(_log, "a message to peers"):
+            self._send_changes()
+        with containment.contained(_log, "a round of heartbeats"):
+            self._rounds.send_if_due()
+
+    def _send_changes(self):
         self.updates.send_next()
         now = self._now()
         lacking = self._update_cell()
@@ -217,7 +243,6 @@
             self._send_state(work, now)
         elif lacking:
             self.send_to(self._state_message(work, now), lacking)
-        self._rounds.send_if_due()
 
     def _is_due(self, work, now):
         """Return whether the state has to be sent to the peers now."""
@@ -301,11 +326,19 @@
         return peer_messages.dump(message)
 
     def _receive(self, raw, ip):
-        try:
+        with self._unreadable_logged(ip):
             self._take_datagram(peer_messages.load(raw), raw, ip)
+
+    @contextlib.contextmanager
+    def _unreadable_logged(self, ip):
+        """Log what can't be read of a datagram.
+
+        Any host may send to this port, and another build may say something
+        that isn't known here.
+        """
+        try:
+            yield
         except Exception as exc:
-            # Any host may send to this port.  An uncaught error here would
-            # end the process.
             self._log_unreadable(ip, exc)
 
     def _log_unreadable(self, ip, exc):
@@ -322,25 +355,32 @@
     def _take_datagram(self, message, raw, ip):
         now = self._now()
         was_silent = not self.table.is_live(ip)
-        self._rounds.take(message, ip)
+        with self._unreadable_logged(ip):
+            self._rounds.take(message, ip)
         if "state" in message:
-            self._take_state(message, ip, now)
-        for row in message.get("signs", ()):
-            self.table.record_heartbeat(
-                peer_messages.decode_heartbeat(row, now)
-            )
-        self._crash_guard.merge(message.get("marks", ()))
-        self._crash_guard.merge_parts(message.get("parts", {}))
-        self._endpoints.cache_holders.merge(message.get("kept", ()))
-        self._endpoints.request_limits.merge(message.get("limits", ()))
-        self.updates.take(message, raw, ip)
+            with self._unreadable_logged(ip):
+                self._take_state(message, ip, now)
+        for key, take in self._take_by_key.items():
+            if key in message:
+                with self._unreadable_logged(ip):
+                    take(message[key])
+        with self._unreadable_logged(ip):
+            self.updates.take(message, raw, ip)
         if self.table.is_known(ip):
             for take in self.listeners:
-                take(message, ip)
+                with self._unreadable_logged(ip):
+                    take(message, ip)
         if was_silent and self.table.is_live(ip):
             # It may just have started, and know nobody.
             self._rounds.welcome(ip)
 
+    def _take_heartbeats(self, rows):
+        now = self._now()
+        for row in rows:
+            self.table.record_heartbeat(
+                peer_messages.decode_heartbeat(row, now)
+            )
+
     def _take_state(self, message, ip, now):
         state = peer_messages.decode_state(message["state"], now)
         for endpoint_id, parts in message["read"]:
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+import anyio
+
 from clementinewall import clock
 from clementinewall import domain
 from clementinewall.gateway import cell_membership
@@ -223,6 +225,58 @@
         self.peers._receive(raw, "10.0.0.7")
         self.assertEqual(len(self.wire.messages), 1)
 
+    def test_what_one_part_cant_read_costs_that_part(self):
+        # Guards against a part of another build that silences all others.
+        self.peers.table.remove(OTHER)
+        beat = dissemination.Beat(OTHER, 1, 1, True, self.ticker.now())
+        message = {
+            "state": 5,
+            "marks": [1],
+            "parts": 7,
+            "kept": [[]],
+            "signs": [["x", 1]],
+            "facts": [[OTHER, 1, f"{OTHER}:1", "a"]],
+            "beats": peer_messages.encode_beats([beat], self.ticker.now()),
+            "limits": [["e1", 1, "10.0.1.1:1", 5.0, 0]],
+        }
+        self.peers._receive(peer_messages.dump(message), OTHER)
+        self.assertTrue(self.peers.table.is_live(OTHER))
+        self.assertTrue(self.endpoints.request_limits.message())
+
+    def test_heartbeats_go_out_whatever_else_fails(self):
+        # Guards against a gateway that all others give up for its own state.
+        self.ticker.advance(dissemination.ROUND_INTERVAL_MS)
+        with mock.patch.object(
+            self.endpoints,
+            "work_by_endpoint_id",
+            autospec=True,
+            side_effect=TypeError,
+        ):
+            self.peers._send()
+        self.assertIn("beats", self.wire.messages[-1][1])
+
+    def test_a_key_that_is_no_address_is_no_gateway(self):
+        # Guards against datagrams to a name, which is looked up at each.
+        for key in ("host.example", "\x00", "::1", "10.0.0.300", ""):
+            self.peers.take(store.Record(key, b"1", 1))
+        self.peers.take(store.Record("10.0.0.7", b"1", 2))
+        self.assertEqual({*self.peers.table.ips}, {OTHER, "10.0.0.7"})
+
+    def test_an_exchange_whose_socket_was_closed_begins_anew(self):
+        # Guards against a gateway that hears nobody until its next start.
+        self.wire.is_closed = True
+        self.wire.close = lambda: None
+        with (
+            mock.patch.object(
+                peers.datagrams,
+                "open_socket",
+                autospec=True,
+                return_value=self.wire,
+            ),
+            self.assertRaises(OSError),
+        ):
+            anyio.run(self.peers.run)
+
     def test_unreadable_datagrams_of_one_sender_are_logged_once(self):
         # Guards against logs that a foreign sender fills.
         with mock.patch.object(peers, "_log", autospec=True) as log:
