Read on behind keys that can't be sent back

Change: reading goes on after all keys that begin as the unreadable one does; a page that doesn't advance ends the read with an error in the log; a row whose key isn't text is left out; a log that ends before the position is read anew. The stand-in keeps keys as bytes and gives pages.

--- a/clementinewall/platform/store.py
+++ b/clementinewall/platform/store.py
@@ -12,6 +12,7 @@
 import base64
 import json
 import math
+import re
 import struct
 import typing
 import urllib.parse
@@ -23,6 +24,10 @@
 from clementinewall.http1 import client
 from clementinewall.http1 import messages
 from clementinewall.http1 import repeated_call
+from clementinewall import logs
+from clementinewall.platform import records
+
+_log = logs.PartLog("store")
 
 # Repeats of a call connect anew, so that a connection may take its time.
 CONNECT_TIMEOUT_MS = 10_000
@@ -34,6 +39,12 @@
     b"GET": (200, EXPIRED_STATUS),
     b"POST": (200, CONFLICT_STATUS),
 }
+# What stands for bytes of a key that are no text.
+_UNREADABLE_CHARACTER = re.compile("[\ufffd\ud800-\udfff]")
+_LAST_CHARACTER = "\U0010ffff"
+# As long as the longest key.
+_LAST_BYTES = b"\xff" * 255
+MAX_LOGGED = 200
 _LENGTH_FORMAT = struct.Struct(">I")
 _OFFSETS_FORMAT = struct.Struct(">QQ")
 
@@ -101,26 +112,38 @@
 
         :raises LogUnavailable: the store did not answer as expected.
         """
-        records = []
+        found = []
         first_end = None
-        after = None
+        query = {"topic": topic, "part": 0}
+        last_row = None
+        continuations = iter(())
         while True:
-            query = {"topic": topic, "part": 0}
-            if after is not None:
-                query["after"] = after
             data = _decode_object(await self._get("/log-newest", query))
             try:
-                rows = [_decode_item(row) for row in data["items"]]
+                rows = data["items"]
+                page = [_decode_item(row) for row in rows if _has_key(row)]
                 end = int(data["end_offset"])
-            except (KeyError, TypeError, ValueError) as exc:
+                if rows and rows[-1] != last_row:
+                    last_row = rows[-1]
+                    found.extend(page)
+                    continuations = iter(_continuations(rows))
+            except records.DECODE_ERRORS as exc:
                 raise errors.LogUnavailable(
                     f"cannot decode a page of newest records: {exc!r}"
                 ) from exc
-            records.extend(rows)
             first_end = end if first_end is None else first_end
             if not data.get("has_more") or not rows:
-                return Batch(tuple(records), first_end)
-            after = rows[-1].key
+                break
+            query["after"] = next(continuations, None)
+            if query["after"] is None:
+                _log.error(
+                    "a page ends with keys that can't be read; the records"
+                    " after them are not known",
+                    topic=topic,
+                    key=str(last_row["key"])[:MAX_LOGGED],
+                )
+                break
+        return Batch(tuple(found), first_end)
 
     async def read(self, topic, start, wait_ms=0):
         """Return the records from offset ``start`` on.
@@ -159,7 +182,7 @@
             return None
         try:
             return int(_decode_object(raw)["offset"])
-        except (KeyError, TypeError, ValueError) as exc:
+        except records.DECODE_ERRORS as exc:
             raise errors.LogUnavailable(
                 f"cannot decode the answer to an append: {exc!r}"
             ) from exc
@@ -239,7 +262,7 @@
 def _decode_object(raw):
     try:
         data = json.loads(raw)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise errors.LogUnavailable(
             f"the store's answer is not JSON: {exc}"
         ) from exc
@@ -252,10 +275,33 @@
     """Return the oldest offset in the answer to a read of expired records."""
     try:
         return int(_decode_object(raw)["first_offset"])
-    except (KeyError, TypeError, ValueError, errors.LogUnavailable):
+    except (*records.DECODE_ERRORS, errors.LogUnavailable):
         return None
 
 
+def _has_key(row):
+    """Return whether a row of a page has a key that is text."""
+    return type(row["key"]) is str
+
+
+def _continuations(rows):
+    """Return after which keys the next page may begin, to be tried in turn.
+
+    A key whose bytes are no text can't be sent back as it was: the store
+    would give the same page again, or the request couldn't be encoded.  All
+    ASCII keys that begin as it does come before it, so what is tried begins
+    in the same way and comes after all others, as text or as bytes.
+    """
+    keys = [row["key"] for row in rows if _has_key(row)]
+    last = keys[-1] if keys else ""
+    readable = _UNREADABLE_CHARACTER.split(last, 1)[0]
+    tried = [last] if keys and readable == last else []
+    if not tried or not _has_key(rows[-1]):
+        tried.append(readable + _LAST_CHARACTER)
+        tried.append(readable.encode() + _LAST_BYTES)
+    return tried
+
+
 def _decode_item(row):
     value = base64.b64decode(row["value"] or "")
     return Record(row["key"], value or None, int(row["offset"]))
@@ -271,7 +317,10 @@
         raise HistoryExpired(
             f"the first offset still stored is {first}", first
         )
-    records = []
+    if end < start:
+        # A wrong position would never be reached by what is written.
+        raise HistoryExpired(f"the log ends at {end}, before {start}", first)
+    found = []
     position = _OFFSETS_FORMAT.size
     offset = start
     while position + _LENGTH_FORMAT.size <= len(raw):
@@ -281,9 +330,9 @@
         if len(content) < length:
             break
         position += length
-        records.append(_decode_record(content, offset))
+        found.append(_decode_record(content, offset))
         offset += 1
-    return Batch(tuple(records), offset, offset >= end)
+    return Batch(tuple(found), offset, offset >= end)
 
 
 def _decode_record(content, offset):
--- a/clementinewall/usage/reporting.py
+++ b/clementinewall/usage/reporting.py
@@ -15,6 +15,7 @@
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.platform import duty_calls
+from clementinewall.platform import records
 
 _log = logs.PartLog("usage")
 
@@ -120,7 +121,7 @@
                 )
                 for window, counts in rows
             }
-        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+        except records.DECODE_ERRORS as exc:
             self._first_undecided = self._windows.window()
             _log.error(
                 "record of the reports is unreadable",
--- a/standins/store.py
+++ b/standins/store.py
@@ -9,11 +9,14 @@
 With ``callers``, a list of IP addresses, the mode is that of the callers that
 reach the store at these: it listens on the first few of the loopback network.
 ``POST /standin/forget?topic=T`` drops the history but not the newest records.
+``POST /standin/page?size=N`` has each page of newest records name N at most.
+A key may be of bytes that are no text; it is read back with replacements.
 """
 
 import base64
 import collections
 import struct
+import urllib.parse
 
 import anyio
 from starlette import requests
@@ -22,6 +25,7 @@
 
 from standins import base
 
+MAX_PAGE_SIZE = 500
 LISTEN_IPS = tuple(f"127.0.0.{number}" for number in range(1, 4))
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -40,7 +44,7 @@
     def append(self, content):
         """Add one raw record."""
         size = content[0]
-        key = content[1 : 1 + size].decode()
+        key = content[1 : 1 + size]
         self.records.append(content)
         if len(content) > 1 + size:
             self.offset_by_key[key] = len(self.records) - 1
@@ -91,6 +95,7 @@
         self.mode_by_caller = {}
         self.pace = Pace()
         self.calls = 0
+        self.page_size = MAX_PAGE_SIZE
 
     def topic(self, request):
         """Return the topic that a call names, made on first use."""
@@ -125,20 +130,24 @@
     async def on_newest(self, request):
         """Return the newest record of each key, one page."""
         topic = self.topic(request)
+        after = _raw_parameter(request, "after")
+        rows = sorted(
+            row for row in topic.offset_by_key.items() if row[0] > after
+        )
         items = [
             {
-                "key": key,
+                "key": key.decode(errors="replace"),
                 "value": base64.b64encode(
                     topic.records[offset][1 + len(key) :]
                 ).decode(),
                 "offset": offset,
             }
-            for key, offset in sorted(topic.offset_by_key.items())
+            for key, offset in rows[: self.page_size]
         ]
         return base.reply(
             {
                 "items": items,
-                "has_more": False,
+                "has_more": len(rows) > self.page_size,
                 "end_offset": len(topic.records),
             }
         )
@@ -175,7 +184,7 @@
 
     async def on_put(self, request):
         """Write or remove a key for a test."""
-        key = request.query_params["key"].encode()
+        key = _raw_parameter(request, "key")
         content = bytes([len(key)]) + key + await request.body()
         self.topic(request).append(content)
         return base.reply({})
@@ -194,6 +203,11 @@
                 self.mode_by_caller[caller] = mode
         return base.reply({"calls": self.calls})
 
+    async def on_page(self, request):
+        """Set how many newest records a page has at most."""
+        self.page_size = int(request.query_params["size"])
+        return base.reply({})
+
     async def on_forget(self, request):
         """Drop the history of a topic."""
         topic = self.topic(request)
@@ -201,6 +215,15 @@
         return base.reply({})
 
 
+def _raw_parameter(request, name):
+    """Return the bytes of a parameter, which need be no text."""
+    query = urllib.parse.parse_qs(
+        request.scope["query_string"].decode("ascii"),
+        errors="surrogateescape",
+    )
+    return query.get(name, [""])[0].encode(errors="surrogateescape")
+
+
 def _called_ip(request):
     """Return the IP address at which the caller reached the store.
 
@@ -223,6 +246,7 @@
         routing.Route("/standin/put", store.on_put, methods=["POST"]),
         routing.Route("/standin/mode", store.on_mode, methods=["POST"]),
         routing.Route("/standin/forget", store.on_forget, methods=["POST"]),
+        routing.Route("/standin/page", store.on_page, methods=["POST"]),
     ]
     host, _, port = options["ADDRESS"].rpartition(":")
     others = [f"{ip}:{port}" for ip in LISTEN_IPS if ip != host]
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -4,6 +4,7 @@
 import signal
 import socket
 import unittest
+import urllib.parse
 
 import httpx
 
@@ -88,10 +89,10 @@
     def put(self, topic, key, value):
         """Write a record as the operator or an endpoint does."""
         raw = value if isinstance(value, bytes) else json.dumps(value)
+        # Unlike the client, this takes keys of bytes that are no text.
+        query = urllib.parse.urlencode({"topic": topic, "key": key})
         self.http.post(
-            f"http://{self.store}/standin/put",
-            params={"topic": topic, "key": key},
-            content=raw,
+            f"http://{self.store}/standin/put?{query}", content=raw
         ).raise_for_status()
 
     def set_store_mode(self, mode, **pace):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,6 +1,7 @@
 """Calls to a store that is late, refuses or loses answers."""
 
 import json
+import struct
 import time
 import unittest
 from unittest import mock
@@ -62,6 +63,45 @@
         self.assertEqual(len(self.overdue), 1)
         self.assertGreaterEqual(client.late_ms, 1_000 * LATE_SECONDS)
 
+    def test_a_page_may_end_with_any_key(self):
+        # Guards against a page that is read again without end, or a request
+        # for the next one that can't be encoded.
+        for last in ("e\ufffd", "e\udcff", "e\x00", None, ["e"]):
+            with self.subTest(last):
+                client = self.client(
+                    *(
+                        (0.0, 200, json.dumps(page).encode())
+                        for page in self.pages(last)
+                    )
+                )
+                found = anyio.run(client.newest, "t")
+                keys = [r.key for r in found.records if r.key in "adf"]
+                self.assertEqual(keys, ["a", "d", "f"])
+                self.assertEqual(found.end, 9)
+
+    def pages(self, last):
+        """Return two pages, of which the first comes twice."""
+        row = {"value": "", "offset": 1}
+        first = [{**row, "key": "a"}, {**row, "key": "d"}]
+        first.append({**row, "key": last})
+        found = {"items": first, "has_more": True, "end_offset": 9}
+        rest = {"items": [{**row, "key": "f"}], "end_offset": 9}
+        return [found, found, rest] if last != "e\x00" else [found, rest]
+
+    def test_pages_without_end_are_given_up(self):
+        # Guards against a reader that a store keeps busy for ever.
+        row = {"key": "e\ufffd", "value": "", "offset": 1}
+        page = {"items": [row], "has_more": True, "end_offset": 9}
+        client = self.client((0.0, 200, json.dumps(page).encode()))
+        self.assertEqual(len(anyio.run(client.newest, "t").records), 1)
+
+    def test_a_position_that_the_log_has_not_reached(self):
+        # Guards against a follower that takes nothing new for all there is.
+        answer = (0.0, 200, struct.pack(">QQ", 5, 0))
+        self.assertEqual(anyio.run(self.client(answer).read, "t", 5).end, 5)
+        with self.assertRaises(store.HistoryExpired):
+            anyio.run(self.client(answer).read, "t", 6)
+
     def test_a_lost_answer_is_asked_for_again(self):
         client = self.client((NEVER_SECONDS, 200, b""), (0.0, 200, NEWEST))
         self.assertEqual(anyio.run(client.newest, "t").end, 7)
