Bound the request bodies that slow endpoints keep a gateway holding

Cause: answers that callers don't read were bounded, bodies that endpoints don't read weren't, and each was held up to three times: the request's, its copy behind the head, and the transport's buffer.

Change: bodies of open requests from 64 KiB on may take a sixth of the memory limit, those of one service three quarters of that. What has no room is refused at once as not run (503, no_room), with the time after which a body of its service may end. Requests to endpoints are written in parts of 64 KiB; the limit of a send holds for the whole request as before.

--- a/clementinewall/backpressure/holdings.py
+++ b/clementinewall/backpressure/holdings.py
@@ -1,8 +1,8 @@
-"""What a process holds for callers that don't read, and its bound.
+"""What a process holds for peers that are slow to read, and its bounds.
 
-Designed for callers that ask for much and read nothing, on instances with a
-few hundred megabytes.  Everything is keyed by the caller's connection, so that
-closing it frees what is held for it.
+Designed for callers that ask for much and read nothing, and for endpoints that
+take large requests slowly, on instances with a few hundred megabytes.  What is
+held for callers is keyed by the connection, so that closing it frees that.
 """
 
 import contextlib
@@ -10,12 +10,14 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import errors
 from clementinewall import logs
 from clementinewall import metrics
 
 _log = logs.PartLog("memory")
 
-# Part of the memory limit of the process that may be held for callers.
+# Part of the memory limit of the process that answers may take which callers
+# haven't read.
 MEMORY_FRACTION = 1 / 8
 BYTES_PER_MB = 1_000_000
 # Smaller answers wait for no room: most are, and they add up to little.
@@ -24,6 +26,11 @@
 # One lost packet delays what it reads by about half of this time.
 PATIENCE_MS = 500
 POLL_MS = 50
+# Part of the memory limit that the bodies of open requests may take, and the
+# part of that for those of one service.
+BODIES_FRACTION = 1 / 6
+SERVICE_FRACTION = 3 / 4
+MIN_RETRY_MS = 500
 
 
 class _Entry:
@@ -154,3 +161,78 @@
         with contextlib.suppress(OSError):
             connection.abort()
         return True
+
+
+class RequestBodies:
+    """Counts the bodies of open requests by service, and refuses further ones.
+
+    A body is kept until its request ends, since it may have to be sent again.
+    Endpoints that read slowly keep many requests open, and nothing else tells
+    callers to send less.
+    """
+
+    def __init__(self, memory_mb, now):
+        """Bound by the memory limit of the process; 0 stands for no bound."""
+        self._limit = memory_mb * BYTES_PER_MB * BODIES_FRACTION
+        self._now = now
+        # The times at which requests with a counted body began, by service.
+        self._started_at_by_service = {}
+        self._bytes_by_service = {}
+        self.held_bytes = 0
+
+    @contextlib.contextmanager
+    def hold(self, service, size):
+        """Count a body of ``size`` bytes while its request is served.
+
+        A body that exceeds the bound by itself is held alone.
+
+        :raises NoRoom: too much is held already; it says when to come again.
+        """
+        if not self._limit or size < MIN_RESERVED_BYTES:
+            yield
+            return
+        self._check_room(service, size)
+        started = self._started_at_by_service.setdefault(service, [])
+        now = self._now()
+        started.append(now)
+        self._resize(service, size)
+        try:
+            yield
+        finally:
+            started.remove(now)
+            self._resize(service, -size)
+
+    def _check_room(self, service, size):
+        held = self._bytes_by_service.get(service, 0)
+        has_room = (
+            not self.held_bytes or self.held_bytes + size <= self._limit
+        ) and (not held or held + size <= SERVICE_FRACTION * self._limit)
+        if has_room:
+            return
+        metrics.count("bodies_refused", service=service)
+        raise errors.NoRoom(
+            "bodies of other requests take the memory that they may",
+            retry_after_ms=self._retry_ms(service),
+        )
+
+    def _retry_ms(self, service):
+        """Return after how long a body may be the next to end.
+
+        The age of the oldest one tells how long they take.
+        """
+        started = self._started_at_by_service.get(service)
+        if not started:
+            return MIN_RETRY_MS
+        oldest_ms = self._now() - min(started)
+        return max(MIN_RETRY_MS, oldest_ms / len(started))
+
+    def _resize(self, service, change):
+        self.held_bytes += change
+        self._bytes_by_service[service] = (
+            self._bytes_by_service.get(service, 0) + change
+        )
+
+    def report(self):
+        """Set the gauge of what is held."""
+        if self._limit:
+            metrics.gauge("request_bytes_held", self.held_bytes)
--- a/clementinewall/errors.py
+++ b/clementinewall/errors.py
@@ -138,6 +138,16 @@
     status = 503
 
 
+class NoRoom(NotRunError):
+    """This instance may hold no further large body; use another or wait.
+
+    Endpoints are slow to take those that it holds.
+    """
+
+    code = "no_room"
+    status = 503
+
+
 class UnknownOrigin(NotRunError):
     """Nobody knows which software version began the stream to go on with.
 
--- a/clementinewall/gateway/callers.py
+++ b/clementinewall/gateway/callers.py
@@ -10,6 +10,7 @@
 import h11
 
 from clementinewall.access import authorization
+from clementinewall.backpressure import holdings as holdings_module
 from clementinewall import clock
 from clementinewall import errors
 from clementinewall.gateway import exchange as exchanges
@@ -34,12 +35,14 @@
         drain,
         now,
         holdings=None,
+        request_bodies=None,
     ):
         """Dispatch requests to the relays ``plain`` and ``streams``.
 
         ``freshness`` tells whether keys are known, ``drain`` decides which
         requests can be finished before the process stops, ``now`` returns the
-        time in ms, and ``holdings`` bound what is held for callers.
+        time in ms, ``holdings`` bound what is held for callers, and
+        ``request_bodies`` what they send.
         """
         self._fleet_view = fleet_view
         self._freshness = freshness
@@ -54,6 +57,7 @@
         self._is_reading_stopped = False
         self._scope_by_exchange = {}
         self._holdings = holdings
+        self._bodies = request_bodies or holdings_module.RequestBodies(0, now)
         self.open_requests = 0
 
     def drain(self, left_ms):
@@ -166,7 +170,8 @@
         try:
             call = calls.decode(request)
             exchange = self._exchange(connection, call)
-            await self._run_with_deadline(exchange)
+            with self._bodies.hold(exchange.service.name, len(call.body)):
+                await self._run_with_deadline(exchange)
         except errors.ClementinewallError as exc:
             await self._fail(connection, request, exchange, exc)
         except server.CallerDisconnected:
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -163,6 +163,7 @@
             now,
         )
         self._holdings = holdings.Holdings(settings.memory_mb, now)
+        self._request_bodies = holdings.RequestBodies(settings.memory_mb, now)
         self._callers = callers.Callers(
             self._fleet_view,
             self._freshness,
@@ -172,6 +173,7 @@
             drain,
             now,
             self._holdings,
+            self._request_bodies,
         )
         self._duties = None
         if settings.duty_service is not None:
@@ -405,6 +407,7 @@
                 self._origins.sweep,
                 self._sweep_crash_guard,
                 self._holdings.report,
+                self._request_bodies.report,
             ):
                 with containment.contained(_log, sweep.__qualname__):
                     sweep()
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -7,17 +7,22 @@
 connection may or may not have run.
 """
 
+import math
 import select
 import socket
 
 import anyio
 import h11
 
+from clementinewall import clock
 from clementinewall.http1 import messages
 from clementinewall.http1 import stream as streams
 from clementinewall import verdicts
 
 MAX_HEAD_BYTES = 65_536
+# Larger requests are written in parts, so that no second copy is held while
+# the peer reads them.
+MAX_WRITE_BYTES = 65_536
 # Each interim answer (1xx) resets the time limit of the next read.
 MAX_INTERIM_ANSWERS = 8
 # A connection ends when sent data stays unacknowledged for this time.  A peer
@@ -54,6 +59,7 @@
         self.stream = stream
         self._h11 = _new_h11()
         self._sent_request = None
+        self._unsent_body = memoryview(b"")
         self._idle_ms = DEFAULT_IDLE_MS
         self._closes_after_answer = False
         self.progress = verdicts.Progress.NOTHING_SENT
@@ -79,11 +85,10 @@
             data = self._h11.send(self._sent_request)
         except h11.LocalProtocolError as exc:
             raise self._broken(f"the request can't be encoded: {exc}") from exc
-        if request.body:
-            data += self._h11.send(h11.Data(data=request.body))
-        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._unsent_body = memoryview(request.body)
+        data += self._next_part()
         self.progress = verdicts.Progress.SENT_IN_PART
-        await self._write(self.stream.send(data, limit_ms))
+        await self._send_all(self.stream.send, data, limit_ms=limit_ms)
 
     async def finish_sending(self, limit_ms=None):
         """Go on with a :meth:`send` that timed out.
@@ -91,11 +96,33 @@
         :raises LinkBroken: the connection was reset.
         :raises TimeoutError: as for :meth:`send`.
         """
-        await self._write(self.stream.flush(limit_ms))
+        await self._send_all(self.stream.flush, limit_ms=limit_ms)
 
-    async def _write(self, operation):
+    def _next_part(self):
+        """Return the next bytes to send of the body, and of its end.
+
+        What the peer has not taken of a part is held a second time.
+        """
+        part = self._unsent_body[:MAX_WRITE_BYTES]
+        self._unsent_body = self._unsent_body[MAX_WRITE_BYTES:]
+        data = self._h11.send(h11.Data(data=bytes(part)))
+        if not self._unsent_body:
+            data += self._h11.send(h11.EndOfMessage()) or b""
+        return data
+
+    async def _send_all(self, operation, *args, limit_ms):
+        """Run an operation of the stream, then send the rest of the body."""
+        end = math.inf
+        if limit_ms is not None:
+            end = anyio.current_time() + clock.seconds(limit_ms)
         try:
-            await operation
+            await operation(*args, limit_ms)
+            while self._unsent_body:
+                if end < math.inf:
+                    limit_ms = 1_000 * (end - anyio.current_time())
+                    if limit_ms <= 0:
+                        raise TimeoutError
+                await self.stream.send(self._next_part(), limit_ms)
         except anyio.BrokenResourceError as exc:
             raise self._broken(
                 "connection reset while sending the request"
--- a/tests/backpressure/test_holdings.py
+++ b/tests/backpressure/test_holdings.py
@@ -1,5 +1,6 @@
 """What is held for callers, and which connections are closed beyond."""
 
+import contextlib
 import unittest
 
 import anyio
@@ -8,6 +9,7 @@
 
 from clementinewall.backpressure import holdings
 from clementinewall import clock
+from clementinewall import errors
 
 MEMORY_MB = 80.0
 LIMIT = int(MEMORY_MB * holdings.BYTES_PER_MB * holdings.MEMORY_FRACTION)
@@ -191,3 +193,44 @@
 
         anyio.run(run)
         self.assertGreater(len(told), 1)
+
+
+class Bodies(unittest.TestCase):
+    """The bodies of open requests."""
+
+    def setUp(self):
+        """Start without requests."""
+        self.ticker = clock.ManualClock(100_000)
+        self.bodies = holdings.RequestBodies(MEMORY_MB, self.ticker.now)
+        limit = MEMORY_MB * holdings.BYTES_PER_MB * holdings.BODIES_FRACTION
+        # So many of one service fit.
+        self.size = int(limit * holdings.SERVICE_FRACTION / 3)
+
+    def test_slow_endpoints_of_a_service_leave_room_for_others(self):
+        # Guards against a process that grows until it is killed, with all its
+        # requests, while some endpoints read slowly.
+        with contextlib.ExitStack() as held:
+            for _ in range(3):
+                held.enter_context(self.bodies.hold("slow", self.size))
+                self.ticker.advance(1_000)
+            with self.assertRaises(errors.NoRoom) as caught:
+                held.enter_context(self.bodies.hold("slow", self.size))
+            self.assertEqual(caught.exception.retry_after_ms, 1_000)
+            held.enter_context(self.bodies.hold("other", self.size))
+            with self.assertRaises(errors.NoRoom):
+                held.enter_context(self.bodies.hold("third", self.size))
+            for service in ("slow", "third"):
+                with self.bodies.hold(service, 1_000):
+                    pass
+        self.assertEqual(self.bodies.held_bytes, 0)
+        with self.bodies.hold("slow", self.size):
+            self.assertEqual(self.bodies.held_bytes, self.size)
+
+    def test_a_body_beyond_the_bound_is_held_alone(self):
+        # Guards against requests that are refused without end.
+        with self.bodies.hold("a", 9 * self.size):
+            with self.assertRaises(errors.NoRoom):
+                with self.bodies.hold("b", self.size):
+                    pass
+        with holdings.RequestBodies(0, self.ticker.now).hold("a", 10**12):
+            pass
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -10,6 +10,7 @@
 from clementinewall import clock
 from clementinewall.http1 import client
 from clementinewall.http1 import messages
+from clementinewall import verdicts
 
 REQUEST = messages.Request(b"GET", b"/x", ((b"Host", b"h"),))
 MAX_BODY = 1_000
@@ -149,3 +150,67 @@
         self.peer.answers = [IN_CHUNKS]
         _, body = anyio.run(self._ask, clock.Clock(), 0)
         self.assertEqual(body, b"0123456789whole")
+
+
+class PartStream:
+    """A stream whose peer takes the first part of a request, and later all."""
+
+    def __init__(self):
+        """Start with a peer that takes one part."""
+        self.parts = []
+        self.taken = 1
+
+    async def send(self, data, limit_ms):
+        """Keep the data; time out if the peer doesn't take it."""
+        self.parts.append(bytes(data))
+        await self.flush(limit_ms)
+
+    async def flush(self, _limit_ms):
+        """Time out if the peer doesn't take all that was written."""
+        if len(self.parts) > self.taken:
+            raise TimeoutError
+
+
+class LargeRequests(unittest.TestCase):
+    """Requests that a peer is slow to read."""
+
+    def test_a_large_request_is_written_in_parts(self):
+        # Guards against second and third copies of each body, which take a
+        # process beyond its memory.
+        body = bytes(range(256)) * 1_000
+        request = messages.Request(b"POST", b"/x", ((b"Host", b"h"),), body)
+        stream = PartStream()
+        link = client.Link(stream, 0)
+
+        async def run():
+            with self.assertRaises(TimeoutError):
+                await link.send(request, 1_000)
+            self.assertIs(link.progress, verdicts.Progress.SENT_IN_PART)
+            stream.taken = 1_000
+            await link.finish_sending(1_000)
+
+        anyio.run(run)
+        self.assertIs(link.progress, verdicts.Progress.SENT_WHOLE)
+        sent = b"".join(stream.parts)
+        self.assertEqual(sent.partition(b"\r\n\r\n")[2], body)
+        sizes = [len(part) for part in stream.parts[1:]]
+        self.assertLessEqual(max(sizes), client.MAX_WRITE_BYTES)
+
+    def test_the_limit_holds_for_the_whole_request(self):
+        # Guards against an endpoint that is waited for without end since it
+        # takes a little now and then.
+        request = messages.Request(
+            b"POST", b"/x", ((b"Host", b"h"),), bytes(300_000)
+        )
+        stream = PartStream()
+        stream.taken = 1_000
+
+        async def run():
+            link = client.Link(stream, 0)
+            with self.assertRaises(TimeoutError):
+                await link.send(request, 0)
+            await link.finish_sending()
+            self.assertIs(link.progress, verdicts.Progress.SENT_WHOLE)
+
+        anyio.run(run)
+        self.assertTrue(b"".join(stream.parts).endswith(bytes(300_000)))
--- a/tests/integration/test_gateway_memory.py
+++ b/tests/integration/test_gateway_memory.py
@@ -35,6 +35,12 @@
 # Until gateways have told each other what they have at engines.
 REPORT_SECONDS = 1.0
 REFUSED = 429
+# As large as the configuration allows; so many of one service fit.
+SENT_BYTES = 4_000_000
+SENT = 14
+FITTING = 9
+SEND_SECONDS = 0.2
+MAX_WAIT_SECONDS = 15
 
 
 class UnreadAnswers(gateway_base.GatewayCase):
@@ -207,3 +213,59 @@
                 seconds=2,
                 what="room at the engine",
             )
+
+
+class SlowEndpoints(gateway_base.GatewayCase):
+    """A gateway before an endpoint that is slow with large requests."""
+
+    def setUp(self):
+        """Start an endpoint that keeps large requests until told to answer."""
+        super().setUp()
+        self.may_answer = threading.Event()
+        self.addCleanup(self.may_answer.set)
+        self.endpoint("app-1", self.answer)
+        self.publish(
+            gateway_base.route("app", "app", "unsafe", timeout_ms=20_000)
+        )
+        self.front = self.gateway()
+
+    def answer(self, _endpoint, request):
+        """Answer small requests at once."""
+        if request.target.endswith("large"):
+            self.may_answer.wait(MAX_WAIT_SECONDS)
+        yield scripted.answer(request)
+
+    def send(self, number):
+        """Return the answer to a large request."""
+        return httpx.post(
+            f"http://{self.front}/app/large",
+            content=bytes(SENT_BYTES),
+            headers={
+                "Host": gateway_base.HOST,
+                "Attempt-Id": f"large-{number}",
+            },
+            timeout=MAX_WAIT_SECONDS,
+            trust_env=False,
+        )
+
+    def test_slow_endpoints_leave_room_for_other_requests(self):
+        # Guards against a gateway that is killed for its memory, with all its
+        # requests, since it keeps every large one until it is answered.
+        sent = []
+        with concurrent.futures.ThreadPoolExecutor(SENT) as pool:
+            for number in range(SENT):
+                sent.append(pool.submit(self.send, number))
+                # What is still coming counts against another bound.
+                time.sleep(SEND_SECONDS)
+            try:
+                done = [f for f in sent if f.done()]
+                status = self.ask(self.front, "/app/small", "s").status_code
+            finally:
+                self.may_answer.set()
+        refused = [f.result() for f in sent if f.result().status_code != 200]
+        self.assertEqual((len(done), len(refused)), (SENT - FITTING,) * 2)
+        self.assertEqual(status, 200)
+        for answer in refused:
+            self.assertEqual(answer.status_code, 503)
+            self.assertEqual(answer.json()["code"], "no_room")
+            self.assertGreater(float(answer.headers["Retry-After"]), 0)
