--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import json
+import os
 import pathlib
 import random
 import signal
@@ -21,13 +22,18 @@
 
 import kit  # noqa: E402
 
+# With TROUBLE=0 the same is done without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE") != "0"
+
 EVENTS = 8
 CALLERS = 16
-ENGINES = 3
-# Of the site's day: garble, how "extra late", x = 0.03, for_s = 5.
+ENGINES = 5
+# Of the site's troubles: garble, how "extra late", share = 0.6, x = 0.03,
+# for_s = 5.0.
+TROUBLED_ENGINES = 3
 MAX_SHARE = 0.03
 TROUBLE_SECONDS = 5.0
-CACHE_CALL_SECONDS = 0.05
+CACHE_CALL_SECONDS = 0.1
 FIRST_TOKEN_SECONDS = 0.003
 MOST = 1
 ROUNDS = 8
@@ -137,6 +143,7 @@
                 )
             )
             await writer.drain()
+            record("caller sends", attempt)
             async with asyncio.timeout(10):
                 answer = await kit.read_answer(reader)
         except (OSError, TimeoutError):
@@ -157,15 +164,15 @@
 async def play_round(gateway, engines, record):
     """Stop a gateway while late second answers come; start it again."""
     end = time.monotonic() + ROUND_SECONDS
-    if kit.has_trouble():
-        for engine in engines:
+    if HAS_TROUBLE:
+        for engine in engines[:TROUBLED_ENGINES]:
             engine.answered = engine.copied = 0
             engine.trouble_until = time.monotonic() + TROUBLE_SECONDS
     await asyncio.sleep(1)
     record(gateway.name, "is asked to stop")
     gateway.signal(signal.SIGTERM)
-    await gateway.process.wait()
-    await gateway.start()
+    await gateway.wait_end()
+    gateway.start()
     await asyncio.sleep(end - time.monotonic())
 
 
@@ -193,7 +200,7 @@
     answer_by_attempt = {}
     try:
         for gateway in gateways:
-            await gateway.start()
+            gateway.start()
         for gateway in gateways:
             await gateway.wait_ready()
         await asyncio.sleep(3)
@@ -215,7 +222,7 @@
         await asyncio.sleep(1)
     finally:
         for gateway in gateways:
-            await gateway.end()
+            gateway.end()
         for engine in engines:
             engine.close()
         store.close()
@@ -249,4 +256,4 @@
 
 
 if __name__ == "__main__":
-    kit.main(case, FOLDER)
+    kit.main(case, sys.argv[1] if sys.argv[1:] else FOLDER / "record.txt")
--- a/review/standins_2/kit.py
+++ b/review/standins_2/kit.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
 import tempfile
 import time
@@ -28,7 +29,9 @@
 MAX_PAGE = 500
 BEAT_SECONDS = 1.2
 READY_SECONDS = 30.0
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+# Exit codes of a case.  Python ends with 1 on a mistake, so run.sh takes
+# everything but the first two for a case that couldn't run.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
 
 
 class CaseError(Exception):
@@ -61,9 +64,9 @@
 class Record:
     """The file that tells what was sent, answered and run."""
 
-    def __init__(self, folder):
-        """Begin a new ``record.txt`` in ``folder``."""
-        self._file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        """Begin the file anew."""
+        self._file = open(path, "w")
         self._began = time.monotonic()
 
     def __call__(self, *words):
@@ -483,7 +486,7 @@
         lines += [f"{key} = {value}" for key, value in figures.items()]
         self._path.write_text("\n".join(lines) + "\n")
 
-    async def start(self):
+    def start(self):
         """Start the process."""
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
             deploy = tomllib.load(file)
@@ -495,11 +498,22 @@
         }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["CLEMENTINEWALL_SETTINGS"] = str(self._path)
+        # Not by asyncio: a start that is cancelled must not leave a process.
         with open(self.log_path, "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=environment, stdout=log, stderr=log
+            self.process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
 
+    @property
+    def has_ended(self):
+        """Tell whether there is no process, or it has ended."""
+        return self.process is None or self.process.poll() is not None
+
+    async def wait_end(self):
+        """Wait for the end of the process."""
+        while not self.has_ended:
+            await asyncio.sleep(0.01)
+
     async def wait_ready(self):
         """Wait until it says that it is ready.
 
@@ -517,14 +531,12 @@
         """Send a signal."""
         self.process.send_signal(number)
 
-    async def end(self):
+    def end(self):
         """End the process if it still runs."""
-        if self.process is None or self.process.returncode is not None:
-            return
-        with contextlib.suppress(ProcessLookupError):
+        if not self.has_ended:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
-        await self.process.wait()
+            self.process.wait()
 
 
 def free_ports(ip, count=6):
@@ -618,30 +630,26 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def has_trouble():
-    """Tell whether the disruption is to be made."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
-def main(case, folder):
+def main(case, record_path):
     """Run ``case(folder, record)``, a coroutine function; exit by its result.
 
     ``case`` gets a temporary folder and returns :data:`BROKEN` or
     :data:`HELD`.
     """
-    record = Record(folder)
+    record = Record(record_path)
     scratch = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
     code = NOT_RUN
     try:
         code = asyncio.run(_limited(case, scratch, record))
-    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record("could not run:", repr(exc))
     finally:
         if os.environ.get("KEEP_LOGS"):
             print(scratch, file=sys.stderr)
         else:
             shutil.rmtree(scratch, ignore_errors=True)
-    record("exit", code)
+    words = {BROKEN: "the rule was broken", HELD: "the rule held"}
+    record(words.get(code, "the case could not run"))
     sys.exit(code)
 
 
