Give a gateway's own calls to engines connections of their own

Callers saw a stream that may run once run at two engines. A gateway polls an engine's cache on the same pooled connections as it sends requests on. A late second answer to a stream, which comes where the next answer is expected, was taken for the answer to the poll, since those bear no attempt id that would tell them apart. The connection went back to the pool while the true answer was still due, and the next stream there got it: a refusal without an id that says it wasn't run, so the stream went to another engine and ran at both.

Refusing answers with an attempt id to own calls wouldn't be enough: a second answer to an own call bears none and moves the answers by one in the same way. So own calls and requests never share a connection. On connections of requests each answer that may come twice bears an id, since they are closed after an error without one.

The stand-in's answers to cache calls become scripts, as for requests.

--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -64,6 +64,10 @@
             now,
         )
         self._pool = client.Pool(self.path, now)
+        # Answers to the gateway's own calls bear no attempt id.  They have
+        # connections of their own, since an answer that comes late could
+        # otherwise be taken for that to another caller's request.
+        self._own_call_pool = client.Pool(self.path, now)
         self._rest_until = now()
         self.is_leaving = False
         self.health = endpoint_health.Health()
@@ -87,6 +91,10 @@
         self.is_doubtful = lambda: False
         self.cache = cache_view.CacheView()
 
+    @property
+    def _pools(self):
+        return self._pool, self._own_call_pool
+
     @property
     def rest_ms(self):
         """Return for how many ms the endpoint still wants no requests.
@@ -163,7 +171,7 @@
         :raises LinkBroken: the connection could not be established, or leads
             to another process than that of the record.
         """
-        link = await self._connect(self._pool.acquire)
+        link = await self._connect(self._pool, self._pool.acquire)
         if self.is_doubtful() and link.is_new:
             link = await self._verified(link)
         return link
@@ -209,14 +217,14 @@
         ):
             return link
         self._pool.discard(link)
-        return await self._connect(self._pool.connect)
+        return await self._connect(self._pool, self._pool.connect)
 
-    async def _connect(self, connect):
+    async def _connect(self, pool, connect):
         self._check_rest()
         link = await connect()
         if self.span_ms:
             # It asked for rest while the connection was established.
-            self._pool.discard(link)
+            pool.discard(link)
             self._check_rest()
         return link
 
@@ -231,7 +239,7 @@
     async def send_request(
         self, request, max_bytes, fresh=False, follows=False
     ):
-        """Send a request and return the head and body of its answer.
+        """Send a call of the gateway's own; return its answer's head and body.
 
         ``fresh`` uses a new connection and closes it afterwards; ``follows``
         tells that it completes what an earlier request began, and does not
@@ -247,9 +255,10 @@
         self.use_share()
         # Engines tell holders of the lease apart by the machine from which an
         # order comes, so what has a connection of its own is never relayed.
-        connect = self._pool.connect_directly if fresh else self._pool.acquire
-        link = await self._connect(connect)
-        return await self._pool.exchange(
+        pool = self._own_call_pool
+        connect = pool.connect_directly if fresh else pool.acquire
+        link = await self._connect(pool, connect)
+        return await pool.exchange(
             link,
             request,
             max_bytes,
@@ -268,11 +277,13 @@
 
     def prune_links(self):
         """Close the idle connections whose keep-alive time is over."""
-        self._pool.prune()
+        for pool in self._pools:
+            pool.prune()
 
     def close_links(self):
         """Close all idle connections; the endpoint is gone."""
-        self._pool.close()
+        for pool in self._pools:
+            pool.close()
         self.path.forget()
 
     def check_path_if_silent(self):
@@ -282,7 +293,7 @@
 
     def check_path_if_connected(self):
         """Start a check of the path if there are connections."""
-        if self._pool.open_links:
+        if any(pool.open_links for pool in self._pools):
             self.start_path_check()
 
     def start_path_check(self):
@@ -307,7 +318,7 @@
             # What failed before tells of the way, not of the endpoint.
             self.health.record_success()
             self._last_response_at = self._now()
-        self._pool.prune()
+        self.prune_links()
         if after is endpoint_path.Reach.RELAYED:
             self._relays.on_cut()
 
--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -2,7 +2,8 @@
 
 It runs in a thread of the test.  For each request that has been read whole
 the test's script yields steps: bytes to send, a number of seconds to wait,
-``CLOSE`` for an orderly close or ``RESET``.
+``CLOSE`` for an orderly close or ``RESET``.  Calls for the cache are answered
+in the same way by a script of their own.
 """
 
 import contextlib
@@ -32,6 +33,7 @@
         # offers neither while ``kept`` is ``None``.
         self.kept = None
         self.changes = []
+        self.cache_script = _tell_cache
         self.connections = 0
         self.closed_by_peer = []
         threading.Thread(target=self._accept, daemon=True).start()
@@ -61,8 +63,11 @@
                 if request is None:
                     return
                 if request.target.startswith(("/kv-list", "/kv-events")):
-                    peer.sendall(self._tell_cache(request))
-                elif not self._play_noted(peer, request):
+                    script = self.cache_script
+                else:
+                    script = self._script
+                    self.requests.append(request)
+                if not self._play(peer, script(self, request)):
                     return
                 parser = h11.Connection(h11.SERVER)
         except OSError:
@@ -89,30 +94,8 @@
             else:
                 return None
 
-    def _tell_cache(self, request):
-        if self.kept is None or request.method != "GET":
-            return answer(request, b"", 404)
-        told = {"epoch": "e1", "next": len(self.changes)}
-        if request.target == "/kv-list":
-            told["held"] = [
-                ["", part, n, "m"] for part, n in self.kept.items()
-            ]
-            return answer(request, json.dumps(told).encode())
-        since = int(request.target.partition("=")[2])
-        told["lost"] = False
-        told["events"] = [
-            [number, "+" if tokens else "-", "", part, tokens, "m"]
-            for number, (part, tokens) in enumerate(self.changes)
-            if number >= since
-        ]
-        return answer(request, json.dumps(told).encode())
-
-    def _play_noted(self, peer, request):
-        self.requests.append(request)
-        return self._play(peer, request)
-
-    def _play(self, peer, request):
-        for step in self._script(self, request):
+    def _play(self, peer, steps):
+        for step in steps:
             if step == RESET:
                 peer.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE
@@ -138,6 +121,32 @@
             peer.settimeout(None)
 
 
+def _tell_cache(endpoint, request):
+    """Tell what the endpoint keeps, if it offers that."""
+    if endpoint.kept is None or request.method != "GET":
+        yield answer(request, b"", 404)
+        return
+    yield answer(request, cache_answer(endpoint, request))
+
+
+def cache_answer(endpoint, request):
+    """Return the body that tells the cache, or the changes asked for."""
+    told = {"epoch": "e1", "next": len(endpoint.changes)}
+    if request.target == "/kv-list":
+        told["held"] = [
+            ["", part, n, "m"] for part, n in endpoint.kept.items()
+        ]
+        return json.dumps(told).encode()
+    since = int(request.target.partition("=")[2])
+    told["lost"] = False
+    told["events"] = [
+        [number, "+" if tokens else "-", "", part, tokens, "m"]
+        for number, (part, tokens) in enumerate(endpoint.changes)
+        if number >= since
+    ]
+    return json.dumps(told).encode()
+
+
 class Request:
     """A request as it arrived."""
 
--- a/tests/gateway/test_endpoint_state.py
+++ b/tests/gateway/test_endpoint_state.py
@@ -192,7 +192,7 @@
             on_connect(state)
             return link
 
-        state._pool.connect_directly = connect
+        state._own_call_pool.connect_directly = connect
         request = messages.Request(b"GET", b"/report", ())
         with self.assertRaises(client.LinkBroken):
             anyio.run(state.send_request, request, 100, True)
