Send a request to the same endpoint again on a new connection only

A prompt may be prefilled twice at one engine, and a stream may go on at the engine that broke it off, each time under the same attempt id. On a pooled connection a late second answer to the first request would be taken for that to the second one, while its true answer, perhaps a refusal without an id, is still due to the next request there. An exchange now knows which endpoints it was sent to, and asks for a new connection there.

test_a_second_answer_to_a_prefill_answers_no_repeat_of_it fails with the change of sending.py taken out ('a1 1' for 'a1 2') and passes with it.

--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -164,14 +164,17 @@
             return
         self._limits.record(self.endpoint, per_second)
 
-    async def acquire_link(self):
+    async def acquire_link(self, fresh=False):
         """Return a connection for one request, counted by :meth:`use_share`.
 
+        ``fresh`` asks for one that has carried no request yet.
+
         :raises Withheld: the endpoint has asked for rest.
         :raises LinkBroken: the connection could not be established, or leads
             to another process than that of the record.
         """
-        link = await self._connect(self._pool, self._pool.acquire)
+        connect = self._pool.connect if fresh else self._pool.acquire
+        link = await self._connect(self._pool, connect)
         if self.is_doubtful() and link.is_new:
             link = await self._verified(link)
         return link
--- a/clementinewall/gateway/exchange.py
+++ b/clementinewall/gateway/exchange.py
@@ -102,6 +102,8 @@
         # The part of the prompt that may crash the engine that runs it.
         self.suspect = None
         self.tried_ids = set()
+        # The endpoints that got any request for it, prefills as well.
+        self.sent_to_ids = set()
         self._unreached = 0
 
     @functools.cached_property
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -122,7 +122,7 @@
         has_begun = True
         try:
             async with sending.send(
-                exchange.call,
+                exchange,
                 state,
                 request,
                 self._now,
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -77,9 +77,13 @@
 
 
 @contextlib.asynccontextmanager
-async def send(call, state, request, now, watch=None):
+async def send(exchange, state, request, now, watch=None):
     """Send ``request``, wait for the head and yield a :class:`SentRequest`.
 
+    Answers are told apart by the attempt id, so no connection carries two
+    requests of one exchange: a late second answer to the first of them would
+    be taken for that to the other.
+
     The link goes back to the pool only if the answer was read to its end;
     otherwise it is closed.  ``watch`` is a ``SilenceWatch``; without one a
     silent endpoint is waited for.
@@ -88,11 +92,15 @@
         up, or the endpoint refused; its verdict says whether the request may
         have run.
     """
+    call = exchange.call
     link = None
     sent = None
     state.begin()
     try:
-        link = await state.acquire_link()
+        link = await state.acquire_link(
+            fresh=state.endpoint.id in exchange.sent_to_ids
+        )
+        exchange.sent_to_ids.add(state.endpoint.id)
         if link.stream.relay_ip is not None:
             _log_relayed(call, state, link)
         try:
--- a/clementinewall/gateway/stream_relay.py
+++ b/clementinewall/gateway/stream_relay.py
@@ -200,7 +200,7 @@
         is_accepted = False
         try:
             async with sending.send(
-                exchange.call,
+                exchange,
                 decode_engine,
                 request,
                 self._now,
@@ -323,7 +323,7 @@
         )
         try:
             async with sending.send(
-                exchange.call,
+                exchange,
                 prefill_engine,
                 request,
                 self._now,
--- a/tests/gateway/test_sending.py
+++ b/tests/gateway/test_sending.py
@@ -7,6 +7,7 @@
 import anyio
 
 from clementinewall import clock
+from clementinewall import domain
 from clementinewall.gateway import endpoint_state
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import request_limits
@@ -27,6 +28,9 @@
     b"HTTP/1.1 429 X\r\nNot-Executed: 1\r\nKeep-Alive: timeout=30\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+ROUTE = domain.Route(
+    "r", "h", "/", domain.STREAM, (), 3_000, 400, 200, 0, 2, False
+)
 
 
 def call(attempt):
@@ -90,12 +94,17 @@
 
         anyio.run(limited)
 
-    async def ask(self, attempt):
+    def exchange(self, attempt):
+        """Return the state of a new request."""
+        return exchanges.Exchange(None, call(attempt), ROUTE, None, self.now)
+
+    async def ask(self, attempt, exchange=None):
         """Send a request; return its answer's body, or why it failed."""
-        request = calls.run_request(call(attempt), self.state.endpoint, 1_000)
+        exchange = exchange or self.exchange(attempt)
+        request = calls.run_request(exchange.call, self.state.endpoint, 1_000)
         try:
             async with sending.send(
-                call(attempt), self.state, request, self.now
+                exchange, self.state, request, self.now
             ) as sent:
                 return (await sent.read_all()).decode()
         except exchanges.AttemptFailed as exc:
@@ -146,3 +155,41 @@
 
         self.run_async(test)
         self.assertEqual(self.endpoint.connections, 2)
+
+
+class RepeatedSends(EndpointCase):
+    """Several requests of one exchange to one endpoint."""
+
+    def answer_request(self, _endpoint, request):
+        """Answer with a number; a second copy comes late."""
+        attempt = request.header_by_name["attempt-id"]
+        self.ran.append(attempt)
+        last = getattr(self.connection, "last_answer", None)
+        if last is not None:
+            yield last
+        number = f"{attempt} {self.ran.count(attempt)}"
+        data = scripted.answer(
+            request, number.encode(), Keep_Alive="timeout=30"
+        )
+        self.connection.last_answer = data
+        yield data
+
+    def test_a_second_answer_to_a_prefill_answers_no_repeat_of_it(self):
+        # Guards against the handle of an earlier prefill of the prompt, and
+        # the answer to the repeat that is due on its connection.
+        async def test():
+            exchange = self.exchange("a1")
+            for number in (1, 2, 3):
+                body = await self.ask("a1", exchange)
+                self.assertEqual(body, f"a1 {number}")
+
+        self.run_async(test)
+
+    def test_connections_are_reused_for_other_requests(self):
+        async def test():
+            for number in (1, 2, 3):
+                self.assertEqual(await self.ask(f"a{number}"), f"a{number} 1")
+
+        self.run_async(test)
+        # The first one ends with the second answer that comes on it.
+        self.assertEqual(self.endpoint.connections, 2)
