Bound what is kept of all answers, and pass on what finds no room

Room was reserved by an answer's Content-Length, so one in chunks or without a length counted as nothing while it was read, and as a whole once its caller read slowly: a gateway went beyond its memory limit in a burst, or closed callers that were reading. Refusals, errors and late answers to other requests were kept too, up to 8 MB each, to be thrown away.

Answers of plain services now count by what is kept of them. One that finds no room isn't made to wait or at the cost of others: it is passed on as it comes, and its endpoint is read as fast as the caller reads; meanwhile the endpoint doesn't count as silent. A request that may be sent again waits half a second for room first, since a retry isn't possible once a part is out. Bodies that nobody gets are skipped without being kept; errors, handles and own answers have small bounds. As connections whose answers are passed on take little, the bound of what is held for callers becomes a quarter of the memory limit, of which whole answers may take three quarters.

--- a/clementinewall/backpressure/holdings.py
+++ b/clementinewall/backpressure/holdings.py
@@ -11,6 +11,7 @@
 
 from clementinewall import clock
 from clementinewall import errors
+from clementinewall.http1 import server
 from clementinewall import logs
 from clementinewall import metrics
 
@@ -18,14 +19,20 @@
 
 # Part of the memory limit of the process that answers may take which callers
 # haven't read.
-MEMORY_FRACTION = 1 / 8
+MEMORY_FRACTION = 1 / 4
 BYTES_PER_MB = 1_000_000
-# Smaller answers wait for no room: most are, and they add up to little.
+# Part of that which whole answers may take.  The rest is for connections whose
+# answers are passed on as they come.
+WHOLE_FRACTION = 3 / 4
+# Smaller answers and bodies need no room: most are, and they add up to little.
 MIN_RESERVED_BYTES = 65_536
-# A caller that reads is not closed in favour of answers that wait for room.
-# One lost packet delays what it reads by about half of this time.
-PATIENCE_MS = 500
-POLL_MS = 50
+# An answer that may be asked for again, but names no length, is as long at
+# most and gets all this room at once: if several grew step by step, each could
+# wait for the others.
+MAX_WHOLE_BYTES = 8_000_000
+# How long such a request waits for room.
+ROOM_WAIT_MS = 500
+ROOM_POLL_MS = 20
 # Part of the memory limit that the bodies of open requests may take, and the
 # part of that for those of one service.
 BODIES_FRACTION = 1 / 6
@@ -63,6 +70,7 @@
         self._limit = memory_mb * BYTES_PER_MB * MEMORY_FRACTION
         self._now = now
         self._entry_by_connection = {}
+        self._reserved_bytes = 0
         self.held_bytes = 0
 
     def begin_wait(self, connection, more_bytes):
@@ -80,7 +88,7 @@
         if self.held_bytes <= before:
             # An answer that was reserved, perhaps one that exceeds the bound.
             return
-        while self.held_bytes > self._limit and self._close_longest(0):
+        while self.held_bytes > self._limit and self._close_longest():
             pass
 
     def end_wait(self, connection):
@@ -101,35 +109,41 @@
         """Count nothing more of a connection, whose request has ended."""
         entry = self._entry_by_connection.pop(connection, None)
         if entry is not None:
-            self.held_bytes -= entry.size
+            self._resize(entry, reserved=0, unsent=0)
 
-    async def reserve(self, connection, size, on_wait=lambda: None):
-        """Wait until an answer of ``size`` bytes may be held.
+    def hold(self, connection, size):
+        """Count ``size`` bytes of an answer that are held for a connection.
 
-        ``on_wait()`` is called now and then meanwhile.  An answer that exceeds
-        the bound by itself is held alone.
+        Return whether there is room for them.  Without it, what was counted
+        before stays counted, and the answer has to be passed on in parts.
         """
-        # The answer of an earlier attempt is given up.
-        self.forget(connection)
-        if not self._limit or size < MIN_RESERVED_BYTES:
-            return
-        while self.held_bytes and self.held_bytes + size > self._limit:
-            if not self._close_longest(PATIENCE_MS):
-                on_wait()
-                await anyio.sleep(clock.seconds(POLL_MS))
-        entry = self._entry_by_connection.setdefault(connection, _Entry())
-        self._resize(entry, reserved=size)
+        if not self._limit:
+            return True
+        if size < MIN_RESERVED_BYTES:
+            size = 0
+        entry = self._entry_by_connection.get(connection)
+        before = 0 if entry is None else entry.reserved
+        after = self._reserved_bytes - before + size
+        if size > before and after > WHOLE_FRACTION * self._limit:
+            return False
+        if entry is None and size:
+            entry = self._entry_by_connection[connection] = _Entry()
+        if entry is not None:
+            self._resize(entry, reserved=size)
+        return True
 
     def _resize(self, entry, **change):
         self.held_bytes -= entry.size
+        self._reserved_bytes -= entry.reserved
         for name, value in change.items():
             setattr(entry, name, value)
         self.held_bytes += entry.size
+        self._reserved_bytes += entry.reserved
 
-    def _close_longest(self, min_wait_ms):
+    def _close_longest(self):
         """Close the connection that has waited longest for its peer.
 
-        Return whether there was one that waited for ``min_wait_ms``.
+        Return whether there was one that waited.
         """
         now = self._now()
         waiting = []
@@ -147,15 +161,14 @@
         if not waiting:
             return False
         since, connection, entry = min(waiting, key=lambda row: row[0])
-        if now - since < min_wait_ms:
-            return False
+        held_for_it = entry.size
         held_bytes = self.held_bytes
         self.forget(connection)
         metrics.count("callers_closed_for_memory")
         _log.warning(
             "caller does not read; closing its connection",
             waited_ms=now - since,
-            held_for_it=entry.size,
+            held_for_it=held_for_it,
             held_for_all=held_bytes,
         )
         with contextlib.suppress(OSError):
@@ -163,6 +176,91 @@
         return True
 
 
+class TooLong(Exception):
+    """An answer whose length is not known is too long to be kept."""
+
+
+class HeldAnswer:
+    """An answer to a caller, kept whole if there is room for that.
+
+    An answer is kept until it is complete, so that a request whose endpoint
+    breaks off can be sent again.  One that finds no room is passed on as it
+    comes: then the endpoint is read only as fast as the caller reads.
+    """
+
+    def __init__(self, connection, head, length, may_send_again):
+        """Answer on ``connection``, with a body of ``length`` bytes.
+
+        ``length`` is ``None`` if the endpoint did not name it.  With
+        ``may_send_again``, the answer waits a little for room.
+        """
+        self._connection = connection
+        self._head = head
+        self._length = length
+        self._may_send_again = may_send_again
+        self._parts = []
+        self._size = 0
+        self._is_passed_on = False
+        # What is kept of the answer to an earlier attempt is not needed.
+        connection.forget_answer()
+
+    async def add(self, part):
+        """Add the next bytes of the body.
+
+        :raises TooLong: it has no known length and is too long.  Nothing of
+            it has been sent.
+        :raises CallerDisconnected: the caller is gone.
+        """
+        if self._is_passed_on:
+            await self._connection.send_body(part)
+            return
+        self._parts.append(part)
+        self._size += len(part)
+        if not await self._has_room():
+            await self._pass_on()
+
+    async def finish(self):
+        """Send what has not been passed on, and the end of the answer.
+
+        :raises CallerDisconnected: the caller is gone.
+        """
+        if not self._is_passed_on:
+            if self._size <= server.MAX_WRITE_BYTES:
+                body = b"".join(self._parts)
+                await self._connection.answer(self._head, body)
+                return
+            self._length = self._size
+            await self._pass_on()
+        await self._connection.finish()
+
+    async def _has_room(self):
+        size = self._size if self._length is None else self._length
+        if not self._may_send_again:
+            return self._connection.hold_answer(size)
+        if self._length is None and size >= MIN_RESERVED_BYTES:
+            if size > MAX_WHOLE_BYTES:
+                raise TooLong
+            size = MAX_WHOLE_BYTES
+        for _ in range(ROOM_WAIT_MS // ROOM_POLL_MS):
+            if self._connection.hold_answer(size):
+                return True
+            await anyio.sleep(clock.seconds(ROOM_POLL_MS))
+        return False
+
+    async def _pass_on(self):
+        """Send the head and what is kept of the body."""
+        self._is_passed_on = True
+        # Perhaps less than there was room for.
+        self._connection.hold_answer(self._size)
+        await self._connection.send_head(self._head, self._length)
+        self._parts.reverse()
+        while self._parts:
+            part = self._parts.pop()
+            await self._connection.send_body(part)
+            self._size -= len(part)
+            self._connection.hold_answer(self._size)
+
+
 class RequestBodies:
     """Counts the bodies of open requests by service, and refuses further ones.
 
--- a/clementinewall/gateway/cache_sync.py
+++ b/clementinewall/gateway/cache_sync.py
@@ -16,7 +16,6 @@
 from clementinewall import containment
 from clementinewall import errors
 from clementinewall.gateway import endpoints as endpoints_module
-from clementinewall.gateway import sending
 from clementinewall.http1 import client
 from clementinewall import logs
 from clementinewall.membership import members
@@ -35,6 +34,7 @@
 # the time-out for its answer.
 CHANGE_WAIT_MS = 250
 ANSWER_TIMEOUT_MS = 750
+MAX_ANSWER_BYTES = 2_000_000
 # An engine that fails to report its cache in time is asked again after a
 # delay; one that does not support the call is not.
 RETRY_DELAY_MS = 3_000
@@ -194,9 +194,7 @@
         self._endpoints.apply_cache_changes(state, changes.parts)
 
     async def _body(self, state, request):
-        head, body = await state.send_request(
-            request, sending.MAX_ANSWER_BYTES
-        )
+        head, body = await state.send_request(request, MAX_ANSWER_BYTES)
         metrics.count("cache_calls", status=head.status)
         if head.status in UNSUPPORTED_STATUSES:
             raise _Unsupported(f"answered with {head.status}")
--- a/clementinewall/gateway/endpoint_state.py
+++ b/clementinewall/gateway/endpoint_state.py
@@ -1,5 +1,7 @@
 """What this gateway knows of one endpoint: connections, work, cache."""
 
+import contextlib
+
 import anyio
 
 from clementinewall import clock
@@ -72,6 +74,8 @@
         self.is_leaving = False
         self.health = endpoint_health.Health()
         self.open = 0
+        # Open requests whose answers are not read, since callers are slow.
+        self._unread = 0
         self.streams = 0
         # For which its memory is taken by requests of this gateway.
         self.tokens = 0
@@ -335,6 +339,20 @@
         """Count the end of a request."""
         self.open -= 1
 
+    @contextlib.contextmanager
+    def unread(self):
+        """Count a request whose answer is not read for a while.
+
+        An endpoint is not silent because its data waits here.
+        """
+        self._unread += 1
+        try:
+            yield
+        finally:
+            if self.open <= self._unread:
+                self._last_response_at = self._now()
+            self._unread -= 1
+
     def record_response(self):
         """Record that the endpoint sent data."""
         self._last_response_at = self._now()
@@ -406,7 +424,8 @@
         return self._is_silent_for(RESPONSE_TIMEOUT_MS)
 
     def _is_silent_for(self, ms):
-        return bool(self.open) and self._now() - self._last_response_at > ms
+        is_awaited = self.open > self._unread
+        return is_awaited and self._now() - self._last_response_at > ms
 
     def begin_prompt(self, urgency, cost_ms):
         """Record a prompt sent now; return its job for ``end_prompt``."""
--- a/clementinewall/gateway/plain_relay.py
+++ b/clementinewall/gateway/plain_relay.py
@@ -1,5 +1,6 @@
 """Relays calls to plain services, which are not model engines."""
 
+from clementinewall.backpressure import holdings
 from clementinewall.gateway import exchange as exchanges
 from clementinewall.gateway import sending
 from clementinewall.gateway import silence_watch
@@ -48,18 +49,21 @@
                 )
                 break
             try:
-                head, body = await self._attempt(exchange, state)
+                answer = await self._attempt(exchange, state)
             except exchanges.AttemptFailed as exc:
                 last = exc
                 if spent and not exc.reached:
                     self._budgets.refund(exchange.service, spent)
                 await self._record_failure(exchange, state, exc)
-                if not exchange.may_retry():
+                if (
+                    exchange.connection.answer_started
+                    or not exchange.may_retry()
+                ):
                     break
                 continue
             state.health.record_success()
             self._crash_guard.record_answer(exchange)
-            await exchange.connection.answer(calls.forwarded_head(head), body)
+            await answer.finish()
             return
         if last is not None and last.answer is not None:
             head, body = last.answer
@@ -128,10 +132,7 @@
                 self._now,
                 self._silence_watch(exchange, state),
             ) as sent:
-                await exchange.connection.reserve_answer(
-                    messages.content_length(sent.head), state.record_response
-                )
-                body = await sent.read_all()
+                return await self._receive(exchange, sent)
         except exchanges.AttemptFailed as exc:
             has_begun = exc.verdict is not verdicts.Verdict.NOT_RUN
             raise
@@ -139,7 +140,6 @@
             # A call whose caller left has probably begun as well.
             if has_begun:
                 exchange.record_begun()
-        return self._checked_answer(exchange, sent, body)
 
     def _silence_watch(self, exchange, state):
         """Return the watch of a send, ``None`` if it is the last one."""
@@ -164,17 +164,32 @@
         state = self._choose_endpoint(exchange)
         return state is not None and state.is_usable()
 
-    def _checked_answer(self, exchange, sent, body):
+    async def _receive(self, exchange, sent):
+        """Return the answer, of which a part may have been passed on."""
         head = sent.head
         if head.status < 400 and not calls.is_complete_success(head):
             raise sent.failure(
                 "success response without the endpoint's Server-Stamp"
             )
-        answer = head, body
         if head.status >= 500 and exchange.route.idempotent:
+            answer = head, await sent.read_all()
             raise sent.failure(
                 f"status {head.status}", verdicts.Verdict.RAN, answer
             )
+        answer = holdings.HeldAnswer(
+            exchange.connection,
+            calls.forwarded_head(head),
+            messages.content_length(head),
+            exchange.route.idempotent and exchange.may_retry(),
+        )
+        while (part := await sent.read_part()) is not None:
+            with sent.state.unread():
+                try:
+                    await answer.add(part)
+                except holdings.TooLong as exc:
+                    raise sent.failure(
+                        "the answer has no end within bounds", broken=True
+                    ) from exc
         return answer
 
     async def _record_failure(self, exchange, state, exc):
--- a/clementinewall/gateway/sending.py
+++ b/clementinewall/gateway/sending.py
@@ -11,9 +11,14 @@
 
 _log = logs.PartLog("send")
 
-MAX_ANSWER_BYTES = 8_000_000
-# Late answers to earlier requests of a connection that are dropped.
+# Answers that are kept whole, such as errors and the handles of prefills.
+MAX_ANSWER_BYTES = 262_144
+# What is read of a refusal, so that its connection can be used again.
+MAX_REFUSAL_BYTES = 65_536
+# Late answers to earlier requests of a connection that are dropped, and how
+# much of each is read.
 MAX_LATE_ANSWERS = 3
+MAX_LATE_BYTES = 8_000_000
 
 
 class SentRequest:
@@ -35,8 +40,7 @@
         """
         parts = []
         size = 0
-        part = await self.read_part()
-        while part is not None:
+        while (part := await self.read_part()) is not None:
             size += len(part)
             if size > MAX_ANSWER_BYTES:
                 raise self.failure(
@@ -44,9 +48,17 @@
                     broken=True,
                 )
             parts.append(part)
-            part = await self.read_part()
         return b"".join(parts)
 
+    async def skip_refusal(self):
+        """Read the body of a refusal unless it is long, and keep nothing.
+
+        :raises AttemptFailed: as for :meth:`read_part`.
+        """
+        size = 0
+        while size <= MAX_REFUSAL_BYTES and not self.is_complete:
+            size += len(await self.read_part() or b"")
+
     async def read_part(self):
         """Return the next bytes of the body, ``None`` at its regular end.
 
@@ -118,7 +130,7 @@
         state.apply_request_limit(head)
         _record_load(state, head, now())
         if calls.reports_not_run(head):
-            await sent.read_all()
+            await sent.skip_refusal()
             failure = sent.failure(
                 f"refused with {head.status}", verdicts.Verdict.NOT_RUN
             )
@@ -180,7 +192,7 @@
             request=call.attempt,
             status=head.status,
         )
-        await link.read_rest(MAX_ANSWER_BYTES)
+        await link.skip_rest(MAX_LATE_BYTES)
         link.expect_another()
         head = await _wait(watch, link.read_head)
     return head
--- a/clementinewall/http1/client.py
+++ b/clementinewall/http1/client.py
@@ -183,6 +183,20 @@
             part = await self.read_part()
         return b"".join(parts)
 
+    async def skip_rest(self, max_bytes):
+        """Read the rest of the body without keeping it.
+
+        :raises LinkBroken: the body was truncated or is longer than
+            ``max_bytes``.
+        """
+        size = 0
+        while (part := await self.read_part()) is not None:
+            size += len(part)
+            if size > max_bytes:
+                raise self._broken(
+                    f"the answer's body is over {max_bytes} bytes"
+                )
+
     def expect_another(self):
         """Prepare to read another answer to the request that was sent.
 
--- a/clementinewall/http1/messages.py
+++ b/clementinewall/http1/messages.py
@@ -72,8 +72,10 @@
 
 
 def content_length(head):
-    """Return the length that a head names for its body, 0 if it names none."""
-    return parse_integer(head.header(b"content-length"), 0)
+    """Return the length that a head names for its body, or ``None``."""
+    if head.header(b"transfer-encoding") is not None:
+        return None
+    return parse_integer(head.header(b"content-length"))
 
 
 def parse_integer(value, default=None):
--- a/clementinewall/http1/server.py
+++ b/clementinewall/http1/server.py
@@ -15,8 +15,7 @@
 from clementinewall.http1 import messages
 from clementinewall.http1 import stream as streams
 
-# Larger answers are written in parts, so that no second copy is held while
-# the caller reads them.  Larger requests count as held while they come.
+# Larger requests count as held while they come.
 MAX_WRITE_BYTES = 65_536
 # What is read ahead of a streamed answer: by its connection and its parser.
 STREAM_HELD_BYTES = 2 * streams.MAX_READ_AHEAD_BYTES
@@ -201,7 +200,7 @@
         self._stream.set_close_callback(callback)
 
     async def send_head(self, head, length=None):
-        """Send the head of an answer.
+        """Send the head of an answer whose body follows in parts.
 
         Without ``length`` (bytes), the body is sent in chunks.
         """
@@ -212,7 +211,7 @@
             headers.append((b"Transfer-Encoding", b"chunked"))
         self._add_close(headers)
         self.answer_started = True
-        self._stream.more_held_bytes = length or STREAM_HELD_BYTES
+        self._stream.more_held_bytes = STREAM_HELD_BYTES
         await self._send(
             h11.Response(
                 status_code=head.status,
@@ -230,13 +229,10 @@
         await self._send(h11.EndOfMessage())
 
     async def answer(self, head, body):
-        """Send a complete answer, in one write unless it is large.
+        """Send a complete answer in one write.
 
         To a HEAD request, ``body`` only determines the length.
         """
-        if len(body) > MAX_WRITE_BYTES and not self._is_head_request:
-            await self._answer_in_parts(head, body)
-            return
         self._stream.more_held_bytes = 0
         headers = list(head.headers)
         headers.append((b"Content-Length", str(len(body)).encode()))
@@ -256,17 +252,14 @@
         parts.append(self._h11.send(h11.EndOfMessage()))
         await self._write(b"".join(part for part in parts if part))
 
-    async def _answer_in_parts(self, head, body):
-        await self.send_head(head, len(body))
-        view = memoryview(body)
-        for start in range(0, len(body), MAX_WRITE_BYTES):
-            await self.send_body(view[start : start + MAX_WRITE_BYTES])
-        await self.finish()
+    def hold_answer(self, size):
+        """Return whether ``size`` bytes of an answer may be held, and count.
 
-    async def reserve_answer(self, size, on_wait):
-        """Wait until the process may hold an answer of ``size`` bytes."""
-        if self._stream.holdings is not None:
-            await self._stream.holdings.reserve(self._stream, size, on_wait)
+        They count until :meth:`forget_answer`, or until another size does.
+        """
+        if self._stream.holdings is None:
+            return True
+        return self._stream.holdings.hold(self._stream, size)
 
     def forget_answer(self):
         """Count no more what is held of an answer; its request ended."""
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -1,6 +1,7 @@
 """Base class and constants of the tests with gateway processes."""
 
 import json
+import pathlib
 import signal
 import socket
 import unittest
@@ -283,3 +284,12 @@
     def terminate(self, name="gateway-1"):
         """Ask a gateway to stop."""
         self.dep.process_by_name[name].send_signal(signal.SIGTERM)
+
+    def peak_mb(self, name="gateway-1"):
+        """Return the most memory that a gateway has used."""
+        process = self.dep.process_by_name[name]
+        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+        for line in status.splitlines():
+            if line.startswith("VmHWM"):
+                return int(line.split()[1]) / 1_024
+        raise AssertionError("no VmHWM")
