--- a/tests/integration/test_gateway_draining.py
+++ b/tests/integration/test_gateway_draining.py
@@ -1,5 +1,6 @@
 """Which requests a draining gateway accepts, and how it ends them."""
 
+import http.client
 import signal
 import socket
 import time
@@ -15,6 +16,11 @@
 slow = test_gateway_lifecycle.slow
 
 MODEL_HEADERS = test_gateway_lifecycle.MODEL_HEADERS
+GRACE_SECONDS = 6
+# From this time after SIGTERM on, endpoints are slow.
+SLOW_AFTER_SECONDS = 2.0
+USUAL_SECONDS = 0.05
+SLOW_SECONDS = 1.2
 PREFILLED = b'{"cache_handle": "h1", "token_count": 9, "version": 1}'
 
 
@@ -265,3 +271,106 @@
         self.ask(front, "/look/x")
         given = engine.requests[0].header_by_name["deadline-ms"]
         self.assertLess(int(given), 3_000)
+
+
+class LateRequests(gateway_base.GatewayCase):
+    """Callers whose connections stay open until the process is gone.
+
+    The endpoints turn slow once the gateway has been asked to stop.
+    """
+
+    def setUp(self):
+        """Start a gateway before an endpoint and an engine."""
+        super().setUp()
+        self.publish(
+            route("book", "app", "unsafe", timeout_ms=20_000),
+            route("once", "model", "stream", timeout_ms=20_000),
+        )
+        self.is_slow = False
+        self.reached = set()
+        self.endpoint("one", self._answer)
+        self.engine("two", self._stream)
+        self.front = self.gateway(grace_s=GRACE_SECONDS)
+
+    def _answer(self, _endpoint, request):
+        self.reached.add(request.header_by_name.get("attempt-id"))
+        yield SLOW_SECONDS if self.is_slow else USUAL_SECONDS
+        yield scripted.answer(request)
+
+    def _stream(self, _endpoint, request):
+        self.reached.add(request.header_by_name.get("attempt-id"))
+        yield scripted.stream_head(request)
+        for number in (1, 2):
+            yield SLOW_SECONDS if self.is_slow else USUAL_SECONDS
+            yield scripted.chunk(scripted.event(number))
+        yield scripted.chunk(b"")
+
+    def _call_until_gone(self, caller, path, deadline_ms):
+        """Return when each request was sent, and its answer's status.
+
+        The status is ``None`` if the connection ended without an answer, and
+        ``"late"`` if that was at the request's own limit.
+        """
+        host, _, port = self.front.rpartition(":")
+        headers = {"Host": gateway_base.HOST, **MODEL_HEADERS}
+        headers = {k.replace("_", "-"): v for k, v in headers.items()}
+        if deadline_ms:
+            headers["Deadline-Ms"] = str(deadline_ms)
+        rows = []
+        connection = http.client.HTTPConnection(host, int(port), timeout=10)
+        while self.dep.process_by_name["gateway-1"].poll() is None:
+            attempt = f"{caller}-{len(rows)}"
+            sent_at = time.monotonic()
+            status = None
+            try:
+                connection.request(
+                    "POST", path, headers={**headers, "Attempt-Id": attempt}
+                )
+                answer = connection.getresponse()
+                answer.read()
+                status = answer.status
+            except (OSError, http.client.HTTPException):
+                connection.close()
+                took_ms = 1_000 * (time.monotonic() - sent_at)
+                if deadline_ms and took_ms >= deadline_ms:
+                    status = "late"
+            rows.append((attempt, sent_at, status))
+            time.sleep(0.02)
+        return rows
+
+    def test_requests_taken_late_in_a_stop_are_answered(self):
+        # Guards against a process that passes on what it can't finish and
+        # closes the connection without an answer.
+        kinds = [
+            (path, deadline_ms)
+            for path in ("/book/x", "/once/x")
+            for deadline_ms in (None, 400, 1_500, 6_000)
+        ]
+        asked = base.Background(
+            self._call_until_gone,
+            [(n, *kinds[n % len(kinds)]) for n in range(3 * len(kinds))],
+        )
+        time.sleep(1)
+        stopped_at = time.monotonic()
+        self.terminate()
+        time.sleep(SLOW_AFTER_SECONDS)
+        self.is_slow = True
+        rows = [row for _, found in asked.join() for row in found]
+
+        late_from = stopped_at + SLOW_AFTER_SECONDS
+        late = [row for row in rows if row[1] > late_from]
+        self.assertGreater(len(late), 50)
+        self.assertTrue(any(row[0] in self.reached for row in late))
+        lost = [
+            (attempt, round(sent_at - stopped_at, 2))
+            for attempt, sent_at, status in late
+            if status is None and attempt in self.reached
+        ]
+        self.assertEqual(lost, [])
+        # What says that it has not run has not.
+        refused = [
+            attempt
+            for attempt, _, status in late
+            if status == 503 and attempt in self.reached
+        ]
+        self.assertEqual(refused, [])
