Soak: second answers beside own calls, bytes without end, memory

Two kinds of fault are drawn beside the others: late second answers, on connections of own calls too, and bytes without end in heads, bodies and chunks. A gateway beyond its memory limit breaks a guarantee.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -8,6 +8,7 @@
 from bench.soak import deployment
 from bench.soak import duties
 from bench.soak import endpoint_faults
+from bench.soak import garbled
 from bench.soak import harmful_parts
 from bench.soak import odd_entries
 from bench.soak import partitions
@@ -15,6 +16,7 @@
 from bench.soak import rejoins
 from bench.soak import restarts
 from bench.soak import unplanned_faults
+from tests.integration import gateway_base
 
 GAP_SECONDS = (0.3, 2.0)
 LENGTH_SECONDS = (0.4, 4.0)
@@ -69,6 +71,8 @@
 # Entries of another writer; drawn by a generator of its own, too.
 ENTRY_KINDS = {"odd-entry": odd_entries.write}
 ENTRY_GAP_SECONDS = (1.0, 4.0)
+# Wrong bytes of endpoints; drawn by a generator of its own, too.
+GARBLE_GAP_SECONDS = (2.0, 6.0)
 # The loss of all gateways leaves little undisturbed, so it is drawn only when
 # it is asked for; by a generator of its own, too.
 RESTART_KINDS = {"lose-all": restarts.lose_all}
@@ -88,6 +92,7 @@
     **PARTITION_KINDS,
     **PART_KINDS,
     **ENTRY_KINDS,
+    **garbled.KINDS,
     **RESTART_KINDS,
     **DUTY_KINDS,
     **REJOIN_KINDS,
@@ -121,6 +126,7 @@
         self._partition_rng = random.Random(f"partitions {seed}")
         self._part_rng = random.Random(f"parts {seed}")
         self._entry_rng = random.Random(f"entries {seed}")
+        self._garble_rng = random.Random(f"garbled {seed}")
         self._restart_rng = random.Random(f"restarts {seed}")
         self._duty_rng = random.Random(f"duties {seed}")
         self._rejoin_rng = random.Random(f"rejoins {seed}")
@@ -149,6 +155,7 @@
                     self._inject_partitions,
                     self._inject_parts,
                     self._inject_entries,
+                    self._inject_garbled,
                     self._inject_restarts,
                     self._inject_duty_faults,
                     self._inject_rejoins,
@@ -166,6 +173,7 @@
                 *checks.find_violations(self.history),
                 *self._deployment.duty_violations(),
                 *self._ended_gateways(),
+                *self._large_gateways(),
             ]
         finally:
             self._deployment.close()
@@ -245,6 +253,17 @@
             kinds = [kind for kind in self._only if kind in ENTRY_KINDS]
         self._inject_series(rng, kinds, inject, ENTRY_GAP_SECONDS)
 
+    def _inject_garbled(self):
+        rng = self._garble_rng
+
+        def inject(kind):
+            garbled.KINDS[kind](self._deployment, rng)
+
+        kinds = [] if self._planned else sorted(garbled.KINDS)
+        if self._only:
+            kinds = [kind for kind in self._only if kind in garbled.KINDS]
+        self._inject_series(rng, kinds, inject, GARBLE_GAP_SECONDS)
+
     def _inject_restarts(self):
         rng = self._restart_rng
 
@@ -288,6 +307,13 @@
             if thread is not None:
                 thread.join()
 
+    def _large_gateways(self):
+        case = self._deployment.case
+        for name in self._deployment.gateways:
+            is_running = self._deployment.process(name).poll() is None
+            if is_running and case.peak_mb(name) > gateway_base.MEMORY_MB:
+                yield f"{name} took {case.peak_mb(name):.0f} MB"
+
     def _ended_gateways(self):
         for name in self._deployment.gateways:
             if self._deployment.process(name).poll() is not None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -50,6 +50,17 @@
         history = self.check(660, "odd-entry", "kill", "publish")
         self.assertTrue(any("odd entry" in what for _, what in history.faults))
 
+    def test_second_answers_beside_stops(self):
+        # Guards against late answers that are taken for those to others, to a
+        # gateway's own calls too.
+        history = self.check(771, "second-answers", "term", seconds=16)
+        self.assertIn("second answers", str(history.faults))
+
+    def test_bytes_without_end(self):
+        # Guards against gateways that keep what is no answer.
+        history = self.check(772, "endless-answers", "publish", seconds=16)
+        self.assertIn("without end", str(history.faults))
+
     def test_stops_and_cut_connections(self):
         self.check(2, "term", "proxy", "store")
 
