Bound the answers that entries and stewards keep

The same cause as in the gateway: calls, reports and errors were read whole whatever their length, so an endpoint that sends without end took the process's memory.

--- a/clementinewall/entry/model_relay.py
+++ b/clementinewall/entry/model_relay.py
@@ -11,6 +11,7 @@
 import anyio
 import httpx
 
+from clementinewall import _http
 from clementinewall import clock
 from clementinewall.endpoints import attempt
 from clementinewall.endpoints import reports
@@ -195,7 +196,11 @@
         endpoint = self._endpoint(name)
         url = f"http://{endpoint.address}{work.path}"
         request = self._http.build_request(
-            "POST", url, content=state.body(), headers=headers
+            "POST",
+            url,
+            content=state.body(),
+            headers=headers,
+            extensions={_http.IS_STREAMED: True},
         )
         tokens = 0 if plan.prefill_id else progress.prompt_tokens(work)
         self._loads.record_sent(name, tokens)
--- a/clementinewall/log/client.py
+++ b/clementinewall/log/client.py
@@ -6,6 +6,7 @@
 read, with a ``snapshot`` of its state if it no longer holds offset ``N``.
 """
 
+import math
 import typing
 
 import httpx
@@ -51,7 +52,10 @@
         self._token = settings.security.control_token
         timeout = clock.seconds(self._platform.request_timeout_ms)
         self._timeout = timeout
-        self._http = _http.client(self._platform.request_timeout_ms)
+        # The platform's own answers have no bound of ours.
+        self._http = _http.client(
+            self._platform.request_timeout_ms, max_answer_bytes=math.inf
+        )
         self._failovers = 0
 
     async def aclose(self):
