--- a/tests/gateway/test_endpoint_state.py
+++ b/tests/gateway/test_endpoint_state.py
@@ -51,6 +51,38 @@
         self.assertTrue(self.state.is_unavailable())
 
 
+class Unread(unittest.TestCase):
+    """Answers that are not read for a while, since callers are slow."""
+
+    def setUp(self):
+        """Open a request."""
+        self.ticker = clock.ManualClock(100_000)
+        self.state = new_state(self.ticker)
+        self.state.begin()
+
+    def wait(self):
+        """Wait for longer than a sound endpoint is silent."""
+        self.ticker.advance(endpoint_state.RESPONSE_TIMEOUT_MS + 1)
+
+    def test_an_endpoint_is_not_silent_while_its_answer_waits_here(self):
+        # Guards against a sound endpoint that gets no requests since one
+        # caller reads slowly.
+        with self.state.unread():
+            self.wait()
+            self.assertTrue(self.state.is_usable())
+        self.assertTrue(self.state.is_usable())
+        self.wait()
+        self.assertFalse(self.state.is_usable())
+
+    def test_an_endpoint_that_owes_other_answers_is_silent(self):
+        # Guards against requests to a dead endpoint beside a slow caller.
+        self.state.begin()
+        with self.state.unread():
+            self.wait()
+            self.assertFalse(self.state.is_usable())
+        self.assertFalse(self.state.is_usable())
+
+
 class RequestLimit(unittest.TestCase):
     """An endpoint that has named a limit, of which the share is used up."""
 
