Cut deployed gateways off by data centre, and time what callers get

Cause: nothing could cut a whole data centre off at the size of a site. The network stand-in of each gateway polled each connection fifty times a second, so that 71 of them could not run, and all gateways of the tests stood in one data centre.

Change: an egress waits for what happens, and may carry the gateways of a group; gateways, endpoints and callers may stand in data centres; a deployed fleet is shared by bench.restart and the new bench.cut, which plays a cut of a data centre or of a share and prints each second.

--- a/bench/restart.py
+++ b/bench/restart.py
@@ -27,8 +27,6 @@
 """
 
 import collections
-import contextlib
-import json
 import os
 import shutil
 import statistics
@@ -36,120 +34,35 @@
 import tempfile
 import threading
 import time
-import typing
 
 import docopt
-import httpx
 
-from bench import slopes_processes
-from bench.soak import addresses
-from bench.soak import backends
+from bench import deployed
 from bench.soak import bounds
-from bench.soak import callers
-from bench.soak import history as history_module
 from standins import bringup
 from standins import checkout
-from tests.integration import gateway_base
 
-SERVICES = 3
 SERVED_BEFORE_SECONDS = 6.0
 ENGINES_AWAY_SECONDS = 8.0
 RECOVER_SECONDS = 15.0
 READINESS_SECONDS = 1.0
 
 
-class _Case(gateway_base.GatewayCase):
-    def __init__(self, built):
-        super().__init__()
-        self._built = built
-
-    def runTest(self):
-        """Do nothing: only the set-up of the test case is used."""
-
-    def new_deployment(self):
-        return checkout.CheckoutDeployment(self._built)
-
-
-class Span(typing.NamedTuple):
-    """What was sent and served in a span of time."""
-
-    sent: int
-    served: int
-
-
-class Restart:
-    """A deployment whose gateways are all killed and started again."""
+class Restart(deployed.DeployedFleet):
+    """A fleet whose gateways are all killed and started again."""
 
     def __init__(self, built, processors, names):
         """Prepare gateways of these names, which share ``processors``."""
-        self.names = names
-        self.history = history_module.History()
-        self.case = _Case(built)
-        self.case.setUp()
-        self.dep = self.case.dep
-        self.dep.share_processors(names, processors)
-        self.backends = []
+        super().__init__(built, processors, names)
         self.ready_at_by_name = {}
         self.cpu_rows = []
-        self.stopping = threading.Event()
         self.back_at = None
 
-    def bring_up(self, engines):
-        """Start endpoints, then the gateways, and wait until all are ready."""
-        case = self.case
-        route = gateway_base.route
-        case.publish(
-            route("look", "app", "safe"),
-            route("book", "app", "unsafe"),
-            route("slow", "app", "safe", timeout_ms=800),
-            route("wait", "app", "safe"),
-            route("chat", "model", "stream", resumable=True),
-            route("new1", "app", "safe"),
-        )
-        for number in range(SERVICES):
-            self._add(f"app-{number}", "app")
-        for number in range(engines):
-            stage = "prefill" if number % 3 == 0 and engines > 2 else "decode"
-            self._add(f"engine-{number}", "model", stage)
-        for number, name in enumerate(self.names, 1):
-            case.start_without_waiting(
-                name, f"127.0.0.{number}", grace_s=8, config_ms=3_000
-            )
-        for name in self.names:
-            bringup.wait_until(
-                lambda n=name: case.is_ready(n), seconds=120, what=name
-            )
-
-    def _add(self, name, service, stage=None):
-        backend = backends.Backend(
-            name, service, self.history, self._put, stage
-        )
-        backend.register(backend.endpoint.address)
-        self.backends.append(backend)
-
-    def _put(self, name, row):
-        content = b"" if row is None else row
-        try:
-            self.case.put(gateway_base.ENDPOINTS_TOPIC, name, content)
-        except httpx.HTTPError as exc:
-            print(f"record of endpoint {name} not written: {exc!r}")
-
-    def start_clients(self, count):
-        """Start callers."""
-        listen = self.case.listen_by_name
-        for seed in range(count):
-            callers.Caller(
-                seed,
-                self.history,
-                lambda rng: addresses.ResolvedAddresses(rng, listen),
-                self.stopping,
-            ).start()
-
     def serve_before(self):
         """Serve callers for a while and measure what that costs."""
-        before = self._cpu_seconds()
+        before = self.cpu_seconds()
         time.sleep(SERVED_BEFORE_SECONDS)
-        used = self._cpu_seconds() - before
+        used = self.cpu_seconds() - before
         self.load_before = used / SERVED_BEFORE_SECONDS
 
     def lose_all(self, down_seconds, again_seconds=None):
@@ -179,8 +92,8 @@
 
         def replace():
             for backend in lost:
-                self._put(backend.name, None)
-                self._add(f"{backend.name}~", "model", backend.stage)
+                self.put(backend.name, None)
+                self.add_endpoint(f"{backend.name}~", "model", backend.stage)
 
         threading.Timer(ENGINES_AWAY_SECONDS, replace).start()
 
@@ -194,7 +107,7 @@
         while time.monotonic() < end:
             time.sleep(1.0)
             self.cpu_rows.append(
-                (time.monotonic() - self.back_at, self._cpu_seconds())
+                (time.monotonic() - self.back_at, self.cpu_seconds())
             )
 
     def _watch_readiness(self, name):
@@ -204,40 +117,14 @@
                     name, time.monotonic() - self.back_at
                 )
 
-    def _cpu_seconds(self):
-        ticks = 0
-        for name in self.names:
-            process = self.dep.process_by_name[name]
-            if process.poll() is None:
-                ticks += slopes_processes.cpu_ticks(process.pid)
-        return ticks / slopes_processes.TICKS
-
-    def close(self):
-        """End everything."""
-        self.stopping.set()
-        for backend in self.backends:
-            # Without a call to the store, which may be busy.
-            backend.end(crash=True)
-        self.case.doCleanups()
-
     # What was seen.
 
-    def span(self, start, end):
-        """Return what was sent and served from start to end."""
-        rows = [
-            sent
-            for sent in list(self.history.sent)
-            if start <= sent.at < end and sent.kind in bounds.RESTART_KINDS
-        ]
-        served = sum(row.status == 200 and row.is_correct for row in rows)
-        return Span(len(rows), served)
-
     def milestones(self):
         """Return seconds after the return, by milestone; and CPU ms."""
         found = collections.defaultdict(list)
         for name in self.names:
             seen = set()
-            for row in self._rows_since_return(name):
+            for row in self.rows_since(name, self.back_wall):
                 what = row["message"].partition(": ")[2]
                 key = what + (f" {row['topic']}" if "topic" in row else "")
                 if key in seen:
@@ -248,15 +135,6 @@
                     found[f"{key}, CPU"].append(row["cpu_ms"] / 1_000)
         return found
 
-    def _rows_since_return(self, name):
-        """Yield the log lines of a gateway's last process."""
-        for line in self.dep.log_of(name).splitlines():
-            # Tracebacks of a process that failed are no JSON.
-            with contextlib.suppress(ValueError):
-                row = json.loads(line)
-                if row["time"] >= self.back_wall:
-                    yield row
-
 
 def _spread(values):
     ordered = sorted(values)
--- a/bench/soak/addresses.py
+++ b/bench/soak/addresses.py
@@ -40,14 +40,17 @@
 class ResolvedAddresses:
     """Picks among the addresses that the gateways return to a look-up."""
 
-    def __init__(self, rng, listen_by_gateway, now=time.monotonic):
+    def __init__(
+        self, rng, listen_by_gateway, now=time.monotonic, data_centre="a"
+    ):
         """Ask at the ``directory`` address of any gateway.
 
-        ``now`` returns seconds.
+        ``now`` returns seconds, ``data_centre`` is the caller's.
         """
         self._rng = rng
         self._now = now
         self._listen_by_gateway = listen_by_gateway
+        self._data_centre = data_centre
         self._ttl_factor = rng.choice(TTL_FACTORS)
         self._addresses = ()
         self._failed = set()
@@ -92,7 +95,7 @@
                     params={
                         "name": gateway_base.HOST,
                         "region": "r",
-                        "zone": "a",
+                        "zone": self._data_centre,
                     },
                     timeout=QUERY_TIMEOUT_SECONDS,
                     trust_env=False,
--- a/bench/soak/backends.py
+++ b/bench/soak/backends.py
@@ -52,12 +52,14 @@
         stage=None,
         version="v1",
         on_harmful=None,
+        data_centre="a",
     ):
         """Listen; ``put`` writes the endpoint's record into the store.
 
         ``on_harmful(name)`` crashes the engine of this name.
         """
         self.version = version
+        self._data_centre = data_centre
         self._on_harmful = on_harmful
         self._started = time.monotonic()
         self.name = name
@@ -98,7 +100,7 @@
         row = {
             "service": self.service,
             "address": self.address,
-            "zone": "a",
+            "zone": self._data_centre,
             "version": self.version,
             "slot_count": 16,
             "state": self._state,
--- a/standins/checkout.py
+++ b/standins/checkout.py
@@ -18,6 +18,7 @@
 # What a process gets of its caller's environment.
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 METRICS_OPTION = "--metrics-port="
+GATEWAY_MODULE = "clementinewall.gateway.main"
 _BIN = pathlib.Path(sys.executable).parent
 
 
@@ -45,6 +46,17 @@
             metrics_port,
         ]
 
+    def command_of(self, module, words):
+        """Return the command that starts ``module``, a kind of gateway.
+
+        The gateway itself finds its settings by the environment; a stand-in
+        that starts one gets all its ``words``.
+        """
+        if module == GATEWAY_MODULE:
+            return self.command
+        at = self.command.index(GATEWAY_MODULE)
+        return [*self.command[:at], module, *words, *self.command[at + 1 :]]
+
     def environment(self, settings):
         """Return the environment of a process with this settings file."""
         kept = {
@@ -55,7 +67,8 @@
         return {
             **kept,
             platform_settings.PATH_VARIABLE: str(settings),
-            "PYTHONPATH": "target/deps",
+            # The stand-ins are in the checkout itself.
+            "PYTHONPATH": "target/deps:.",
             # Root may write in spite of the missing write bits.
             "PYTHONDONTWRITEBYTECODE": "1",
         }
@@ -93,12 +106,13 @@
             return
         if command:
             self.command_by_name[name] = command
-        settings = self.command_by_name[name][-1].partition("=")[2]
+        module, *words = self.command_by_name[name]
+        settings = words[-1].removeprefix("--settings=")
         with open(self.folder / f"{name}.log", "ab") as log:
             self.process_by_name[name] = subprocess.Popen(
                 [
                     *self.prefix_by_name.get(name, ()),
-                    *self._checkout.command,
+                    *self._checkout.command_of(module, words),
                 ],
                 cwd=self._checkout.folder,
                 env=self._checkout.environment(settings),
--- a/standins/egress.py
+++ b/standins/egress.py
@@ -1,4 +1,4 @@
-"""The network between one gateway and its endpoints, which can be cut.
+"""The network between some gateways and their endpoints, which can be cut.
 
 A gateway started by :mod:`standins.gateway` opens its connections to endpoints
 through this process: it sends the target's address and a newline, and is told
@@ -17,11 +17,9 @@
 from starlette import routing
 
 from standins import base
+from standins import egress_answers
 
-ACCEPTED = b"+"
-REFUSED = b"-"
 PIECE = 65_536
-POLL_SECONDS = 0.02
 _LINGER_NONE = struct.pack("ii", 1, 0)
 _BROKEN = (
     anyio.EndOfStream,
@@ -37,12 +35,15 @@
         """Start without a fault."""
         self._mode = "ok"
         self._targets = None
+        self._mode_changed = anyio.Event()
 
     async def on_faults(self, request):
         """Set what goes wrong from now on."""
         body = await base.body_of(request)
         self._mode = body["mode"]
         self._targets = body.get("targets")
+        self._mode_changed.set()
+        self._mode_changed = anyio.Event()
         return base.reply({"mode": self._mode})
 
     def _mode_of(self, target):
@@ -66,45 +67,48 @@
         target = target.decode().strip()
         await self._wait_while_hanging(target)
         if self._mode_of(target) in ("reset", "refuse"):
-            await client.send(REFUSED)
+            await client.send(egress_answers.REFUSED)
             return
         host, _, port = target.rpartition(":")
         try:
             server = await anyio.connect_tcp(host, int(port))
         except OSError:
-            await client.send(REFUSED)
+            await client.send(egress_answers.REFUSED)
             return
         async with server, anyio.create_task_group() as group:
-            await client.send(ACCEPTED)
+            await client.send(egress_answers.ACCEPTED)
             scope = group.cancel_scope
             group.start_soon(self._pump, client, server, target, scope)
+            group.start_soon(self._reset_when_cut, client, server, target)
             await self._pump(server, client, target, scope)
+            scope.cancel()
+
+    async def _reset_when_cut(self, client, server, target):
+        while self._mode_of(target) != "reset":
+            await self._mode_changed.wait()
+        # A reset on one side is one on the other side too.
+        _reset_on_close(client)
+        _reset_on_close(server)
+        raise anyio.BrokenResourceError
 
     async def _pump(self, source, sink, target, scope):
         try:
-            await self._pass_on(source, sink, target)
+            while True:
+                piece = await source.receive(PIECE)
+                await self._wait_while_hanging(target)
+                await sink.send(piece)
         except anyio.BrokenResourceError:
-            # A reset on one side is one on the other side too.
             _reset_on_close(source)
             _reset_on_close(sink)
         except (anyio.EndOfStream, anyio.ClosedResourceError):
             pass
+        # The end passes no sooner than data would.
+        await self._wait_while_hanging(target)
         scope.cancel()
 
-    async def _pass_on(self, source, sink, target):
-        while True:
-            piece = b""
-            with anyio.move_on_after(POLL_SECONDS):
-                piece = await source.receive(PIECE)
-            await self._wait_while_hanging(target)
-            if self._mode_of(target) == "reset":
-                raise anyio.BrokenResourceError
-            if piece:
-                await sink.send(piece)
-
     async def _wait_while_hanging(self, target):
         while self._mode_of(target) == "hang":
-            await anyio.sleep(POLL_SECONDS)
+            await self._mode_changed.wait()
 
 
 def _reset_on_close(stream):
--- a/standins/gateway.py
+++ b/standins/gateway.py
@@ -1,7 +1,8 @@
 """Starts a gateway behind an egress stand-in.
 
-Usage: ``python -m standins.gateway EGRESS SETTINGS``.  Connections to the
-store and to other gateways do not pass the egress.
+Usage: ``python -m standins.gateway EGRESS SETTINGS [OPTIONS]``, with the
+gateway's own options.  Connections to the store and to other gateways do not
+pass the egress.
 """
 
 import functools
@@ -13,7 +14,7 @@
 from clementinewall import clock
 from clementinewall.gateway import main as gateway_main
 from clementinewall.http1 import stream as streams
-from standins import egress
+from standins import egress_answers
 
 
 async def _connect(connect, egress_address, store, peer_port, address, ms):
@@ -30,15 +31,15 @@
         except anyio.BrokenResourceError as exc:
             raise ConnectionResetError("the egress broke off") from exc
         finally:
-            if answer != egress.ACCEPTED:
+            if answer != egress_answers.ACCEPTED:
                 stream.abort()
-    if answer != egress.ACCEPTED:
+    if answer != egress_answers.ACCEPTED:
         raise ConnectionRefusedError(f"refused by the egress: {address}")
     return stream
 
 
 def _run():
-    _, egress_address, path = sys.argv
+    _, egress_address, path, *options = sys.argv
     with open(path, "rb") as file:
         settings = tomllib.load(file)
     streams.connect = functools.partial(
@@ -48,7 +49,7 @@
         settings["platform"]["address"],
         settings["port_range"][0],
     )
-    sys.argv[1:] = [f"--settings={path}"]
+    sys.argv[1:] = [f"--settings={path}", *options]
     gateway_main.main()
 
 
--- a/tests/integration/gateway_base.py
+++ b/tests/integration/gateway_base.py
@@ -54,7 +54,8 @@
 class GatewayCase(unittest.TestCase):
     """Runs a stand-in of the store, gateways and scripted endpoints.
 
-    With ``has_egress``, :meth:`cut` can cut off gateways from endpoints.
+    With ``has_egress``, :meth:`cut` can cut off gateways from endpoints;
+    those of one group in ``group_by_gateway`` are cut off together.
     With ``calls_store_by_own_ip``, the store can tell gateways apart, and
     :meth:`set_store_mode` takes ``callers``, a list of their addresses.
     """
@@ -78,6 +79,9 @@
         )
         self.version = 0
         self.listen_by_name = {}
+        self.data_centre_by_gateway = {}
+        self.group_by_gateway = {}
+        self._egress_by_group = {}
 
     def new_deployment(self):
         """Return what starts the processes."""
@@ -208,7 +212,7 @@
                 {
                     "node_name": name,
                     "ip": ip,
-                    "zone": "a",
+                    "zone": self.data_centre_by_gateway.get(name, "a"),
                     "region": "r",
                     "port_range": [peer_port or self._peer_port(), 0],
                     "listen": listen,
@@ -220,7 +224,7 @@
             )
         )
         if self.has_egress:
-            egress = self.dep.egress(f"egress-{name}")
+            egress = self._egress_of(name)
             self.dep.start(name, "standins.gateway", egress, str(path))
         else:
             self.dep.start(
@@ -231,13 +235,21 @@
             )
         return listen["front"]
 
+    def _egress_of(self, name):
+        """Return the address of the egress of a gateway's group."""
+        group = self.group_by_gateway.get(name, name)
+        if group not in self._egress_by_group:
+            address = self.dep.egress(f"egress-{group}")
+            self._egress_by_group[group] = address
+        return self._egress_by_group[group]
+
     def _store_for(self, ip):
         if not self.calls_store_by_own_ip:
             return self.store
         return f"{ip}:{self.store.rpartition(':')[2]}"
 
     def cut(self, name, mode, targets=None):
-        """Cut off a gateway from endpoints; the mode ``ok`` ends that.
+        """Cut off a gateway or a group from endpoints; ``ok`` ends that.
 
         ``targets`` are the addresses of these endpoints, by default all.
         """
