Ask gateways of other data centres for a way, and all before any twice

Cause: a search for a way asked eight gateways, those of the own data centre first, for each endpoint by itself, and remembered for two seconds who had none. Where more share the cut than can be asked in that time, the first count as unasked again, and nobody else is ever asked. One that was found for an endpoint counted for that one only.

Change: half of those that a search asks stand in other data centres; who was asked lately comes after those who were not, whichever endpoint it was for, so that searches beside and after each other ask all before any twice; who has connected to any endpoint comes first for all. What searches that found nobody asked and were answered is logged together.

--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -1,5 +1,6 @@
 """Connects to endpoints through other gateways."""
 
+import collections
 import random
 
 import anyio
@@ -10,6 +11,7 @@
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import relay_choice
+from clementinewall.reach import relay_memory
 
 _log = logs.PartLog("path")
 
@@ -18,8 +20,6 @@
 TUNNEL_TIMEOUT_MS = 350
 # The next gateway is asked after this time while others have not answered.
 ASK_INTERVAL_MS = 15
-# What a gateway said of an endpoint counts for this time.
-ANSWER_LIFETIME_MS = 2_000
 
 
 class Unreached(OSError):
@@ -51,8 +51,9 @@
         self.on_cut = None
         self._now = now
         self._rng = random.Random()
-        # Pairs of whether a gateway reached an endpoint and when it said so.
-        self._answer_by_address_and_ip = {}
+        self._memory = relay_memory.RelayMemory(now)
+        # What the searches that found nobody were answered, not logged yet.
+        self._unlogged = collections.Counter()
 
     def start(self, function):
         """Run a coroutine function in the background, contained."""
@@ -63,7 +64,7 @@
 
         It may drain, or be cut off from the endpoint at ``address`` by now.
         """
-        return self.table.is_ready(ip) and not self._has_answered(
+        return self.table.is_ready(ip) and not self._memory.has_answered(
             address, ip, False
         )
 
@@ -76,25 +77,42 @@
 
     def candidates(self, address):
         """Return the addresses of the gateways to ask, the best first."""
+        memory = self._memory
         known = [
             relay_choice.Candidate(
                 peer.ip,
                 peer.data_centre,
-                self._has_answered(address, peer.ip, False),
-                self._has_answered(address, peer.ip, True),
+                memory.has_answered(address, peer.ip, False),
+                memory.has_answered(address, peer.ip, True),
+                memory.connects(peer.ip),
+                memory.asked_ms(peer.ip),
             )
-            for peer in self.table.live()
-            if peer.ready
+            for peer in self._ready_peers()
         ]
         return relay_choice.order(known, self._settings.data_centre, self._rng)
 
-    def _has_answered(self, address, ip, is_reached):
-        said, at = self._answer_by_address_and_ip.get((address, ip), (None, 0))
-        return said is is_reached and self._now() - at < ANSWER_LIFETIME_MS
+    def _ready_peers(self):
+        return [peer for peer in self.table.live() if peer.ready]
+
+    def record_asked(self, ip):
+        """Record that the gateway at ``ip`` is being asked."""
+        self._memory.record_asked(ip)
 
     def record_answer(self, address, ip, is_reached):
         """Record whether the gateway at ``ip`` reached an endpoint."""
-        self._answer_by_address_and_ip[address, ip] = is_reached, self._now()
+        self._memory.record_answer(address, ip, is_reached)
+
+    def record_failed_search(self, ips, statuses):
+        """Count whom a search asked and what they answered, to be logged."""
+        own = self._settings.data_centre
+        data_centre_by_ip = {p.ip: p.data_centre for p in self.table.live()}
+        self._unlogged["searches"] += 1
+        for ip in ips:
+            is_near = data_centre_by_ip.get(ip) == own
+            self._unlogged["asked_near" if is_near else "asked_far"] += 1
+        for status in statuses:
+            self._unlogged[f"answered_{status or 'nothing'}"] += 1
+        metrics.count("failed_relay_searches")
 
     async def open_tunnel(self, ip, address):
         """Return a tunnel through the gateway at ``ip``."""
@@ -103,11 +121,11 @@
         )
 
     def sweep(self):
-        """Forget what gateways said long ago."""
-        since = self._now() - ANSWER_LIFETIME_MS
-        for key, (_, at) in list(self._answer_by_address_and_ip.items()):
-            if at <= since:
-                del self._answer_by_address_and_ip[key]
+        """Forget what gateways said long ago; log what searches found."""
+        self._memory.sweep(self.table.ips)
+        if self._unlogged:
+            _log.info("no gateway reaches endpoints", **self._unlogged)
+            self._unlogged.clear()
 
 
 class _Search:
@@ -121,12 +139,14 @@
 
     async def run(self):
         async with anyio.create_task_group() as group:
-            for ip in self._relays.candidates(self._address):
+            ips = self._relays.candidates(self._address)
+            for ip in ips:
                 ended = anyio.Event()
                 group.start_soon(self._ask, ip, ended, group.cancel_scope)
                 with anyio.move_on_after(clock.seconds(ASK_INTERVAL_MS)):
                     await ended.wait()
         if self._stream is None:
+            self._relays.record_failed_search(ips, self._statuses)
             answers = [s for s in self._statuses if s is not None]
             is_refused = bool(answers) and all(
                 status == tunnel.ENDPOINT_REFUSED for status in answers
@@ -136,6 +156,7 @@
 
     async def _ask(self, ip, ended, scope):
         status = None
+        self._relays.record_asked(ip)
         try:
             stream = await self._relays.open_tunnel(ip, self._address)
         except tunnel.NotConnected as exc:
--- /dev/null
+++ b/clementinewall/reach/__init__.py
@@ -0,0 +1,1 @@
+"""How a gateway that is cut off from endpoints finds ways to them."""
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -12,6 +12,8 @@
 from clementinewall.gateway import peer_table
 from clementinewall.gateway import relays as relays_module
 from clementinewall.http1 import tunnel
+from clementinewall.policy import relay_choice
+from clementinewall.reach import relay_memory
 
 ADDRESS = "10.0.1.1:1"
 SETTINGS = domain.Settings(
@@ -115,11 +117,67 @@
         self.relays.record_answer(ADDRESS, "10.0.0.2", False)
         self.assertFalse(self.relays.is_available("10.0.0.2", ADDRESS))
         self.assertTrue(self.relays.is_available("10.0.0.2", "10.0.1.2:1"))
-        self.clock.advance(relays_module.ANSWER_LIFETIME_MS)
+        self.clock.advance(relay_memory.ANSWER_LIFETIME_MS)
         self.peers = [p._replace(received_at=12_000) for p in self.peers]
         await self.connect()
         self.clock.advance(1)
         self.assertTrue(self.relays.is_available("10.0.0.2", ADDRESS))
-        self.clock.advance(relays_module.ANSWER_LIFETIME_MS)
+        self.clock.advance(relay_memory.ANSWER_LIFETIME_MS)
         self.relays.sweep()
-        self.assertEqual(self.relays._answer_by_address_and_ip, {})
+        self.assertEqual(self.relays._memory._answer_by_address_and_ip, {})
+
+    async def test_a_search_leaves_a_data_centre_that_is_cut_off(self):
+        # Guards against asking only gateways that share the cut.
+        self.cut_off_data_centre()
+        found = await self.connect()
+        self.assertIn(found.relay_ip, ("10.0.0.2", "10.0.0.3", "10.0.0.4"))
+
+    async def test_searches_ask_all_gateways_before_any_twice(self):
+        # Guards against a few gateways with a way that no search ever asks.
+        self.cut_off_data_centre()
+        self.outcome_by_ip = {p.ip: 504 for p in self.peers}
+        searches = -(-len(self.peers) // relay_choice.MAX_ASKED)
+        for number in range(searches):
+            with self.assertRaises(relays_module.Unreached):
+                await self.relays.connect(f"10.0.1.{number}:1")
+            self.clock.advance(1)
+        self.assertEqual(set(self.asked), {p.ip for p in self.peers})
+
+    async def test_who_reaches_one_endpoint_is_asked_first_for_others(self):
+        # Guards against a search for each of many endpoints.
+        self.cut_off_data_centre()
+        found = await self.connect()
+        for number in range(10):
+            self.asked.clear()
+            again = await self.relays.connect(f"10.0.1.{number}:1")
+            self.assertEqual(self.asked, [found.relay_ip])
+            self.assertEqual(again.relay_ip, found.relay_ip)
+
+    async def test_whom_a_search_asked_in_vain_is_logged_together(self):
+        # Guards against a cut of which no line tells who was asked.
+        self.cut_off_data_centre()
+        self.outcome_by_ip = {p.ip: 504 for p in self.peers}
+        for number in range(2):
+            with self.assertRaises(relays_module.Unreached):
+                await self.relays.connect(f"10.0.1.{number}:1")
+        with mock.patch.object(
+            relays_module._log, "info", autospec=True
+        ) as info:
+            self.relays.sweep()
+            self.relays.sweep()
+        info.assert_called_once()
+        told = info.call_args.kwargs
+        self.assertEqual(told["searches"], 2)
+        self.assertEqual(told["asked_near"] + told["asked_far"], 16)
+        self.assertEqual(told["answered_504"], 16)
+
+    def cut_off_data_centre(self):
+        """Let the three others stand elsewhere, and know many that are cut."""
+        near = [f"10.0.2.{number}" for number in range(24)]
+        self.outcome_by_ip = {ip: tunnel.ENDPOINT_UNREACHED for ip in near}
+        self.peers = [p._replace(data_centre="b") for p in self.peers]
+        self.peers += [
+            peer_messages.Heartbeat(ip, "", "a", True, 10_000) for ip in near
+        ]
+        for peer in self.peers:
+            self.relays.table.record_heartbeat(peer)
--- a/tests/policy/test_relay_choice.py
+++ b/tests/policy/test_relay_choice.py
@@ -34,6 +34,36 @@
         # Guards against a fleet whose gateways all ask all others.
         self.assertEqual(len(order(FAR)), relay_choice.MAX_ASKED)
 
+    def test_half_of_those_asked_stand_in_other_data_centres(self):
+        # Guards against asking only gateways that share a cut.
+        many = [relay_choice.Candidate(f"near-{n}", "a") for n in range(40)]
+        names = order([*many, *FAR])
+        far = [name for name in names if name.startswith("far")]
+        self.assertEqual(len(far), relay_choice.MAX_ASKED / 2)
+        self.assertEqual(len(order(many)), relay_choice.MAX_ASKED)
+
+    def test_who_was_asked_longest_ago_comes_first(self):
+        # Guards against a gateway with a way that is never asked.
+        asked = [
+            each._replace(asked_ms=100 * number)
+            for number, each in enumerate(FAR)
+        ]
+        expected = [each.ip for each in reversed(asked[-4:])]
+        self.assertEqual(order(asked)[:4], expected)
+        lately = [each._replace(asked_ms=0) for each in NEAR]
+        self.assertLessEqual(
+            set(order([*lately, *FAR])), {each.ip for each in FAR}
+        )
+
+    def test_one_that_reached_another_endpoint_comes_before_unknown_ones(self):
+        # Guards against a search of its own for each endpoint.
+        connecting = FAR[0]._replace(connects=True, asked_ms=10)
+        proven = FAR[1]._replace(is_proven=True, asked_ms=10)
+        names = order([*NEAR, connecting, proven, *FAR[2:]])
+        self.assertEqual(names[:2], [proven.ip, connecting.ip])
+        failed = connecting._replace(has_failed=True)
+        self.assertNotIn(failed.ip, order([*NEAR, failed, *FAR[1:]]))
+
     def test_equal_gateways_share_the_tunnels(self):
         # Guards against one gateway that carries the tunnels of all others.
         first = {order(FAR, seed)[0] for seed in range(400)}
--- /dev/null
+++ b/tests/reach/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how ways to endpoints are found."""
