Probe few endpoints at a time, and all once one is reached

Cause: each gateway probed each endpoint that it didn't reach directly twice a second by itself, and searched for another way after each probe that failed: 24 gateways, 48 endpoints and up to nine connections are some 20,000 a second at the most. Processors ran full, and connections of gateways that were not cut off timed out, so that these took themselves for cut off, asked as well, and opened no tunnels. Such a storm outlasts the cut.

Change: a gateway begins at most four probes in 500 ms, whichever endpoint is next in turn, and probes all others, eight at a time, once one of them is reached in a better way. While no gateway is known that reaches any endpoint it searches every 250 ms, and every second once it has asked all. A tunnel that is refused is counted, not logged.

--- a/clementinewall/gateway/endpoint_path.py
+++ b/clementinewall/gateway/endpoint_path.py
@@ -8,13 +8,10 @@
 
 import anyio
 
-from clementinewall import clock
 from clementinewall.gateway import relays as relays_module
 from clementinewall.http1 import stream as streams
 from clementinewall.policy import silence
 
-# While the endpoint isn't reached directly, that is tried at this interval.
-PROBE_INTERVAL_MS = 500
 # A connection that is reset within this time was not accepted.
 ACCEPTED_AFTER_MS = 30
 # A silent endpoint that was reached is not checked again for this time.
@@ -58,13 +55,17 @@
         self._checked_at = None
         self._check_end = None
         self._condition = Condition.UNKNOWN
-        self._is_probing = False
 
     @property
     def reach(self):
         """Return how the endpoint is reached now."""
         return self._reach
 
+    @property
+    def is_direct(self):
+        """Tell whether no other gateway is needed."""
+        return self._reach is Reach.DIRECT
+
     @property
     def changed_ms(self):
         """Return for how many ms it has been reached in this way."""
@@ -191,22 +192,25 @@
         self._reach = reach
         self._changed_at, changed_ms = self._now(), self.changed_ms
         self._on_change(before, reach, changed_ms)
-        if reach is not Reach.DIRECT and not self._is_probing:
-            self._is_probing = True
-            self._relays.start(self._probe)
+        if reach is not Reach.DIRECT:
+            self._relays.probes.add(self)
 
-    async def _probe(self):
-        """Try to reach the endpoint directly until that succeeds."""
-        try:
-            while self._reach is not Reach.DIRECT:
-                await anyio.sleep(clock.seconds(PROBE_INTERVAL_MS))
-                direct = await _condition_by(self.connect_directly)
-                if direct is Condition.ACCEPTING:
-                    self._set(Reach.DIRECT)
-                elif self._reach is Reach.NONE:
-                    await self.check()
-        finally:
-            self._is_probing = False
+    async def probe(self, may_search):
+        """Try to reach the endpoint in a better way; tell whether it is.
+
+        Other gateways are asked only if none is known that reaches it, and
+        with ``may_search``.
+        """
+        before = self._reach
+        if before is Reach.NONE and may_search:
+            await self.check()
+        elif before is not Reach.DIRECT:
+            direct = await _condition_by(self.connect_directly)
+            if direct is Condition.ACCEPTING:
+                self._set(Reach.DIRECT)
+        if self._reach is Reach.DIRECT:
+            return before is not Reach.DIRECT
+        return before is Reach.NONE and self._reach is Reach.RELAYED
 
 
 async def _condition_by(connect):
--- a/clementinewall/gateway/relay_server.py
+++ b/clementinewall/gateway/relay_server.py
@@ -57,7 +57,8 @@
         if status is None:
             endpoint, status = await _connect(address)
         if status is not None:
-            _log.info("tunnel refused", address=address, status=status)
+            metrics.count("tunnels_refused", status=status)
+            _log.debug("tunnel refused", address=address, status=status)
             connection.close_after_answer()
             await connection.answer(messages.Head(status, b"", ()), b"")
             return
--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -11,6 +11,7 @@
 from clementinewall import logs
 from clementinewall import metrics
 from clementinewall.policy import relay_choice
+from clementinewall.reach import probes
 from clementinewall.reach import relay_memory
 
 _log = logs.PartLog("path")
@@ -20,6 +21,10 @@
 TUNNEL_TIMEOUT_MS = 350
 # The next gateway is asked after this time while others have not answered.
 ASK_INTERVAL_MS = 15
+# While no gateway is known to reach any endpoint, searches begin at this
+# interval; and at the longer one once all gateways were asked lately.
+SEARCH_INTERVAL_MS = 250
+REPEAT_INTERVAL_MS = 1_000
 
 
 class Unreached(OSError):
@@ -52,6 +57,7 @@
         self._now = now
         self._rng = random.Random()
         self._memory = relay_memory.RelayMemory(now)
+        self.probes = probes.Probes(self.start, self._search_interval_ms, now)
         # What the searches that found nobody were answered, not logged yet.
         self._unlogged = collections.Counter()
 
@@ -94,6 +100,18 @@
     def _ready_peers(self):
         return [peer for peer in self.table.live() if peer.ready]
 
+    def _search_interval_ms(self):
+        """Return how long to wait between searches for who reaches any."""
+        ips = [peer.ip for peer in self._ready_peers()]
+        if any(self._memory.connects(ip) for ip in ips):
+            return 0
+        if all(
+            self._memory.asked_ms(ip) < relay_choice.ASKED_LATELY_MS
+            for ip in ips
+        ):
+            return REPEAT_INTERVAL_MS
+        return SEARCH_INTERVAL_MS
+
     def record_asked(self, ip):
         """Record that the gateway at ``ip`` is being asked."""
         self._memory.record_asked(ip)
--- a/tests/gateway/test_endpoint_path.py
+++ b/tests/gateway/test_endpoint_path.py
@@ -10,6 +10,7 @@
 from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import relays as relays_module
 from clementinewall.policy import silence
+from clementinewall.reach import probes
 
 ADDRESS = "10.0.1.1:1"
 Reach = endpoint_path.Reach
@@ -41,6 +42,7 @@
         self.asked = 0
         self.available_ips = {"10.0.0.2"}
         self.tasks = []
+        self.probes = probes.Probes(self.start, lambda: 0, clock.Clock().now)
 
     def start(self, function):
         """Run a function until the test ends."""
@@ -195,12 +197,26 @@
             ],
         )
 
+    async def test_an_unreached_endpoint_is_searched_for_if_that_is_due(self):
+        # Guards against endpoints that stay unreached after the cut of others.
+        self.relays.outcome = UNREACHED_BY_ALL
+        with self.assertRaises(TimeoutError):
+            await self.path.connect()
+        self.relays.outcome = None
+        self.relays.asked = 0
+        self.assertFalse(await self.path.probe(may_search=False))
+        self.assertEqual(self.relays.asked, 0)
+        self.assertTrue(await self.path.probe(may_search=True))
+        self.assertIs(self.path.reach, Reach.RELAYED)
+        self.assertFalse(await self.path.probe(may_search=True))
+        self.assertEqual(self.relays.asked, 1)
+
     async def test_an_endpoint_that_is_gone_is_not_probed(self):
         # Guards against tasks that never end.
         await self.path.connect()
         self.path.forget()
         with anyio.fail_after(2):
-            while self.path._is_probing:
+            while not self.relays.probes.is_idle:
                 await anyio.sleep(0.05)
 
     async def test_an_endpoint_whose_record_comes_back_is_relayed_again(self):
