Let only gateways that reach endpoints tell that one refuses

Requests that broke off when most gateways were cut off by resets got crash records at all gateways, and later ones that shared a part of their prompt counted as harmful and got no further endpoint (502).

Cause: a gateway that is refused a connection says so to those that ask it for a tunnel, and an endpoint that refuses all that answer counts as down. Links that are cut may refuse connections to all endpoints; if all that are asked are cut off in this way, the endpoint looks down.

Change: a gateway tells of a refusal only if it connects to another of three endpoints itself, or knows no other; else it answers that it does not reach the endpoint.

--- a/bench/deployed.py
+++ b/bench/deployed.py
@@ -73,7 +73,13 @@
             route("book", "app", "unsafe"),
             route("slow", "app", "safe", timeout_ms=800),
             route("wait", "app", "safe"),
-            route("chat", "model", "stream", resumable=True),
+            route(
+                "chat",
+                "model",
+                "stream",
+                resumable=True,
+                timeout_ms=int(callers.STREAM_LIMIT_SECONDS * 1_000),
+            ),
             route("new1", "app", "safe"),
         )
         for number in range(SERVICES):
--- a/clementinewall/gateway/endpoints.py
+++ b/clementinewall/gateway/endpoints.py
@@ -22,6 +22,8 @@
 # Endpoints that are drawn, and of them checked, to tell a crash from a cut.
 MAX_DRAWN = 8
 MAX_CHECKED = 2
+# So many are tried before a gateway that is refused takes itself for cut off.
+MAX_CONNECTED = 3
 
 
 class Endpoints:
@@ -78,22 +80,42 @@
 
         If there is no other, nothing tells against it.
         """
+        for other in self._draw_others(state, MAX_CHECKED):
+            condition = await other.path.check()
+            if condition is endpoint_path.Condition.ACCEPTING:
+                return True
+        return not self._has_others(state)
+
+    async def connects_to_another(self, state):
+        """Tell whether this gateway itself connects to another endpoint.
+
+        If there is no other, nothing tells against it.
+        """
+        for other in self._draw_others(state, MAX_CONNECTED):
+            try:
+                stream = await other.path.connect_directly()
+            except (OSError, TimeoutError):
+                continue
+            stream.abort()
+            return True
+        return not self._has_others(state)
+
+    def _has_others(self, state):
+        return bool(
+            self._fleet_view.endpoint_by_id.keys() - {state.endpoint.id}
+        )
+
+    def _draw_others(self, state, count):
+        """Return other endpoints that were not absent when last tried."""
         others = [
             endpoint
             for endpoint in self._fleet_view.endpoint_by_id.values()
             if endpoint.id != state.endpoint.id
         ]
-        if not others:
-            return True
         now = self._now()
         drawn = random.sample(others, min(MAX_DRAWN, len(others)))
         states = [self.state(endpoint) for endpoint in drawn]
-        present = [s for s in states if not s.health.is_absent(now)]
-        for other in present[:MAX_CHECKED]:
-            condition = await other.path.check()
-            if condition is endpoint_path.Condition.ACCEPTING:
-                return True
-        return False
+        return [s for s in states if not s.health.is_absent(now)][:count]
 
     def service(self, name):
         """Return the configured service of this name, or ``None``."""
--- a/clementinewall/gateway/relay_server.py
+++ b/clementinewall/gateway/relay_server.py
@@ -56,6 +56,10 @@
         status = self._refusal(request, address)
         if status is None:
             endpoint, status = await _connect(address)
+        if status == tunnel.ENDPOINT_REFUSED and not await self._is_witness(
+            address
+        ):
+            status = tunnel.ENDPOINT_UNREACHED
         if status is not None:
             metrics.count("tunnels_refused", status=status)
             _log.debug("tunnel refused", address=address, status=status)
@@ -72,6 +76,16 @@
             self._open_tunnels -= 1
             endpoint.abort()
 
+    async def _is_witness(self, address):
+        """Tell whether a refusal here shows that an endpoint is down.
+
+        Links that are cut may refuse connections to all endpoints.
+        """
+        state = self._endpoints.at_address(address)
+        return state is None or await self._endpoints.connects_to_another(
+            state
+        )
+
     def _refusal(self, request, address):
         """Return the status to refuse a request with, ``None`` if it may."""
         if request.method != b"CONNECT":
--- a/tests/gateway/test_endpoints.py
+++ b/tests/gateway/test_endpoints.py
@@ -2,6 +2,7 @@
 
 import json
 import unittest
+from unittest import mock
 
 import anyio
 
@@ -161,6 +162,25 @@
         found._fleet_view.endpoint_by_id = by_id
         return anyio.run(found.reaches_another, found.state(ENGINE))
 
+    def connects(self, *failures):
+        """Tell whether one connects, where connections fail like this."""
+        found = gateway_view()
+        by_id = {ENGINE.id: ENGINE}
+        for number, failure in enumerate(failures):
+            other = ENGINE._replace(id=f"other-{number}")
+            by_id[other.id] = other
+            path = found.state(other).path
+            path.connect_directly = mock.AsyncMock(side_effect=failure)
+        found._fleet_view.endpoint_by_id = by_id
+        return anyio.run(found.connects_to_another, found.state(ENGINE))
+
+    def test_a_gateway_that_connects_to_none_may_be_cut_off(self):
+        # Guards against refusals by a cut that look like those of endpoints.
+        refused, lost = ConnectionRefusedError(), TimeoutError()
+        self.assertFalse(self.connects(refused, lost))
+        self.assertTrue(self.connects(refused, [mock.Mock()]))
+        self.assertTrue(self.connects())
+
     def test_one_that_accepts_connections_is_enough(self):
         conditions = (
             endpoint_path.Condition.REFUSING,
--- a/tests/gateway/test_relay_server.py
+++ b/tests/gateway/test_relay_server.py
@@ -26,12 +26,17 @@
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         path = types.SimpleNamespace(reach=endpoint_path.Reach.DIRECT)
         self.state = types.SimpleNamespace(path=path)
+        self.is_connected = True
         self.server = relay_server.RelayServer(self)
 
     def at_address(self, address):
         """Return the state of the endpoint at an address."""
         return self.state if address == self.address else None
 
+    async def connects_to_another(self, _state):
+        """Tell whether the gateway connects to another endpoint."""
+        return self.is_connected
+
     async def status(self, address):
         """Return the status of a request for a tunnel, 200 if it opens."""
         async with anyio.create_task_group() as group:
@@ -106,6 +111,14 @@
             await self.status(self.address), tunnel.ENDPOINT_REFUSED
         )
 
+    async def test_a_gateway_that_is_refused_everywhere_is_no_witness(self):
+        # Guards against endpoints that look down because of a cut.
+        self.listener.close()
+        self.is_connected = False
+        self.assertEqual(
+            await self.status(self.address), tunnel.ENDPOINT_UNREACHED
+        )
+
     async def test_a_gateway_that_drains_opens_none(self):
         # Guards against tunnels that end with the process.
         self.server.drain()
