Let data centres take turns in the line for orders to engines

Found when the cause of the search that never left its data centre was looked for elsewhere: gateways stand in line by address, and each place waits up to 3 s longer for a change of an engine's stage. A gateway that is cut off from the engine leaves the change to others. So if the data centre with the lowest addresses is cut off, 24 places pass, up to 72 s by the constants, before anybody else acts.

Change: in this line data centres take turns. Who reads the store still follows from the address alone.

The new test fails without the change (place 24 where 1 is expected).

--- a/clementinewall/gateway/peer_table.py
+++ b/clementinewall/gateway/peer_table.py
@@ -8,6 +8,7 @@
 from clementinewall import clock
 from clementinewall.gateway import peer_messages
 from clementinewall.policy import dissemination
+from clementinewall.policy import line
 from clementinewall.policy import store_polling
 
 # Callers are not directed to a gateway that has been silent for longer.
@@ -222,12 +223,30 @@
 
         The order is by address, so that gateways with the same view agree.
         """
+        return store_polling.rank(
+            self._own_ip, self._ips_in_line(), len(self.ips) + 1
+        )
+
+    def order_rank(self, data_centre):
+        """Return the own gateway's place in the line for giving orders.
+
+        It is the line of :meth:`group_rank`, but data centres take turns;
+        ``data_centre`` is the own one.
+        """
+        data_centre_by_ip = {peer.ip: peer.data_centre for peer in self.live()}
+        data_centre_by_ip[self._own_ip] = data_centre
+        group = store_polling.group(
+            self._own_ip, self._ips_in_line(), len(self.ips) + 1
+        )
+        return line.order(group, data_centre_by_ip).index(self._own_ip)
+
+    def _ips_in_line(self):
+        """Return the addresses of the others that may act for all."""
         live = self.live()
-        # While all start, none is ready, and still one has to read for all.
-        first = [peer.ip for peer in live if peer.ready] or [
+        # While all start, none is ready, and still one has to act for all.
+        return [peer.ip for peer in live if peer.ready] or [
             peer.ip for peer in live
         ]
-        return store_polling.rank(self._own_ip, first, len(self.ips) + 1)
 
     def members(self):
         """Return the addresses of the gateways that cells are assigned to."""
--- a/clementinewall/gateway/stage_manager.py
+++ b/clementinewall/gateway/stage_manager.py
@@ -90,9 +90,13 @@
         """Return the ms until the next poll, by the place in line."""
         if self._lease.has_unreleased_claim:
             return POLL_INTERVAL_MS
-        places = 1 + self._peers.table.group_rank()
+        places = 1 + self._rank()
         return min(MAX_POLL_INTERVAL_MS, places * POLL_INTERVAL_MS)
 
+    def _rank(self):
+        """Return this gateway's place in the line for giving orders."""
+        return self._peers.table.order_rank(self._settings.data_centre)
+
     async def poll(self):
         """Make the change that is needed, if it is this gateway's turn."""
         # A stopping gateway would leave a lease, and the wait for the effect
@@ -159,7 +163,7 @@
         takeover_delay_ms = min(
             MAX_TAKEOVER_DELAY_MS, TAKEOVER_DELAY_FACTOR * change.lasting_ms
         )
-        rank = self._peers.table.group_rank()
+        rank = self._rank()
         if self._lease.has_unreleased_claim:
             rank = 0
         return change.lasting_ms + rank * takeover_delay_ms
@@ -182,10 +186,7 @@
             return
         # A starting gateway reads it at any place in line, as the claim may
         # be that of an earlier process of its instance.
-        if (
-            not is_first_poll
-            and self._peers.table.group_rank() >= CLAIM_POLLERS
-        ):
+        if not is_first_poll and self._rank() >= CLAIM_POLLERS:
             return
         self._next_claim_poll = now + CLAIM_POLL_INTERVAL_MS
         try:
--- a/tests/gateway/test_peer_table.py
+++ b/tests/gateway/test_peer_table.py
@@ -45,6 +45,17 @@
         self.clock.advance(1)
         self.assertEqual(self.live(), [])
 
+    def test_data_centres_take_turns_in_the_line_for_orders(self):
+        # Guards against a line whose whole front is cut off from an engine.
+        for number in range(2, 26):
+            sent = heartbeat(f"10.0.0.{number}", self.clock.now())
+            self.table.record_heartbeat(sent)
+        self.assertEqual(self.table.order_rank("a"), 0)
+        # By address, all the others come before the own one.
+        self.table._own_ip = "10.0.1.1"
+        self.assertEqual(self.table.group_rank(), 24)
+        self.assertEqual(self.table.order_rank("b"), 1)
+
     def test_forwarded_heartbeats_do_not_keep_a_dead_gateway_alive(self):
         # Gateways forward forwarded heartbeats.  If their age did not count
         # from the origin, a dead gateway would stay alive for ever.
--- a/tests/gateway/test_stage_manager.py
+++ b/tests/gateway/test_stage_manager.py
@@ -70,7 +70,9 @@
         self.peers = peers = types.SimpleNamespace(
             is_first_process=False,
             notify=lambda: None,
-            table=types.SimpleNamespace(states=list, group_rank=lambda: 0),
+            table=types.SimpleNamespace(
+                states=list, order_rank=lambda _data_centre: 0
+            ),
         )
         self.endpoints = endpoints.Endpoints(self.fleet_view, self.clock.now)
         self.manager = stage_manager.StageManager(
@@ -97,7 +99,7 @@
 
     def test_a_restarted_instance_reads_the_claim_at_its_start(self):
         # Guards against an instance that waits for the end of its own claim.
-        self.peers.table.group_rank = lambda: 100
+        self.peers.table.order_rank = lambda _: 100
         self.assertEqual(self.claims_read(40), 1)
 
     def test_an_engine_whose_order_fails_blocks_no_other(self):
@@ -122,7 +124,7 @@
         intervals = []
         self.manager._lease.has_unreleased_claim = False
         for rank in (0, 1, 100):
-            self.peers.table.group_rank = lambda rank=rank: rank
+            self.peers.table.order_rank = lambda _, rank=rank: rank
             intervals.append(self.manager.poll_interval_ms())
         self.assertEqual(intervals, [250, 500, 1_000])
         self.manager._lease.has_unreleased_claim = True
@@ -131,10 +133,10 @@
     def test_an_instance_that_is_new_reads_no_claim_at_its_start(self):
         # Guards against a call to the store by each gateway of a fleet that
         # starts, where eight are enough.
-        self.peers.table.group_rank = lambda: 100
+        self.peers.table.order_rank = lambda _: 100
         self.peers.is_first_process = True
         self.assertEqual(self.claims_read(40), 0)
-        self.peers.table.group_rank = lambda: 0
+        self.peers.table.order_rank = lambda _: 0
         self.assertEqual(self.claims_read(1), 1)
 
     def test_no_claim_is_read_before_the_instance_is_registered(self):
