Count only searches against the interval of searches

A probe of an endpoint that another gateway carries took the turn of a search, so that an endpoint that nobody reached among many that are relayed could wait for long while no gateway was known that connects. Found by reading. The new test fails without the change.

--- a/clementinewall/gateway/endpoint_path.py
+++ b/clementinewall/gateway/endpoint_path.py
@@ -66,6 +66,11 @@
         """Tell whether no other gateway is needed."""
         return self._reach is Reach.DIRECT
 
+    @property
+    def needs_search(self):
+        """Tell whether no gateway is known that reaches it."""
+        return self._reach is Reach.NONE
+
     @property
     def changed_ms(self):
         """Return for how many ms it has been reached in this way."""
--- a/clementinewall/reach/probes.py
+++ b/clementinewall/reach/probes.py
@@ -82,7 +82,8 @@
         is_better = False
         try:
             with containment.contained(_log, "a probe"):
-                is_better = await path.probe(self._may_search())
+                may_search = path.needs_search and self._may_search()
+                is_better = await path.probe(may_search)
         finally:
             self._probed.discard(path)
             if not path.is_direct:
--- a/tests/reach/test_probes.py
+++ b/tests/reach/test_probes.py
@@ -14,9 +14,10 @@
 class _Path:
     """An endpoint whose probes take some time."""
 
-    def __init__(self, test):
+    def __init__(self, test, needs_search=True):
         self._test = test
         self.is_direct = False
+        self.needs_search = needs_search
 
     async def probe(self, may_search):
         """Count the probe; tell whether it found the endpoint."""
@@ -55,10 +56,10 @@
         for task in self.tasks:
             task.cancel()
 
-    def add(self, count):
+    def add(self, count, needs_search=True):
         """Be cut off from so many endpoints."""
         for _ in range(count):
-            self.probes.add(_Path(self))
+            self.probes.add(_Path(self, needs_search))
 
     async def test_the_rate_of_probes_does_not_grow_with_the_endpoints(self):
         # Guards against a cut that keeps processors and endpoints busy.
@@ -102,6 +103,16 @@
                 await anyio.sleep(0.02)
         self.assertTrue(all(path.is_direct for path in self.probed))
 
+    async def test_endpoints_with_a_way_take_no_turn_of_searches(self):
+        # Guards against one unreached endpoint among many that are relayed.
+        self.search_interval_ms = 400
+        self.add(20, needs_search=False)
+        await anyio.sleep(0.6)
+        self.assertEqual(self.searches, 0)
+        self.probes._waiting.appendleft(_Path(self))
+        await anyio.sleep(0.3)
+        self.assertEqual(self.searches, 1)
+
     async def test_searches_wait_for_their_interval(self):
         # Guards against a data centre whose gateways all ask all others.
         self.search_interval_ms = 10_000
