Tell all gateways who connects to endpoints while some are cut off

Where nearly all gateways are cut off, each of them had to find one of the few that aren't by itself: at eight asked every 250 ms the last of 349 takes 8 s by the constants, beside the 80 or so that the checks of the endpoints in use ask at once.

While nobody is asked, nothing is told.

--- a/clementinewall/gateway/peer_messages.py
+++ b/clementinewall/gateway/peer_messages.py
@@ -8,7 +8,8 @@
 (what else is known of their processes), ``ask`` (gateways whose facts the
 sender needs), ``signs`` (heartbeats with their age, from gateways of the
 version before), ``kept`` (long prompt prefixes that engines prefilled),
-``news`` (updates read from the store) and ``room`` (recent admissions). Times
+``news`` (updates read from the store), ``room`` (recent admissions) and
+``relays`` (gateways that opened tunnels to endpoints lately).  Times
 are sent as ages, since clocks of two machines are never compared.
 """
 
--- a/clementinewall/gateway/peer_table.py
+++ b/clementinewall/gateway/peer_table.py
@@ -8,7 +8,6 @@
 from clementinewall import clock
 from clementinewall.gateway import peer_messages
 from clementinewall.policy import dissemination
-from clementinewall.policy import line
 from clementinewall.policy import store_polling
 
 # Callers are not directed to a gateway that has been silent for longer.
@@ -238,7 +237,8 @@
         group = store_polling.group(
             self._own_ip, self._ips_in_line(), len(self.ips) + 1
         )
-        return line.order(group, data_centre_by_ip).index(self._own_ip)
+        names = store_polling.in_turns(group, data_centre_by_ip)
+        return names.index(self._own_ip)
 
     def _ips_in_line(self):
         """Return the addresses of the others that may act for all."""
--- a/clementinewall/gateway/peers.py
+++ b/clementinewall/gateway/peers.py
@@ -101,6 +101,8 @@
         # What else the state message has, by key: each returns plain data, or
         # None to leave its key out.
         self.source_by_key = {}
+        # The same for what all gateways have to know.
+        self.news_source_by_key = {}
         self._cell_ips = frozenset()
         self._last_content = None
         self._last_at = -REPEAT_INTERVAL_MS
@@ -156,6 +158,7 @@
             "parts": self._crash_guard.parts_message(),
             "kept": self._endpoints.cache_holders.message(),
             "limits": self._endpoints.request_limits.message(),
+            **_entries(self.news_source_by_key),
         }
 
     async def run(self):
@@ -319,10 +322,7 @@
             "marks": crash_records,
             "parts": parts or {},
         }
-        for key, source in self.source_by_key.items():
-            data = source()
-            if data is not None:
-                message[key] = data
+        message.update(_entries(self.source_by_key))
         return peer_messages.dump(message)
 
     def _receive(self, raw, ip):
@@ -390,3 +390,9 @@
             self._endpoints.apply_unavailability(endpoint_id, ms)
         self._endpoints.speeds.take(ip, state.speed_rows, self._endpoints.find)
         self.table.record_state(ip, state)
+
+
+def _entries(source_by_key):
+    """Return the entries of a message that its sources have data for."""
+    data_by_key = {key: source() for key, source in source_by_key.items()}
+    return {key: data for key, data in data_by_key.items() if data is not None}
--- a/clementinewall/gateway/program.py
+++ b/clementinewall/gateway/program.py
@@ -94,6 +94,10 @@
             ticker.time_of_day_seconds(),
         )
         self._relays.table = self._peers.table
+        self._peers.news_source_by_key[relays.MESSAGE_KEY] = (
+            self._relays.message
+        )
+        self._peers.listeners.append(self._relays.take)
         self._fleet_follower = topic_followers.fleet_follower(
             *self._follower_arguments()
         )
--- a/clementinewall/policy/store_polling.py
+++ b/clementinewall/policy/store_polling.py
@@ -9,6 +9,7 @@
 calls, and never more than one bounded delay.
 """
 
+import collections
 import functools
 import math
 import random
@@ -72,6 +73,21 @@
     return group(own, others, size).index(own)
 
 
+def in_turns(names, data_centre_by_name):
+    """Return the names in line: data centres take turns, then by name.
+
+    A fault often hits all gateways of a data centre.  Who is next in line
+    after such a fault then stands in another one, and waits for one place.
+    """
+    places = collections.Counter()
+    keys = []
+    for name in sorted(names):
+        data_centre = data_centre_by_name[name]
+        keys.append((places[data_centre], data_centre, name))
+        places[data_centre] += 1
+    return [name for _, _, name in sorted(keys)]
+
+
 @functools.lru_cache(maxsize=4_096)
 def _hash(name):
     return zlib.crc32(name.encode())
--- a/tests/gateway/test_endpoint_path.py
+++ b/tests/gateway/test_endpoint_path.py
@@ -10,7 +10,6 @@
 from clementinewall.gateway import endpoint_path
 from clementinewall.gateway import relays as relays_module
 from clementinewall.policy import silence
-from clementinewall.reach import probes
 
 ADDRESS = "10.0.1.1:1"
 Reach = endpoint_path.Reach
@@ -42,7 +41,9 @@
         self.asked = 0
         self.available_ips = {"10.0.0.2"}
         self.tasks = []
-        self.probes = probes.Probes(self.start, lambda: 0, clock.Clock().now)
+        self.probes = relays_module.Probes(
+            self.start, lambda: 0, clock.Clock().now
+        )
 
     def start(self, function):
         """Run a function until the test ends."""
--- a/tests/gateway/test_peers.py
+++ b/tests/gateway/test_peers.py
@@ -97,6 +97,13 @@
             if "state" in message
         ]
 
+    def test_news_of_a_source_without_data_are_left_out(self):
+        # Guards against calm days that pay for what a cut has to tell.
+        self.peers.news_source_by_key["relays"] = lambda: None
+        self.assertNotIn("relays", self.peers._news())
+        self.peers.news_source_by_key["relays"] = lambda: [[OTHER, 5]]
+        self.assertEqual(self.peers._news()["relays"], [[OTHER, 5]])
+
     def test_a_prompt_is_announced_before_its_body_is_sent(self):
         # The body of a long prompt saturates the link.  A datagram sent after
         # it is lost, and other gateways take the engine for idle.
--- a/tests/reach/test_probes.py
+++ b/tests/gateway/test_probes.py
@@ -6,7 +6,7 @@
 import anyio
 
 from clementinewall import clock
-from clementinewall.reach import probes as probes_module
+from clementinewall.gateway import relays as relays_module
 
 ENDPOINTS = 48
 
@@ -43,7 +43,7 @@
         self.running = self.most_running = 0
         self.is_whole = False
         self.search_interval_ms = 0
-        self.probes = probes_module.Probes(
+        self.probes = relays_module.Probes(
             self.start, lambda: self.search_interval_ms, clock.Clock().now
         )
 
@@ -65,9 +65,9 @@
         # Guards against a cut that keeps processors and endpoints busy.
         self.add(ENDPOINTS)
         await anyio.sleep(1.1)
-        most = 1.1 * 1_000 / probes_module.INTERVAL_MS
+        most = 1.1 * 1_000 / relays_module.PROBE_INTERVAL_MS
         self.assertLessEqual(
-            len(self.probed), most * probes_module.MAX_PER_INTERVAL + 1
+            len(self.probed), most * relays_module.MAX_PROBES_PER_INTERVAL + 1
         )
         self.assertEqual(len(set(self.probed)), len(self.probed))
 
@@ -84,7 +84,9 @@
             while not self.probes.is_idle:
                 await anyio.sleep(0.02)
         self.assertEqual(len(self.probed), ENDPOINTS)
-        self.assertLessEqual(self.most_running, probes_module.MAX_AT_ONCE + 1)
+        self.assertLessEqual(
+            self.most_running, relays_module.MAX_PROBES_AT_ONCE + 1
+        )
 
     async def test_a_probe_that_fails_unexpectedly_does_not_end_the_others(
         self,
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -13,7 +13,6 @@
 from clementinewall.gateway import relays as relays_module
 from clementinewall.http1 import tunnel
 from clementinewall.policy import relay_choice
-from clementinewall.reach import relay_memory
 
 ADDRESS = "10.0.1.1:1"
 SETTINGS = domain.Settings(
@@ -117,12 +116,12 @@
         self.relays.record_answer(ADDRESS, "10.0.0.2", False)
         self.assertFalse(self.relays.is_available("10.0.0.2", ADDRESS))
         self.assertTrue(self.relays.is_available("10.0.0.2", "10.0.1.2:1"))
-        self.clock.advance(relay_memory.ANSWER_LIFETIME_MS)
+        self.clock.advance(relay_choice.ANSWER_LIFETIME_MS)
         self.peers = [p._replace(received_at=12_000) for p in self.peers]
         await self.connect()
         self.clock.advance(1)
         self.assertTrue(self.relays.is_available("10.0.0.2", ADDRESS))
-        self.clock.advance(relay_memory.ANSWER_LIFETIME_MS)
+        self.clock.advance(relay_choice.ANSWER_LIFETIME_MS)
         self.relays.sweep()
         self.assertEqual(self.relays._memory._answer_by_address_and_ip, {})
 
@@ -153,6 +152,35 @@
             self.assertEqual(self.asked, [found.relay_ip])
             self.assertEqual(again.relay_ip, found.relay_ip)
 
+    async def test_who_connects_is_asked_first_by_gateways_that_are_told(self):
+        # Guards against a few gateways with a way among hundreds without.
+        self.cut_off_data_centre()
+        self.assertIsNone(self.relays.message())
+        found = await self.connect()
+        message = {relays_module.MESSAGE_KEY: self.relays.message()}
+        table = self.relays.table
+        self.relays = relays_module.Relays(SETTINGS, None, self.clock.now)
+        self.relays.table = table
+        self.relays.take(message, "10.0.2.1")
+        self.asked.clear()
+        await self.connect()
+        self.assertEqual(self.asked, [found.relay_ip])
+
+    async def test_what_others_tell_of_unknown_gateways_is_ignored(self):
+        # Guards against tunnels to any address that somebody names.
+        self.cut_off_data_centre()
+        for row, error in (
+            (["10.0.0.2", "soon"], ValueError),
+            (["10.0.0.2", -1], ValueError),
+            (["10.0.0.2"], ValueError),
+            (7, TypeError),
+        ):
+            with self.subTest(row=row), self.assertRaises(error):
+                self.relays.take({relays_module.MESSAGE_KEY: [row]}, "")
+        self.relays.take({relays_module.MESSAGE_KEY: [["10.9.9.9", 0]]}, "")
+        self.relays.take({}, "")
+        self.assertIsNone(self.relays.message())
+
     async def test_whom_a_search_asked_in_vain_is_logged_together(self):
         # Guards against a cut of which no line tells who was asked.
         self.cut_off_data_centre()
--- a/tests/reach/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of how ways to endpoints are found."""
