--- a/bench/cut.py
+++ b/bench/cut.py
@@ -33,6 +33,7 @@
 import collections
 import os
 import shutil
+import statistics
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,7 @@
 import docopt
 
 from bench import deployed
+from bench import slopes_processes
 from bench.soak import bounds
 from bench.soak import history as history_module
 from bench.soak import recovery
@@ -75,12 +77,15 @@
         self.fleet.case.data_centre_by_gateway = data_centre_by_name
         self.history = self.fleet.history
         self.cpu_rows = []
+        # Processor seconds of each gateway when the cut began and ended.
+        self.cpu_at_ends = []
 
     def play(self, mode, cut_seconds, after_seconds):
         """Cut some gateways off, and heal that."""
         time.sleep(SERVED_BEFORE_SECONDS)
         self.wall = time.time()
         self.start = time.monotonic()
+        self.cpu_at_ends.append(self._cpu_by_name())
         self._set_mode(mode)
         cut = history_module.Cut(
             tuple(self.cut_names), self.start, self.start + cut_seconds
@@ -91,6 +96,7 @@
                 history_module.CUT, name, cut_seconds + after_seconds
             )
         self._watch(cut.end)
+        self.cpu_at_ends.append(self._cpu_by_name())
         self._set_mode("ok")
         # Gateways have as long after the end as they have after the start.
         healed = history_module.Cut(
@@ -99,6 +105,28 @@
         self._watch(healed.end)
         self.history.add(self.history.cuts, healed)
 
+    def _cpu_by_name(self):
+        return {
+            name: slopes_processes.cpu_ticks(
+                self.fleet.dep.process_by_name[name].pid
+            )
+            / slopes_processes.TICKS
+            for name in self.fleet.names
+        }
+
+    def _print_cpu(self, seconds):
+        """Print what a gateway took of a processor while the cut lasted."""
+        before, after = self.cpu_at_ends
+        for what, is_cut in (("cut off", True), ("others", False)):
+            used = [
+                1_000 * (after[name] - before[name]) / seconds
+                for name in self.fleet.names
+                if (name in self.cut_names) is is_cut
+            ]
+            if used:
+                mean = statistics.mean(used)
+                print(f"{what}: {mean:.0f} ms of a processor a second each")
+
     def _set_mode(self, mode):
         for group in sorted({self.group_by_name[n] for n in self.cut_names}):
             self.fleet.case.cut(group, mode)
@@ -143,6 +171,7 @@
                 f" {span['others served']:5d}/{span['others sent']:4d}"
                 f" {max(used, 0):4.1f}  {more or ''}"
             )
+        self._print_cpu(self.history.cuts[0].end - self.start)
         return list(recovery.find_violations(self.history))
 
     def _reaches(self):
