--- a/clementinewall/gateway/relays.py
+++ b/clementinewall/gateway/relays.py
@@ -322,6 +322,8 @@
                 for path in waiting:
                     # A probe that waits for its turn counts as one that runs.
                     self._probed.add(path)
-                    group.start_soon(probe, path)
+                    group.start_soon(
+                        containment.run_once, _log, "a probe", probe, path
+                    )
         finally:
             self._is_sweeping = False
