--- a/standins/bringup.py
+++ b/standins/bringup.py
@@ -353,7 +353,15 @@
         where = self.address_by_name.get(
             f"{name}-control", self.address_by_name[name]
         )
-        self.http.post(f"http://{where}/faults", json=body)
+        # A kept connection may be about to be closed by the stand-in.
+        httpx.post(
+            f"http://{where}/faults",
+            json=body,
+            timeout=10.0,
+            trust_env=False,
+            # Loading certificates takes longer than the request.
+            verify=False,
+        )
 
     def ask(self, name, path):
         """Return the JSON that a stand-in gives at ``path``."""
